--- /dev/null
+++ b/features/__init__.py
@@ -0,0 +1,1 @@
+"""The behaviour of hawthornyard, as scenarios."""
--- /dev/null
+++ b/features/fixtures.py
@@ -0,0 +1,25 @@
+"""Fixtures that the scenarios share."""
+
+from collections.abc import Iterator
+
+from behave import fixture
+from behave.runner import Context
+
+from hawthornyard.demo import Client, Deployment
+
+
+@fixture
+def kingston(context: Context) -> Iterator[Deployment]:
+    """Two engines and two plain services in two failure domains, two gateways."""
+    deployment = Deployment()
+    for index, domain in enumerate(("new-kingston", "half-way-tree"), start=1):
+        deployment.add_engine(f"scribe-{index}", domain, step_s=0.005)
+        deployment.add_service(f"frontdesk-{index}", domain)
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree")
+    deployment.apply(deployment.documents())
+    deployment.wait_ready()
+    context.deployment = deployment
+    context.client = Client(deployment.url(0), deployment.key)
+    context.other_client = Client(deployment.url(1), deployment.key)
+    yield deployment
--- /dev/null
+++ b/hawthornyard/__init__.py
@@ -0,0 +1,7 @@
+"""Serve language model generations of unknown length on crowded engines."""
+
+from .errors import ErrorKind, HawthornyardError
+
+__all__ = ["ErrorKind", "HawthornyardError", "__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/hawthornyard/cli/run.py
@@ -0,0 +1,39 @@
+"""Start the daemons."""
+
+from pathlib import Path
+
+import cyclopts
+
+from ..gateway.program import Gateway
+from ..platform import HttpTable
+from ..rim import configure_log
+from ..settings import load_gateway_settings, load_sidecar_settings
+from ..sidecar.program import Sidecar
+
+
+def add_run_commands(app: cyclopts.App) -> None:
+    """Add the daemons to the command line."""
+    app.command(gateway)
+    app.command(sidecar)
+
+
+def gateway(*, config: Path) -> None:
+    """Run a gateway until SIGTERM.
+
+    Args:
+        config: YAML settings file.
+    """
+    settings = load_gateway_settings(config)
+    configure_log(level=settings.log_level)
+    Gateway(settings, HttpTable(settings.table)).run()
+
+
+def sidecar(*, config: Path) -> None:
+    """Run the sidecar of one endpoint until SIGTERM.
+
+    Args:
+        config: YAML settings file.
+    """
+    settings = load_sidecar_settings(config)
+    configure_log(level=settings.log_level)
+    Sidecar(settings).run()
--- /dev/null
+++ b/hawthornyard/cli/standin.py
@@ -0,0 +1,62 @@
+"""Start stand-ins of the systems outside."""
+
+import cyclopts
+import eventlet
+
+from ..front import HttpServer
+from ..rim import configure_log, split_address
+from ..standins import (
+    EngineModel,
+    EngineStandIn,
+    MemoryTable,
+    ServiceStandIn,
+    TableStandIn,
+)
+
+standin_app = cyclopts.App(name="standin", help="Run stand-ins, for trials only.")
+
+
+def add_standin_commands(app: cyclopts.App) -> None:
+    """Add the stand-ins to the command line."""
+    app.command(standin_app)
+
+
+@standin_app.command
+def engine(*, listen: str, step_s: float = 0.02) -> None:
+    """Run a stand-in model engine.
+
+    Args:
+        listen: "address:port" to listen on.
+        step_s: Seconds between tokens.
+    """
+    standin = EngineStandIn(EngineModel(step_s=step_s))
+    eventlet.spawn_n(standin.run)
+    _serve(listen, standin.app)
+
+
+@standin_app.command
+def service(*, listen: str, delay_s: float = 0.01) -> None:
+    """Run a stand-in plain service.
+
+    Args:
+        listen: "address:port" to listen on.
+        delay_s: Seconds that a call takes.
+    """
+    _serve(listen, ServiceStandIn(delay_s=delay_s).app)
+
+
+@standin_app.command
+def table(*, listen: str) -> None:
+    """Run a stand-in table service.
+
+    Args:
+        listen: "address:port" to listen on.
+    """
+    _serve(listen, TableStandIn(MemoryTable()).app)
+
+
+def _serve(listen: str, app: object) -> None:
+    configure_log()
+    server = HttpServer(split_address(listen), app)
+    server.start()
+    server.wait()
--- /dev/null
+++ b/hawthornyard/codec/msgpack.py
@@ -0,0 +1,127 @@
+"""Encode frames as msgpack streams."""
+
+from collections.abc import Iterator
+from typing import Any
+
+import msgpack
+
+from ..core import Message
+from ..errors import FrameError
+from ..frames import (
+    Accepted,
+    Ack,
+    Attach,
+    Cancel,
+    ConfigPush,
+    Dispatch,
+    Ended,
+    Failed,
+    Frame,
+    Generation,
+    Heartbeat,
+    Hello,
+    Proof,
+    RecordEntry,
+    Refused,
+    Replied,
+    ServiceCall,
+    Tokens,
+    Unknown,
+)
+
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+
+# A tag is part of the protocol: it is never given to another type.
+_TYPES: dict[int, type[Message]] = {
+    1: Hello,
+    2: Proof,
+    3: Dispatch,
+    4: Attach,
+    5: Cancel,
+    6: Ack,
+    7: ConfigPush,
+    8: Accepted,
+    9: Refused,
+    10: Tokens,
+    11: Ended,
+    12: Replied,
+    13: Failed,
+    14: Heartbeat,
+    15: Unknown,
+    20: RecordEntry,
+    21: Generation,
+    22: ServiceCall,
+}
+_TAGS = {cls: tag for tag, cls in _TYPES.items()}
+
+
+class MsgpackDecoder:
+    """Decode a stream of msgpack frames.
+
+    Args:
+        max_frame_bytes: Bound on the bytes of one frame.
+    """
+
+    __slots__ = ("_unpacker",)
+
+    def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._unpacker = msgpack.Unpacker(
+            ext_hook=_decode_ext, max_buffer_size=max_frame_bytes
+        )
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that `data` completes.
+
+        Raises:
+            FrameError: If the bytes are no frame or over the size bound.
+        """
+        try:
+            self._unpacker.feed(data)
+            for frame in self._unpacker:
+                yield _checked(frame)
+        except FrameError:
+            raise
+        except Exception as exc:
+            raise FrameError(f"undecodable frame: {exc}") from exc
+
+
+class MsgpackCodec:
+    """Encode each frame as one msgpack extension value."""
+
+    __slots__ = ("_max_frame_bytes",)
+
+    def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        self._max_frame_bytes = max_frame_bytes
+
+    def encode(self, frame: Frame) -> bytes:
+        """Return the bytes of one frame.
+
+        Raises:
+            FrameError: If the frame is over the size bound.
+        """
+        data: bytes = msgpack.packb(frame, default=_encode_ext)
+        if len(data) > self._max_frame_bytes:
+            raise FrameError(f"frame of {len(data)} bytes is over the bound")
+        return data
+
+    def decoder(self) -> MsgpackDecoder:
+        """Return a decoder for one connection."""
+        return MsgpackDecoder(max_frame_bytes=self._max_frame_bytes)
+
+
+def _encode_ext(value: Any) -> msgpack.ExtType:
+    body = msgpack.packb(list(value.values()), default=_encode_ext)
+    return msgpack.ExtType(_TAGS[type(value)], body)
+
+
+def _decode_ext(tag: int, data: bytes) -> Message:
+    cls = _TYPES.get(tag)
+    if cls is None:
+        raise FrameError(f"unknown frame tag {tag}")
+    return cls(*msgpack.unpackb(data, ext_hook=_decode_ext))
+
+
+def _checked(frame: Any) -> Frame:
+    if not isinstance(frame, Frame):
+        raise FrameError(f"expected a frame, got {type(frame).__name__}")
+    return frame
--- /dev/null
+++ b/hawthornyard/core/__init__.py
@@ -0,0 +1,28 @@
+"""Hold the message, filter and pipeline types that every part is built from."""
+
+from .clock import Chance, Clock, Identifiers, ManualClock
+from .event import Decision, Fault, PeerDown, PeerUp, Stopped, StopRequested, Tick
+from .message import Message
+from .pipe import Consumers, Feedback, Filter, Handlers, Inbox, Pipeline, Sink
+
+__all__ = [
+    "Chance",
+    "Clock",
+    "Consumers",
+    "Decision",
+    "Fault",
+    "Feedback",
+    "Filter",
+    "Handlers",
+    "Identifiers",
+    "Inbox",
+    "ManualClock",
+    "Message",
+    "PeerDown",
+    "PeerUp",
+    "Pipeline",
+    "Sink",
+    "StopRequested",
+    "Stopped",
+    "Tick",
+]
--- /dev/null
+++ b/hawthornyard/core/message.py
@@ -0,0 +1,37 @@
+"""Give typed messages their `repr` and equality."""
+
+from collections.abc import Iterator
+from typing import Any
+
+
+class Message:
+    """Base of everything that travels through a pipe.
+
+    A subclass lists its fields in `__slots__` in the order of its
+    constructor's arguments.
+    """
+
+    __slots__ = ()
+
+    @classmethod
+    def fields(cls) -> tuple[str, ...]:
+        """Return the names of the fields in constructor order."""
+        return tuple(cls.__slots__)
+
+    def values(self) -> Iterator[Any]:
+        """Yield the values of the fields in constructor order."""
+        for name in self.fields():
+            yield getattr(self, name)
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return list(self.values()) == list(other.values())
+
+    def __hash__(self) -> int:
+        return id(self)
+
+    def __repr__(self) -> str:
+        pairs = zip(self.fields(), self.values(), strict=True)
+        body = ", ".join(f"{name}={value!r}" for name, value in pairs)
+        return f"{type(self).__name__}({body})"
--- /dev/null
+++ b/hawthornyard/core/pipe.py
@@ -0,0 +1,95 @@
+"""Join filters into a pipeline with typed messages and sinks."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, Protocol
+
+from ..errors import HawthornyardError
+from .message import Message
+
+Handlers = Mapping[type[Message], Callable[[Any], Iterable[Message]]]
+Consumers = Mapping[type[Message], Callable[[Any], None]]
+
+
+class Filter(Protocol):
+    """Take one typed message and yield zero or more typed messages.
+
+    A filter takes a message off the pipe by having a handler for its type;
+    it yields the message again to pass it on. It never waits.
+    """
+
+    @property
+    def handlers(self) -> Handlers:
+        """Return the handler of each message type that the filter takes."""
+        ...
+
+
+class Sink(Protocol):
+    """Take messages off the tail of a pipeline."""
+
+    @property
+    def consumers(self) -> Consumers:
+        """Return the consumer of each message type that the sink takes."""
+        ...
+
+
+class Inbox(Protocol):
+    """Accept messages at the head of a pipeline."""
+
+    def put(self, msg: Message) -> None:
+        """Append a message without waiting."""
+        ...
+
+
+class Feedback:
+    """Return messages from the tail of a pipeline to its head.
+
+    Args:
+        inbox: Where the messages go.
+        types: The message types that are returned.
+    """
+
+    __slots__ = ("consumers",)
+
+    def __init__(self, inbox: Inbox, *types: type[Message]) -> None:
+        self.consumers: Consumers = dict.fromkeys(types, inbox.put)
+
+
+class Pipeline:
+    """Push messages through a chain of filters into sinks.
+
+    Args:
+        filters: The chain, head first.
+        sinks: Where messages go that no later filter takes.
+    """
+
+    __slots__ = ("_consumers", "_stages")
+
+    def __init__(self, filters: Sequence[Filter], sinks: Sequence[Sink]) -> None:
+        self._stages = [stage.handlers for stage in filters]
+        self._consumers: dict[type[Message], Callable[[Any], None]] = {}
+        for sink in sinks:
+            self._consumers.update(sink.consumers)
+
+    def push(self, msg: Message) -> None:
+        """Run one message and all that follows from it to the tail.
+
+        Args:
+            msg: A message for the head of the chain.
+
+        Raises:
+            HawthornyardError: If no filter and no sink takes a message.
+        """
+        self._push(msg, 0)
+
+    def _push(self, msg: Message, start: int) -> None:
+        for index in range(start, len(self._stages)):
+            handler = self._stages[index].get(type(msg))
+            if handler is None:
+                continue
+            for out in handler(msg):
+                self._push(out, index + 1)
+            return
+        consume = self._consumers.get(type(msg))
+        if consume is None:
+            raise HawthornyardError(f"no stage takes {type(msg).__name__}")
+        consume(msg)
--- /dev/null
+++ b/hawthornyard/demo/client.py
@@ -0,0 +1,133 @@
+"""Call a gateway as a kiosk does."""
+
+import json
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+import urllib3
+
+Headers = Mapping[str, str]
+
+READ_TIMEOUT_S = 30.0
+
+
+class Event:
+    """One server-sent event.
+
+    Attributes:
+        id: Where to go on after a lost connection, empty for none.
+        body: The event's JSON object, empty for the end mark.
+    """
+
+    __slots__ = ("body", "id")
+
+    def __init__(self, id: str, body: dict[str, Any]) -> None:
+        self.id = id
+        self.body = body
+
+    @property
+    def text(self) -> str:
+        """Return the token in the event, empty for none."""
+        choices = self.body.get("choices") or [{}]
+        return str(choices[0].get("text") or "")
+
+
+class Client:
+    """A caller of one gateway.
+
+    Args:
+        url: URL of the gateway.
+        key: Team key.
+    """
+
+    __slots__ = ("_key", "_pool", "url")
+
+    def __init__(self, url: str, key: str) -> None:
+        self.url = url
+        self._key = key
+        self._pool = urllib3.PoolManager()
+
+    def complete(
+        self, prompt: str, *, max_tokens: int = 20, headers: Headers | None = None
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the whole answer of a completion."""
+        body = {"model": "scribe", "prompt": prompt, "max_tokens": max_tokens}
+        return self.request("POST", "/v1/completions", body, headers=headers)
+
+    def stream(
+        self, prompt: str, *, max_tokens: int = 20, headers: Headers | None = None
+    ) -> Iterator[Event]:
+        """Yield the events of a streamed completion."""
+        body = {
+            "model": "scribe",
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": True,
+        }
+        resp = self.request(
+            "POST", "/v1/completions", body, preload=False, headers=headers
+        )
+        try:
+            yield from _events(resp)
+        finally:
+            resp.close()
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: dict[str, Any] | None = None,
+        *,
+        preload: bool = True,
+        headers: Headers | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the answer to one request; never repeats it.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON object, None for no body.
+            preload: False to read the body piece by piece.
+            headers: Further request headers.
+        """
+        data = json.dumps(body).encode() if body is not None else None
+        return self.send(method, path, data, preload=preload, headers=headers)
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        *,
+        preload: bool = True,
+        headers: Headers | None = None,
+    ) -> urllib3.BaseHTTPResponse:
+        """Return the answer to a request with a body of bytes; see `request`."""
+        return self._pool.request(
+            method,
+            self.url + path,
+            body=body,
+            headers={"Authorization": f"Bearer {self._key}", **(headers or {})},
+            timeout=urllib3.Timeout(connect=2.0, read=READ_TIMEOUT_S),
+            retries=False,
+            redirect=False,
+            preload_content=preload,
+        )
+
+
+def _events(resp: urllib3.BaseHTTPResponse) -> Iterator[Event]:
+    buffer = b""
+    for chunk in resp.stream(None):
+        buffer += chunk
+        *blocks, buffer = buffer.split(b"\n\n")
+        for block in blocks:
+            yield _event(block.decode())
+    if buffer:
+        yield _event(buffer.decode())
+
+
+def _event(block: str) -> Event:
+    fields = dict(line.split(": ", 1) for line in block.splitlines() if ": " in line)
+    data = fields.get("data", "[DONE]")
+    body = json.loads(data) if data != "[DONE]" else {}
+    return Event(fields.get("id", ""), body)
--- /dev/null
+++ b/hawthornyard/demo/deployment.py
@@ -0,0 +1,209 @@
+"""Compose a whole deployment in one process, on loopback and one loop."""
+
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import eventlet
+
+from ..front import HttpServer
+from ..gateway.program import Gateway
+from ..operator import apply_documents
+from ..platform import HttpTable
+from ..records import Document, new_key
+from ..settings import GatewaySettings, SidecarSettings
+from ..sidecar.program import Sidecar
+from ..standins import (
+    EngineModel,
+    EngineStandIn,
+    MemoryTable,
+    ServiceStandIn,
+    TableStandIn,
+)
+
+LOOPBACK = "127.0.0.1"
+ANY_PORT = f"{LOOPBACK}:0"
+PEER_KEY = b"demo-peer-key-of-one-process"
+WAIT_STEP_S = 0.02
+WAIT_TIMEOUT_S = 20.0
+
+
+class EndpointHost:
+    """A stand-in endpoint with its sidecar.
+
+    Attributes:
+        name: Name of the endpoint record.
+        failure_domain: Its failure domain.
+        standin: The stand-in engine or plain service.
+        server: Server of the stand-in.
+        sidecar: The sidecar.
+        protocol: "generation" or "http".
+    """
+
+    __slots__ = ("failure_domain", "name", "protocol", "server", "sidecar", "standin")
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        protocol: str,
+        standin: EngineStandIn | ServiceStandIn,
+    ) -> None:
+        self.name = name
+        self.failure_domain = failure_domain
+        self.protocol = protocol
+        self.standin = standin
+        self.server = _serve(standin.app)
+        self.sidecar = Sidecar(
+            SidecarSettings(
+                name,
+                failure_domain,
+                ANY_PORT,
+                f"http://{LOOPBACK}:{self.server.port}",
+                protocol,
+                PEER_KEY,
+            )
+        )
+        self.sidecar.start()
+
+
+class Deployment:
+    """Stand-ins, sidecars and gateways that share one loop.
+
+    Attributes:
+        table: Stand-in table service.
+        hosts: Endpoints by name.
+        gateways: Gateways in order of their start.
+        key: Key of the team "kiosk".
+    """
+
+    __slots__ = ("_key_hash", "_table_url", "gateways", "hosts", "key", "table")
+
+    def __init__(self) -> None:
+        self.table = TableStandIn(MemoryTable())
+        self._table_url = f"http://{LOOPBACK}:{_serve(self.table.app).port}"
+        self.hosts: dict[str, EndpointHost] = {}
+        self.gateways: list[Gateway] = []
+        self.key, self._key_hash = new_key("kiosk")
+
+    def add_engine(
+        self, name: str, failure_domain: str, *, step_s: float = 0.02
+    ) -> EndpointHost:
+        """Start a stand-in engine and its sidecar."""
+        standin = EngineStandIn(EngineModel(step_s=step_s))
+        eventlet.spawn_n(standin.run)
+        host = EndpointHost(name, failure_domain, "generation", standin)
+        self.hosts[name] = host
+        return host
+
+    def add_service(self, name: str, failure_domain: str) -> EndpointHost:
+        """Start a stand-in plain service and its sidecar."""
+        host = EndpointHost(name, failure_domain, "http", ServiceStandIn())
+        self.hosts[name] = host
+        return host
+
+    def add_gateway(self, name: str, failure_domain: str) -> Gateway:
+        """Start a gateway."""
+        settings = GatewaySettings(
+            name, failure_domain, ANY_PORT, self._table_url, PEER_KEY
+        )
+        gateway = Gateway(settings, HttpTable(self._table_url))
+        gateway.start()
+        self.gateways.append(gateway)
+        return gateway
+
+    def apply(self, documents: Sequence[Document]) -> int:
+        """Accept records through the table service."""
+        return apply_documents(HttpTable(self._table_url), documents)
+
+    def url(self, index: int = 0) -> str:
+        """Return the URL of a gateway."""
+        return f"http://{LOOPBACK}:{self.gateways[index].port}"
+
+    def documents(self) -> list[Document]:
+        """Return records that describe what was started."""
+        domains = sorted({host.failure_domain for host in self.hosts.values()})
+        documents = [
+            _document("failure_domain", 1, name, {"region": "kingston"})
+            for name in domains
+        ]
+        documents += [
+            _document("model", 1, "scribe", {"context_tokens": 8192}),
+            _document("service", 1, "summaries", _SUMMARIES),
+            _document("service", 2, "frontdesk", _FRONTDESK),
+            _document("team", 1, "kiosk", self._team()),
+        ]
+        documents += [_endpoint_document(host) for host in self.hosts.values()]
+        return documents
+
+    def wait_ready(self) -> None:
+        """Wait until every gateway hears every endpoint.
+
+        Raises:
+            TimeoutError: If that takes too long.
+        """
+        wait_until(
+            lambda: all(
+                sum(view.accepting for view in gateway.fleet.views()) == len(self.hosts)
+                for gateway in self.gateways
+            )
+        )
+
+    def _team(self) -> dict[str, Any]:
+        return {
+            "key_hash": self._key_hash,
+            "services": ["summaries", "frontdesk"],
+            "requests_per_s": 1000,
+            "tokens_per_s": 100000,
+        }
+
+
+def wait_until(
+    condition: Callable[[], bool], *, timeout_s: float = WAIT_TIMEOUT_S
+) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: If it does not hold in time.
+    """
+    n_steps = round(timeout_s / WAIT_STEP_S)
+    for _ in range(n_steps):
+        if condition():
+            return
+        eventlet.sleep(WAIT_STEP_S)
+    raise TimeoutError("the condition did not hold in time")
+
+
+_SUMMARIES = {"protocol": "generation", "models": ["scribe"], "class": "visitor"}
+
+_FRONTDESK = {
+    "protocol": "http",
+    "priority": 9,
+    "deadline_s": 10,
+    "operations": [
+        {"method": "POST", "path": "/badges", "idempotent": False},
+        {"method": "GET", "path": "/guests", "idempotent": True},
+    ],
+}
+
+
+def _document(kind: str, schema: int, name: str, spec: dict[str, Any]) -> Document:
+    return {"kind": kind, "schema": schema, "name": name, "spec": spec}
+
+
+def _endpoint_document(host: EndpointHost) -> Document:
+    spec: dict[str, Any] = {
+        "failure_domain": host.failure_domain,
+        "sidecar": f"{LOOPBACK}:{host.sidecar.port}",
+        "protocol": host.protocol,
+    }
+    if host.protocol == "generation":
+        spec["models"] = ["scribe"]
+    else:
+        spec["services"] = ["frontdesk"]
+    return _document("endpoint", 1, host.name, spec)
+
+
+def _serve(app: Any) -> HttpServer:
+    server = HttpServer((LOOPBACK, 0), app)
+    server.start()
+    return server
--- /dev/null
+++ b/hawthornyard/front/__init__.py
@@ -0,0 +1,7 @@
+"""Speak HTTP with callers."""
+
+from .app import Application, Probe
+from .replies import Replies
+from .server import HttpServer
+
+__all__ = ["Application", "HttpServer", "Probe", "Replies"]
--- /dev/null
+++ b/hawthornyard/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: takes calls, chooses endpoints, relays output to callers."""
--- /dev/null
+++ b/hawthornyard/gateway/chain.py
@@ -0,0 +1,61 @@
+"""Join the gateway's filters in the order in which messages pass them."""
+
+from collections.abc import Sequence
+
+from ..core import Chance, Clock, Filter, Identifiers
+from ..policy import RetryBudget, TwoChoices
+from ..records import Catalog
+from .budget import TeamBudgets
+from .fleet import ApplyConfig, Fleet, Watch
+from .inflight import InFlight
+from .reply import Meter, Relay, Settle
+from .request import (
+    Authenticate,
+    Claim,
+    Drain,
+    Resolve,
+    Retry,
+    Route,
+    SendAttempt,
+    TeamLimit,
+    WaitForRoom,
+)
+
+
+def gateway_chain(
+    catalog: Catalog,
+    inflight: InFlight,
+    fleet: Fleet,
+    drain: Drain,
+    clock: Clock,
+    chance: Chance,
+    identifiers: Identifiers,
+) -> Sequence[Filter]:
+    """Return the filters of a gateway, head first.
+
+    Args:
+        catalog: Records in force.
+        inflight: Requests that are not answered yet.
+        fleet: What is known of the endpoints.
+        drain: Tells the program whether it is stopping.
+        clock: Source of time.
+        chance: Source of randomness.
+        identifiers: Source of attempt ids.
+    """
+    budgets = TeamBudgets(clock)
+    return [
+        ApplyConfig(catalog),
+        Watch(fleet),
+        drain,
+        Authenticate(catalog),
+        Resolve(catalog, inflight, clock),
+        TeamLimit(budgets),
+        Retry(RetryBudget(), clock),
+        WaitForRoom(fleet, clock),
+        Claim(inflight),
+        Route(fleet, TwoChoices(chance)),
+        SendAttempt(inflight, fleet, clock, identifiers),
+        Relay(inflight, fleet, clock),
+        Meter(inflight, budgets),
+        Settle(inflight, fleet, clock),
+    ]
--- /dev/null
+++ b/hawthornyard/gateway/fleet/watch.py
@@ -0,0 +1,28 @@
+"""Follow the endpoints through heartbeats and lost connections."""
+
+from collections.abc import Iterator
+
+from ...core import Handlers, Message, PeerDown
+from ...frames import Heartbeat
+from .fleet import Fleet
+
+
+class Watch:
+    """Keep the fleet's state up to date and pass all messages on."""
+
+    __slots__ = ("_fleet", "handlers")
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.handlers: Handlers = {
+            Heartbeat: self._on_heartbeat,
+            PeerDown: self._on_peer_down,
+        }
+
+    def _on_heartbeat(self, msg: Heartbeat) -> Iterator[Message]:
+        self._fleet.on_heartbeat(msg)
+        yield msg
+
+    def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
+        self._fleet.on_lost(msg.peer)
+        yield msg
--- /dev/null
+++ b/hawthornyard/gateway/inflight.py
@@ -0,0 +1,51 @@
+"""Hold the requests that a gateway has not answered yet."""
+
+from collections.abc import Iterator
+
+from .messages import Request
+
+
+class InFlight:
+    """Requests by HTTP exchange and by their current attempt."""
+
+    __slots__ = ("_by_attempt", "_by_call")
+
+    def __init__(self) -> None:
+        self._by_call: dict[str, Request] = {}
+        self._by_attempt: dict[str, Request] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_call)
+
+    def __iter__(self) -> Iterator[Request]:
+        yield from list(self._by_call.values())
+
+    def add(self, request: Request) -> None:
+        """Hold a request until it is closed."""
+        self._by_call[request.call_id] = request
+
+    def begin_attempt(self, request: Request, attempt_id: str) -> None:
+        """Make `attempt_id` the current attempt of a request."""
+        self.end_attempt(request)
+        request.attempt_id = attempt_id
+        self._by_attempt[attempt_id] = request
+
+    def end_attempt(self, request: Request) -> None:
+        """Forget the current attempt, so that its frames are discarded."""
+        self._by_attempt.pop(request.attempt_id, None)
+        request.attempt_id = ""
+        request.accepted = False
+        request.detached_at = None
+
+    def by_call(self, call_id: str) -> Request | None:
+        """Return the request of an HTTP exchange."""
+        return self._by_call.get(call_id)
+
+    def by_attempt(self, attempt_id: str) -> Request | None:
+        """Return the request whose current attempt this is."""
+        return self._by_attempt.get(attempt_id)
+
+    def remove(self, request: Request) -> None:
+        """Forget a request and its current attempt."""
+        self._by_call.pop(request.call_id, None)
+        self._by_attempt.pop(request.attempt_id, None)
--- /dev/null
+++ b/hawthornyard/gateway/program.py
@@ -0,0 +1,197 @@
+"""Compose and run a gateway."""
+
+import random
+import signal
+from typing import Any
+
+import eventlet
+from loguru import logger
+
+from ..codec import MsgpackCodec
+from ..core import (
+    Consumers,
+    Feedback,
+    PeerDown,
+    PeerUp,
+    Pipeline,
+    StopRequested,
+    Tick,
+)
+from ..frames import (
+    Ack,
+    Attach,
+    Cancel,
+    ConfigPush,
+    Dispatch,
+    Heartbeat,
+)
+from ..front import Application, HttpServer, Replies
+from ..platform import TableStore
+from ..records import Catalog
+from ..rim import (
+    ConfigPoll,
+    Connections,
+    DecisionLog,
+    Discard,
+    EventletInbox,
+    FrameSink,
+    MonotonicClock,
+    PeerLinks,
+    RandomIdentifiers,
+    StopSink,
+    run_loop,
+    run_timer,
+    split_address,
+)
+from ..rim.claims import ClaimWriter
+from ..settings import GatewaySettings
+from .chain import gateway_chain
+from .fleet import Fleet
+from .inflight import InFlight
+from .messages import (
+    AttemptFailed,
+    CallerGone,
+    Closed,
+    ConfigChanged,
+    StopListening,
+)
+from .request import Drain
+
+
+class ListenerSink:
+    """Stop listening for callers."""
+
+    __slots__ = ("_server", "consumers")
+
+    def __init__(self, server: HttpServer) -> None:
+        self._server = server
+        self.consumers: Consumers = {StopListening: self._on_stop_listening}
+
+    def _on_stop_listening(self, msg: StopListening) -> None:
+        self._server.close()
+
+
+class LinkSink:
+    """Point the peer links at the sidecars that the records name."""
+
+    __slots__ = ("_catalog", "_links", "consumers")
+
+    def __init__(self, catalog: Catalog, links: PeerLinks) -> None:
+        self._catalog = catalog
+        self._links = links
+        self.consumers: Consumers = {ConfigChanged: self._on_changed}
+
+    def _on_changed(self, msg: ConfigChanged) -> None:
+        addresses = {item.name: item.sidecar for item in self._catalog.endpoints()}
+        self._links.set_addresses(addresses)
+
+
+class Gateway:
+    """One gateway process; also runs beside others within a demo.
+
+    Args:
+        settings: Checked settings.
+        table: The platform's table service.
+    """
+
+    def __init__(self, settings: GatewaySettings, table: TableStore) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._inbox = EventletInbox()
+        self._stop = StopSink()
+        self.catalog = Catalog()
+        self.inflight = InFlight()
+        self.fleet = Fleet(self.catalog, self._clock)
+        self._drain = Drain(self.inflight, self._clock)
+        identifiers = RandomIdentifiers()
+        connections = Connections(self._inbox)
+        codec = MsgpackCodec()
+        links = PeerLinks(
+            settings.name, settings.peer_key, codec, connections, self._inbox
+        )
+        replies = Replies()
+        self._claims = ClaimWriter(table, self._inbox)
+        self._poll = ConfigPoll(table, self._inbox)
+        chain = gateway_chain(
+            self.catalog,
+            self.inflight,
+            self.fleet,
+            self._drain,
+            self._clock,
+            random.Random(),
+            identifiers,
+        )
+        app = Application(self._inbox, replies, identifiers, self)
+        self._server = HttpServer(split_address(settings.listen), app)
+        self._pipeline = Pipeline(
+            chain,
+            [
+                Feedback(self._inbox, AttemptFailed, Closed),
+                FrameSink(connections, Dispatch, Attach, Cancel, Ack, ConfigPush),
+                LinkSink(self.catalog, links),
+                DecisionLog(settings.name),
+                Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
+                replies,
+                self._claims,
+                ListenerSink(self._server),
+                self._stop,
+            ],
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port for callers."""
+        return self._server.port
+
+    def start(self) -> Any:
+        """Start all green threads.
+
+        Returns:
+            The green thread of the loop; it ends when the gateway has stopped.
+        """
+        eventlet.spawn_n(run_timer, self._inbox, self._clock)
+        eventlet.spawn_n(self._poll.run)
+        self._claims.start()
+        self._server.start()
+        return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
+
+    def run(self) -> None:
+        """Run until SIGTERM and the end of all requests."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        loop = self.start()
+        logger.bind(process=self._settings.name, port=self.port).info("started")
+        loop.wait()
+        self._server.wait()
+        logger.bind(process=self._settings.name).info("stopped")
+
+    def stop(self) -> None:
+        """Fail readiness, finish what is held, then end the loop."""
+        self._inbox.put(StopRequested())
+
+    def is_ready(self) -> bool:
+        """Return whether new callers may be sent here."""
+        return not self._drain.is_stopping and self.catalog.revision > 0
+
+    def metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        return b""
+
+    def status(self) -> dict[str, Any]:
+        """Return the fleet as this gateway sees it."""
+        return {
+            "name": self._settings.name,
+            "revision": self.catalog.revision,
+            "n_in_flight": len(self.inflight),
+            "endpoints": [
+                {
+                    "name": view.endpoint,
+                    "failure_domain": view.failure_domain,
+                    "accepting": view.accepting,
+                    "n_running": view.n_running,
+                    "n_waiting": view.n_waiting,
+                    "limit": view.limit,
+                    "load": view.load,
+                }
+                for view in self.fleet.views()
+            ],
+        }
--- /dev/null
+++ b/hawthornyard/gateway/reply/meter.py
@@ -0,0 +1,25 @@
+"""Charge output tokens to the team that asked for them."""
+
+from collections.abc import Iterator
+
+from ...core import Handlers, Message
+from ..budget import TeamBudgets
+from ..inflight import InFlight
+from ..messages import ReplyTokens
+
+
+class Meter:
+    """Charge tokens on their way to the caller."""
+
+    __slots__ = ("_budgets", "_inflight", "handlers")
+
+    def __init__(self, inflight: InFlight, budgets: TeamBudgets) -> None:
+        self._inflight = inflight
+        self._budgets = budgets
+        self.handlers: Handlers = {ReplyTokens: self._on_tokens}
+
+    def _on_tokens(self, msg: ReplyTokens) -> Iterator[Message]:
+        request = self._inflight.by_call(msg.call_id)
+        if request is not None and not request.resumed:
+            self._budgets.charge_tokens(request.team, len(msg.texts))
+        yield msg
--- /dev/null
+++ b/hawthornyard/gateway/reply/settle.py
@@ -0,0 +1,56 @@
+"""Close a request once its answer is complete."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Handlers, Message
+from ...errors import ErrorKind
+from ..fleet import Fleet
+from ..inflight import InFlight
+from ..messages import Closed, ReplyEnded, ReplyFailed, ReplyWhole
+
+
+class Settle:
+    """Follow each final reply by `Closed`, exactly once a request."""
+
+    __slots__ = ("_clock", "_fleet", "_inflight", "handlers")
+
+    def __init__(self, inflight: InFlight, fleet: Fleet, clock: Clock) -> None:
+        self._inflight = inflight
+        self._fleet = fleet
+        self._clock = clock
+        self.handlers: Handlers = {
+            ReplyEnded: self._on_ended,
+            ReplyWhole: self._on_whole,
+            ReplyFailed: self._on_failed,
+            Closed: self._on_closed,
+        }
+
+    def _on_ended(self, msg: ReplyEnded) -> Iterator[Message]:
+        yield msg
+        yield from self._close(msg.call_id, None, None)
+
+    def _on_whole(self, msg: ReplyWhole) -> Iterator[Message]:
+        yield msg
+        yield from self._close(msg.call_id, None, msg)
+
+    def _on_failed(self, msg: ReplyFailed) -> Iterator[Message]:
+        yield msg
+        yield from self._close(msg.call_id, msg.kind, None)
+
+    def _on_closed(self, msg: Closed) -> Iterator[Message]:
+        # It came round from the tail and every filter has seen it.
+        yield from ()
+
+    def _close(
+        self, call_id: str, kind: ErrorKind | None, outcome: ReplyWhole | None
+    ) -> Iterator[Message]:
+        request = self._inflight.by_call(call_id)
+        if request is None:
+            return
+        if request.attempt_id and not request.resumed:
+            self._fleet.on_ended(request.endpoint)
+            if kind is None:
+                seconds = self._clock.now() - request.sent_at
+                self._fleet.on_finished(request.endpoint, seconds)
+        self._inflight.remove(request)
+        yield Closed(request, kind, outcome)
--- /dev/null
+++ b/hawthornyard/gateway/request/__init__.py
@@ -0,0 +1,27 @@
+"""Carry a call from the caller to a sidecar.
+
+The chain is Drain, Authenticate, Resolve, TeamLimit, Retry, WaitForRoom,
+Claim, Route, SendAttempt.
+"""
+
+from .authenticate import Authenticate
+from .claim import Claim
+from .dispatch import SendAttempt
+from .drain import Drain
+from .limit import TeamLimit
+from .queue import WaitForRoom
+from .resolve import Resolve
+from .retry import Retry
+from .route import Route
+
+__all__ = [
+    "Authenticate",
+    "Claim",
+    "Drain",
+    "Resolve",
+    "Retry",
+    "Route",
+    "SendAttempt",
+    "TeamLimit",
+    "WaitForRoom",
+]
--- /dev/null
+++ b/hawthornyard/gateway/request/dispatch.py
@@ -0,0 +1,90 @@
+"""Send an attempt to its sidecar, once."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Handlers, Identifiers, Message
+from ...errors import ErrorKind
+from ...frames import Attach, Dispatch
+from ...records import GENERATION, Service
+from ..fleet import Fleet
+from ..inflight import InFlight
+from ..messages import (
+    AttemptFailed,
+    Reattached,
+    ReplyStarted,
+    Request,
+    Routed,
+)
+
+RESUMED_TIMEOUT_S = 600.0
+_RESUMED = Service("resumed", GENERATION)
+
+
+class SendAttempt:
+    """Give a routed request an attempt id and dispatch it."""
+
+    __slots__ = ("_clock", "_fleet", "_identifiers", "_inflight", "handlers")
+
+    def __init__(
+        self,
+        inflight: InFlight,
+        fleet: Fleet,
+        clock: Clock,
+        identifiers: Identifiers,
+    ) -> None:
+        self._inflight = inflight
+        self._fleet = fleet
+        self._clock = clock
+        self._identifiers = identifiers
+        self.handlers: Handlers = {
+            Routed: self._on_routed,
+            Reattached: self._on_reattached,
+        }
+
+    def _on_routed(self, msg: Routed) -> Iterator[Message]:
+        request = msg.request
+        now = self._clock.now()
+        if now >= request.deadline or request.work is None:
+            yield AttemptFailed(request, ErrorKind.DEADLINE_EXCEEDED)
+            return
+        self._begin(request, msg.endpoint, self._identifiers.new())
+        request.n_attempts += 1
+        self._fleet.on_dispatched(msg.endpoint)
+        yield ReplyStarted(request.call_id, msg.endpoint, request.attempt_id)
+        yield Dispatch(
+            request.attempt_id,
+            request.request_id,
+            request.team.name,
+            request.service.name,
+            request.work,
+            request.idempotent,
+            request.deadline - now,
+        ).at(msg.endpoint)
+
+    def _on_reattached(self, msg: Reattached) -> Iterator[Message]:
+        call = msg.call
+        timeout_s = call.timeout_s or RESUMED_TIMEOUT_S
+        request = Request(
+            call.call_id,
+            call.request_id,
+            None,
+            msg.team,
+            _RESUMED,
+            idempotent=True,
+            deadline=self._clock.now() + timeout_s,
+        )
+        request.resumed = True
+        request.n_delivered = call.offset
+        self._inflight.add(request)
+        self._begin(request, call.endpoint, call.attempt_id)
+        request.accepted = True
+        yield ReplyStarted(call.call_id, call.endpoint, call.attempt_id)
+        yield Attach(call.attempt_id, msg.team.name, call.offset, True).at(
+            call.endpoint
+        )
+
+    def _begin(self, request: Request, endpoint: str, attempt_id: str) -> None:
+        self._inflight.begin_attempt(request, attempt_id)
+        request.endpoint = endpoint
+        request.incarnation = self._fleet.incarnation(endpoint)
+        request.sent_at = self._clock.now()
--- /dev/null
+++ b/hawthornyard/gateway/request/limit.py
@@ -0,0 +1,24 @@
+"""Hold each team to its limits."""
+
+from collections.abc import Iterator
+
+from ...core import Handlers, Message
+from ...errors import ErrorKind
+from ..budget import TeamBudgets
+from ..messages import Permitted, ReplyFailed, Resolved
+
+
+class TeamLimit:
+    """Refuse requests of teams that are over their rates."""
+
+    __slots__ = ("_budgets", "handlers")
+
+    def __init__(self, budgets: TeamBudgets) -> None:
+        self._budgets = budgets
+        self.handlers: Handlers = {Resolved: self._on_resolved}
+
+    def _on_resolved(self, msg: Resolved) -> Iterator[Message]:
+        if not self._budgets.admit(msg.request.team):
+            yield ReplyFailed(msg.call_id, ErrorKind.RATE_LIMITED)
+            return
+        yield Permitted(msg.request)
--- /dev/null
+++ b/hawthornyard/gateway/request/retry.py
@@ -0,0 +1,52 @@
+"""Decide whether a failed attempt is followed by another."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Decision, Handlers, Message
+from ...errors import ErrorKind
+from ...policy import RetryBudget
+from ..messages import AttemptFailed, Closed, Permitted, ReplyFailed
+
+MAX_ATTEMPTS = 4
+
+
+class Retry:
+    """Send requests back to the queue while budget and deadline allow."""
+
+    __slots__ = ("_budget", "_clock", "handlers")
+
+    def __init__(self, budget: RetryBudget, clock: Clock) -> None:
+        self._budget = budget
+        self._clock = clock
+        self.handlers: Handlers = {
+            AttemptFailed: self._on_failed,
+            Closed: self._on_closed,
+        }
+
+    def _on_failed(self, msg: AttemptFailed) -> Iterator[Message]:
+        request = msg.request
+        refusal = self._refusal(msg)
+        yield Decision(
+            "retry",
+            request_id=request.request_id,
+            reason=refusal.value if refusal else msg.kind.value,
+            retried=refusal is None,
+            n_attempts=request.n_attempts,
+        )
+        if refusal is not None:
+            yield ReplyFailed(msg.call_id, refusal, msg.detail)
+            return
+        yield Permitted(request)
+
+    def _refusal(self, msg: AttemptFailed) -> ErrorKind | None:
+        request = msg.request
+        if self._clock.now() >= request.deadline:
+            return ErrorKind.DEADLINE_EXCEEDED
+        if request.n_attempts >= MAX_ATTEMPTS or not self._budget.take():
+            return msg.kind
+        return None
+
+    def _on_closed(self, msg: Closed) -> Iterator[Message]:
+        if msg.kind is None:
+            self._budget.on_success()
+        yield msg
--- /dev/null
+++ b/hawthornyard/gateway/request/route.py
@@ -0,0 +1,40 @@
+"""Choose the endpoint of the next attempt."""
+
+from collections.abc import Iterator
+
+from ...core import Decision, Handlers, Message
+from ...errors import ErrorKind
+from ...policy import RoutingPolicy
+from ..fleet import Fleet
+from ..messages import AttemptFailed, Claimed, Routed
+
+
+class Route:
+    """Apply the routing policy to the endpoints that fit."""
+
+    __slots__ = ("_fleet", "_policy", "handlers")
+
+    def __init__(self, fleet: Fleet, policy: RoutingPolicy) -> None:
+        self._fleet = fleet
+        self._policy = policy
+        self.handlers: Handlers = {Claimed: self._on_claimed}
+
+    def _on_claimed(self, msg: Claimed) -> Iterator[Message]:
+        request = msg.request
+        views = self._fleet.candidates(request)
+        with_room = [view for view in views if view.n_free]
+        choice = self._policy.choose(with_room or views)
+        if choice is None:
+            yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
+            return
+        yield Decision(
+            "route",
+            request_id=request.request_id,
+            reason=choice.reason,
+            endpoint=choice.endpoint,
+            candidates=list(choice.candidates),
+            scores=[round(score, 4) for score in choice.scores],
+            team=request.team.name,
+            service=request.service.name,
+        )
+        yield Routed(request, choice.endpoint)
--- /dev/null
+++ b/hawthornyard/records/__init__.py
@@ -0,0 +1,46 @@
+"""Hold the versioned declarative records that operators write."""
+
+from .build import build_record
+from .catalog import KINDS, Catalog
+from .key import hash_secret, key_matches, new_key, team_of_key
+from .record import (
+    GENERATION,
+    HTTP,
+    Document,
+    Endpoint,
+    FailureDomain,
+    Model,
+    OpeningHours,
+    Operation,
+    Record,
+    Service,
+    Team,
+)
+from .schema import Violation, schema_of, violations
+from .upgrade import NEWEST_SCHEMA, upgrade
+
+__all__ = [
+    "GENERATION",
+    "HTTP",
+    "KINDS",
+    "NEWEST_SCHEMA",
+    "Catalog",
+    "Document",
+    "Endpoint",
+    "FailureDomain",
+    "Model",
+    "OpeningHours",
+    "Operation",
+    "Record",
+    "Service",
+    "Team",
+    "Violation",
+    "build_record",
+    "hash_secret",
+    "key_matches",
+    "new_key",
+    "schema_of",
+    "team_of_key",
+    "upgrade",
+    "violations",
+]
--- /dev/null
+++ b/hawthornyard/records/build.py
@@ -0,0 +1,65 @@
+"""Build typed records from documents of the newest schema."""
+
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from .record import (
+    Document,
+    Endpoint,
+    FailureDomain,
+    Model,
+    OpeningHours,
+    Operation,
+    Record,
+    Service,
+    Team,
+)
+
+
+def build_record(document: Document) -> Record:
+    """Return the typed record of a valid document.
+
+    Args:
+        document: A document that its newest schema accepts.
+    """
+    return _BUILDERS[document["kind"]](document["name"], document["spec"])
+
+
+def _service(name: str, spec: Mapping[str, Any]) -> Service:
+    fields = dict(spec)
+    fields["operations"] = [Operation(**item) for item in spec.get("operations", ())]
+    fields["opening_hours"] = [
+        OpeningHours(item["days"], _minute(item["opens"]), _minute(item["closes"]))
+        for item in spec.get("opening_hours", ())
+    ]
+    return Service(name, **fields)
+
+
+def _minute(text: str) -> int:
+    hours, minutes = text.split(":")
+    return int(hours) * 60 + int(minutes)
+
+
+def _failure_domain(name: str, spec: Mapping[str, Any]) -> FailureDomain:
+    return FailureDomain(name, spec["region"], spec.get("in_service", True))
+
+
+def _endpoint(name: str, spec: Mapping[str, Any]) -> Endpoint:
+    return Endpoint(name, **spec)
+
+
+def _model(name: str, spec: Mapping[str, Any]) -> Model:
+    return Model(name, **spec)
+
+
+def _team(name: str, spec: Mapping[str, Any]) -> Team:
+    return Team(name, **spec)
+
+
+_BUILDERS: dict[str, Callable[[str, Mapping[str, Any]], Record]] = {
+    "service": _service,
+    "failure_domain": _failure_domain,
+    "endpoint": _endpoint,
+    "model": _model,
+    "team": _team,
+}
--- /dev/null
+++ b/hawthornyard/records/catalog.py
@@ -0,0 +1,105 @@
+"""Hold the accepted records that are in force in a process."""
+
+import json
+from collections.abc import Iterable, Iterator
+
+from ..frames import RecordEntry
+from .build import build_record
+from .record import Endpoint, FailureDomain, Model, Record, Service, Team
+
+KINDS = ("service", "failure_domain", "endpoint", "model", "team")
+
+
+class Catalog:
+    """The records in force, which never revert to an older revision.
+
+    Attributes:
+        revision: Highest table revision that is in force.
+    """
+
+    __slots__ = ("revision", "_records", "_entries")
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
+        self._entries: dict[tuple[str, str], RecordEntry] = {}
+
+    def apply(self, revision: int, entries: Iterable[RecordEntry]) -> bool:
+        """Take entries over that are newer than those in force.
+
+        Args:
+            revision: Revision up to which `entries` are complete.
+            entries: Changed records.
+
+        Returns:
+            Whether anything changed.
+        """
+        fresh = [entry for entry in entries if self._is_newer(entry)]
+        for entry in fresh:
+            self._put(entry)
+        advanced = revision > self.revision
+        self.revision = max(self.revision, revision)
+        return bool(fresh) or advanced
+
+    def entries_after(
+        self, revision: int, kinds: Iterable[str] = KINDS
+    ) -> list[RecordEntry]:
+        """Return the entries newer than `revision`, oldest first."""
+        wanted = set(kinds)
+        found = [
+            entry
+            for entry in self._entries.values()
+            if entry.revision > revision and entry.kind in wanted
+        ]
+        return sorted(found, key=lambda entry: entry.revision)
+
+    def service(self, name: str) -> Service | None:
+        """Return the service of this name."""
+        return self._records["service"].get(name)  # type: ignore[return-value]
+
+    def team(self, name: str) -> Team | None:
+        """Return the team of this name."""
+        return self._records["team"].get(name)  # type: ignore[return-value]
+
+    def model(self, name: str) -> Model | None:
+        """Return the model of this name."""
+        return self._records["model"].get(name)  # type: ignore[return-value]
+
+    def endpoint(self, name: str) -> Endpoint | None:
+        """Return the endpoint of this name."""
+        return self._records["endpoint"].get(name)  # type: ignore[return-value]
+
+    def failure_domain(self, name: str) -> FailureDomain | None:
+        """Return the failure domain of this name."""
+        return self._records["failure_domain"].get(name)  # type: ignore[return-value]
+
+    def services(self) -> Iterator[Service]:
+        """Yield all services."""
+        yield from self._records["service"].values()  # type: ignore[misc]
+
+    def endpoints(self) -> Iterator[Endpoint]:
+        """Yield all endpoints."""
+        yield from self._records["endpoint"].values()  # type: ignore[misc]
+
+    def models(self) -> Iterator[Model]:
+        """Yield all models."""
+        yield from self._records["model"].values()  # type: ignore[misc]
+
+    def in_service(self, endpoint: Endpoint) -> bool:
+        """Return whether operators let the endpoint take new work."""
+        domain = self.failure_domain(endpoint.failure_domain)
+        if domain is not None and not domain.in_service:
+            return False
+        return not endpoint.leaving
+
+    def _is_newer(self, entry: RecordEntry) -> bool:
+        held = self._entries.get((entry.kind, entry.name))
+        return held is None or entry.revision > held.revision
+
+    def _put(self, entry: RecordEntry) -> None:
+        self._entries[entry.kind, entry.name] = entry
+        records = self._records[entry.kind]
+        if not entry.document:
+            records.pop(entry.name, None)
+            return
+        records[entry.name] = build_record(json.loads(entry.document))
--- /dev/null
+++ b/hawthornyard/records/upgrade.py
@@ -0,0 +1,43 @@
+"""Upgrade documents of older schema versions to the newest one."""
+
+from collections.abc import Callable
+
+from .record import Document
+
+Upgrade = Callable[[Document], Document]
+
+NEWEST_SCHEMA = {
+    "service": 2,
+    "failure_domain": 1,
+    "endpoint": 1,
+    "model": 1,
+    "team": 1,
+}
+
+_PRIORITY_OF_CLASS = {"visitor": 9, "check": 6, "draft": 2}
+
+
+def upgrade(document: Document) -> Document:
+    """Return the document in its kind's newest schema version.
+
+    Args:
+        document: A document that its own schema accepts.
+    """
+    while document["schema"] < NEWEST_SCHEMA[document["kind"]]:
+        document = _UPGRADES[document["kind"], document["schema"]](document)
+    return document
+
+
+def _service_from_1(document: Document) -> Document:
+    spec = dict(document["spec"])
+    spec["priority"] = _PRIORITY_OF_CLASS[spec.pop("class", "check")]
+    operations = [
+        {"method": "POST", "path": path, "idempotent": False}
+        for path in spec.pop("non_idempotent_paths", ())
+    ]
+    if operations:
+        spec["operations"] = operations
+    return {**document, "schema": 2, "spec": spec}
+
+
+_UPGRADES: dict[tuple[str, int], Upgrade] = {("service", 1): _service_from_1}
--- /dev/null
+++ b/hawthornyard/rim/__init__.py
@@ -0,0 +1,32 @@
+"""Join the pipelines to sockets, timers, the platform and the log."""
+
+from .clock import MonotonicClock, RandomIdentifiers
+from .connection import Connection, Connections, FrameSink
+from .decisions import DecisionLog
+from .discard import Discard
+from .inbox import EventletInbox
+from .links import PeerLinks, split_address
+from .listener import PeerListener
+from .log import configure_log
+from .loop import StopSink, run_loop
+from .poll import ConfigPoll
+from .timer import run_timer
+
+__all__ = [
+    "ConfigPoll",
+    "Connection",
+    "Connections",
+    "DecisionLog",
+    "Discard",
+    "EventletInbox",
+    "FrameSink",
+    "MonotonicClock",
+    "PeerLinks",
+    "PeerListener",
+    "RandomIdentifiers",
+    "StopSink",
+    "configure_log",
+    "run_loop",
+    "run_timer",
+    "split_address",
+]
--- /dev/null
+++ b/hawthornyard/rim/connection.py
@@ -0,0 +1,122 @@
+"""Carry frames of one authenticated connection."""
+
+from typing import Any
+
+import eventlet
+from eventlet.queue import LightQueue
+
+from ..codec import Codec
+from ..core import Consumers, Inbox, PeerDown, PeerUp
+from ..frames import Frame
+from .handshake import FrameReader
+
+MAX_QUEUED_FRAMES = 20_000
+
+
+class Connection:
+    """One green thread writes, the caller's green thread reads.
+
+    Args:
+        sock: Connected and authenticated socket.
+        peer: Name of the connection.
+        codec: Codec of the connection.
+    """
+
+    __slots__ = ("_codec", "_outgoing", "_sock", "is_open", "peer")
+
+    def __init__(self, sock: Any, peer: str, codec: Codec) -> None:
+        self._sock = sock
+        self._codec = codec
+        self._outgoing = LightQueue()
+        self.peer = peer
+        self.is_open = True
+
+    def send(self, frame: Frame) -> None:
+        """Queue a frame; a peer that does not read is cut off."""
+        if self._outgoing.qsize() >= MAX_QUEUED_FRAMES:
+            self.close()
+            return
+        self._outgoing.put(self._codec.encode(frame))
+
+    def run(
+        self, reader: FrameReader, inbox: Inbox, *, silence_s: float | None = None
+    ) -> None:
+        """Read frames into the inbox until the connection ends.
+
+        Args:
+            reader: Reader of the socket.
+            inbox: Where frames, `PeerUp` and `PeerDown` go.
+            silence_s: Give up after so many seconds without a frame.
+        """
+        writer = eventlet.spawn(self._write)
+        self._sock.settimeout(silence_s)
+        inbox.put(PeerUp(self.peer))
+        try:
+            for frame in reader:
+                inbox.put(frame.at(self.peer))
+        finally:
+            self.is_open = False
+            writer.kill()
+            self._sock.close()
+
+    def close(self) -> None:
+        """End the connection; its reader then leaves `run`."""
+        self.is_open = False
+        try:
+            self._sock.shutdown(eventlet.green.socket.SHUT_RDWR)
+        except OSError:
+            return
+
+    def _write(self) -> None:
+        try:
+            while True:
+                data = bytearray(self._outgoing.get())
+                while not self._outgoing.empty():
+                    data += self._outgoing.get()
+                self._sock.sendall(data)
+        except OSError:
+            self.close()
+
+
+class Connections:
+    """The open connections of a process by peer name; a sink for frames."""
+
+    __slots__ = ("_by_peer", "_inbox")
+
+    def __init__(self, inbox: Inbox) -> None:
+        self._by_peer: dict[str, Connection] = {}
+        self._inbox = inbox
+
+    def add(self, conn: Connection) -> None:
+        """Take a connection in; an older one of the same peer is replaced."""
+        older = self._by_peer.pop(conn.peer, None)
+        if older is not None:
+            older.close()
+            self._inbox.put(PeerDown(conn.peer))
+        self._by_peer[conn.peer] = conn
+
+    def remove(self, conn: Connection) -> None:
+        """Forget a connection that ended, unless it was replaced before."""
+        if self._by_peer.get(conn.peer) is conn:
+            del self._by_peer[conn.peer]
+            self._inbox.put(PeerDown(conn.peer))
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame to its peer; dropped if there is no connection."""
+        conn = self._by_peer.get(frame.peer)
+        if conn is not None and conn.is_open:
+            conn.send(frame)
+
+
+class FrameSink:
+    """Send frames that leave the pipeline.
+
+    Args:
+        connections: Open connections.
+        types: Frame types that this program sends.
+    """
+
+    __slots__ = ("consumers",)
+
+    def __init__(self, connections: Connections, *types: type[Frame]) -> None:
+        self.consumers: Consumers = dict.fromkeys(types, connections.send)
--- /dev/null
+++ b/hawthornyard/rim/handshake.py
@@ -0,0 +1,96 @@
+"""Authenticate both ends of a peer connection by a keyed challenge."""
+
+import hashlib
+import hmac
+import secrets
+from collections.abc import Iterator
+from typing import Any
+
+from ..codec import Codec
+from ..errors import PeerError
+from ..frames import Frame, Hello, Proof
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 32
+HANDSHAKE_TIMEOUT_S = 2.0
+RECEIVE_BYTES = 65536
+
+
+class FrameReader:
+    """Read frames from a socket.
+
+    Args:
+        sock: Connected socket.
+        codec: Codec of the connection.
+    """
+
+    __slots__ = ("_decoder", "_pending", "_sock")
+
+    def __init__(self, sock: Any, codec: Codec) -> None:
+        self._sock = sock
+        self._decoder = codec.decoder()
+        self._pending: list[Frame] = []
+
+    def read(self) -> list[Frame]:
+        """Wait for frames; an empty list tells that the peer closed."""
+        while not self._pending:
+            data = self._sock.recv(RECEIVE_BYTES)
+            if not data:
+                return []
+            self._pending.extend(self._decoder.feed(data))
+        frames, self._pending = self._pending, []
+        return frames
+
+    def read_one(self) -> Frame:
+        """Wait for one frame.
+
+        Raises:
+            PeerError: If the peer closed the connection.
+        """
+        frames = self.read()
+        if not frames:
+            raise PeerError("the peer closed the connection")
+        self._pending = frames[1:]
+        return frames[0]
+
+    def __iter__(self) -> Iterator[Frame]:
+        while frames := self.read():
+            yield from frames
+
+
+def authenticate(
+    sock: Any, reader: FrameReader, codec: Codec, name: str, key: bytes, role: str
+) -> str:
+    """Prove to the peer that this process knows the key, and have it prove it.
+
+    Args:
+        sock: Connected socket.
+        reader: Reader of the socket.
+        codec: Codec of the connection.
+        name: Name of this process.
+        key: Shared secret of the deployment's processes.
+        role: "client" or "server"; signed, so that no proof can be reflected.
+
+    Returns:
+        The peer's name.
+
+    Raises:
+        PeerError: If the peer does not know the key.
+    """
+    nonce = secrets.token_bytes(NONCE_BYTES)
+    sock.sendall(codec.encode(Hello(PROTOCOL_VERSION, name, nonce)))
+    hello = reader.read_one()
+    if not isinstance(hello, Hello) or hello.protocol != PROTOCOL_VERSION:
+        raise PeerError("the peer speaks another protocol")
+    sock.sendall(codec.encode(Proof(_digest(key, role, name, hello.nonce))))
+    proof = reader.read_one()
+    other = "server" if role == "client" else "client"
+    expected = _digest(key, other, hello.name, nonce)
+    if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, expected):
+        raise PeerError("the peer does not know the key")
+    return hello.name
+
+
+def _digest(key: bytes, role: str, name: str, nonce: bytes) -> bytes:
+    text = role.encode() + b"\0" + name.encode() + b"\0" + nonce
+    return hmac.new(key, text, hashlib.sha256).digest()
--- /dev/null
+++ b/hawthornyard/rim/listener.py
@@ -0,0 +1,82 @@
+"""Accept connections of peers."""
+
+from typing import Any
+
+import eventlet
+from loguru import logger
+
+from ..codec import Codec
+from ..core import Inbox
+from ..errors import HawthornyardError
+from .connection import Connection, Connections
+from .handshake import HANDSHAKE_TIMEOUT_S, FrameReader, authenticate
+
+
+class PeerListener:
+    """Accept, authenticate and read the connections of peers.
+
+    Args:
+        address: Address and port to listen on.
+        name: Name of this process.
+        key: Shared secret of the deployment's processes.
+        codec: Codec of the connections.
+        connections: Where they are registered.
+        inbox: Where their frames go.
+    """
+
+    __slots__ = ("_codec", "_connections", "_inbox", "_key", "_name", "_sock")
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        name: str,
+        key: bytes,
+        codec: Codec,
+        connections: Connections,
+        inbox: Inbox,
+    ) -> None:
+        self._sock = eventlet.listen(address, backlog=1024)
+        self._name = name
+        self._key = key
+        self._codec = codec
+        self._connections = connections
+        self._inbox = inbox
+
+    @property
+    def port(self) -> int:
+        """Return the port that is listened on."""
+        port: int = self._sock.getsockname()[1]
+        return port
+
+    def run(self) -> None:
+        """Accept connections until the listener is closed."""
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            eventlet.spawn_n(self._serve, sock)
+
+    def close(self) -> None:
+        """Accept no further connection."""
+        self._sock.close()
+
+    def _serve(self, sock: Any) -> None:
+        reader = FrameReader(sock, self._codec)
+        try:
+            sock.settimeout(HANDSHAKE_TIMEOUT_S)
+            peer = authenticate(
+                sock, reader, self._codec, self._name, self._key, "server"
+            )
+        except (HawthornyardError, OSError) as exc:
+            logger.bind(detail=str(exc)).warning("peer_refused")
+            sock.close()
+            return
+        conn = Connection(sock, peer, self._codec)
+        self._connections.add(conn)
+        try:
+            conn.run(reader, self._inbox)
+        except (HawthornyardError, OSError) as exc:
+            logger.bind(peer=peer, detail=str(exc)).warning("peer_lost")
+        finally:
+            self._connections.remove(conn)
--- /dev/null
+++ b/hawthornyard/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar: the only way to its endpoint."""
--- /dev/null
+++ b/hawthornyard/sidecar/chain.py
@@ -0,0 +1,32 @@
+"""Join the sidecar's filters in the order in which messages pass them."""
+
+from collections.abc import Sequence
+
+from ..core import Clock, Filter
+from .attempts import Attempts
+from .fleet import Beat, TakeConfig
+from .reply import AttachPeers, NumberOutput
+from .request import Admit, Begin, Fence, Gate
+from .state import SidecarState
+
+
+def sidecar_chain(
+    state: SidecarState, attempts: Attempts, clock: Clock
+) -> Sequence[Filter]:
+    """Return the filters of a sidecar, head first.
+
+    Args:
+        state: State of the sidecar.
+        attempts: Attempts that are known.
+        clock: Source of time.
+    """
+    return [
+        TakeConfig(state.catalog),
+        AttachPeers(state, attempts, clock),
+        NumberOutput(attempts, clock),
+        Fence(attempts, clock),
+        Gate(state, attempts),
+        Admit(state, attempts, clock),
+        Begin(clock),
+        Beat(state, clock),
+    ]
--- /dev/null
+++ b/hawthornyard/sidecar/fleet/config.py
@@ -0,0 +1,29 @@
+"""Bring the records that gateways push into force."""
+
+from collections.abc import Iterator
+
+from ...core import Decision, Handlers, Message
+from ...frames import ConfigPush
+from ...records import Catalog
+from ..messages import ConfigChanged
+
+
+class TakeConfig:
+    """Take records over, never back."""
+
+    __slots__ = ("_catalog", "handlers")
+
+    def __init__(self, catalog: Catalog) -> None:
+        self._catalog = catalog
+        self.handlers: Handlers = {ConfigPush: self._on_push}
+
+    def _on_push(self, msg: ConfigPush) -> Iterator[Message]:
+        if not self._catalog.apply(msg.revision, msg.entries):
+            return
+        yield Decision(
+            "config_in_force",
+            reason="newer revision",
+            revision=self._catalog.revision,
+            n_records=len(msg.entries),
+        )
+        yield ConfigChanged(self._catalog.revision)
--- /dev/null
+++ b/hawthornyard/sidecar/program.py
@@ -0,0 +1,129 @@
+"""Compose and run a sidecar."""
+
+import signal
+from typing import Any
+
+import eventlet
+from loguru import logger
+
+from ..codec import MsgpackCodec
+from ..core import (
+    PeerDown,
+    PeerUp,
+    Pipeline,
+    StopRequested,
+    Tick,
+)
+from ..frames import (
+    Accepted,
+    Ended,
+    Failed,
+    Heartbeat,
+    Refused,
+    Replied,
+    Tokens,
+    Unknown,
+)
+from ..records import GENERATION, Catalog
+from ..rim import (
+    Connections,
+    DecisionLog,
+    Discard,
+    EventletInbox,
+    FrameSink,
+    MonotonicClock,
+    PeerListener,
+    RandomIdentifiers,
+    StopSink,
+    run_loop,
+    run_timer,
+    split_address,
+)
+from ..rim.endpoint import EndpointClient, EndpointSink
+from ..rim.engine import EngineClient
+from ..rim.service import ServiceClient
+from ..settings import SidecarSettings
+from .attempts import Attempts
+from .chain import sidecar_chain
+from .messages import ConfigChanged, Finished
+from .state import SidecarState
+
+
+class Sidecar:
+    """One sidecar process; also runs beside others within a demo.
+
+    Args:
+        settings: Checked settings.
+    """
+
+    def __init__(self, settings: SidecarSettings) -> None:
+        self._settings = settings
+        self._clock = MonotonicClock()
+        self._inbox = EventletInbox()
+        self._stop = StopSink()
+        incarnation = RandomIdentifiers().new()
+        self.state = SidecarState(
+            settings.name, settings.failure_domain, incarnation, Catalog()
+        )
+        connections = Connections(self._inbox)
+        self._pipeline = Pipeline(
+            sidecar_chain(self.state, Attempts(), self._clock),
+            [
+                FrameSink(
+                    connections,
+                    Accepted,
+                    Refused,
+                    Tokens,
+                    Ended,
+                    Replied,
+                    Failed,
+                    Heartbeat,
+                    Unknown,
+                ),
+                EndpointSink(_client(settings), self._inbox),
+                DecisionLog(settings.name),
+                Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
+                self._stop,
+            ],
+        )
+        self._listener = PeerListener(
+            split_address(settings.listen),
+            settings.name,
+            settings.peer_key,
+            MsgpackCodec(),
+            connections,
+            self._inbox,
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port for gateways."""
+        return self._listener.port
+
+    def start(self) -> Any:
+        """Start all green threads.
+
+        Returns:
+            The green thread of the loop; it ends when the sidecar has stopped.
+        """
+        eventlet.spawn_n(run_timer, self._inbox, self._clock)
+        eventlet.spawn_n(self._listener.run)
+        return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
+
+    def run(self) -> None:
+        """Run until SIGTERM and the end of all attempts."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        loop = self.start()
+        logger.bind(process=self._settings.name, port=self.port).info("started")
+        loop.wait()
+        logger.bind(process=self._settings.name).info("stopped")
+
+    def stop(self) -> None:
+        """Refuse new work, finish what is held, then end the loop."""
+        self._inbox.put(StopRequested())
+
+
+def _client(settings: SidecarSettings) -> EndpointClient:
+    if settings.protocol == GENERATION:
+        return EngineClient(settings.endpoint)
+    return ServiceClient(settings.endpoint)
--- /dev/null
+++ b/hawthornyard/sidecar/reply/__init__.py
@@ -0,0 +1,6 @@
+"""Carry output from the endpoint to gateways: AttachPeers, NumberOutput."""
+
+from .attach import AttachPeers
+from .number import NumberOutput
+
+__all__ = ["AttachPeers", "NumberOutput"]
--- /dev/null
+++ b/hawthornyard/sidecar/request/begin.py
@@ -0,0 +1,24 @@
+"""Begin an admitted attempt at the endpoint."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Handlers, Message
+from ...frames import Accepted
+from ..messages import Admitted, CallEndpoint
+
+
+class Begin:
+    """Tell the gateway that an attempt will run, then run it."""
+
+    __slots__ = ("_clock", "handlers")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self.handlers: Handlers = {Admitted: self._on_admitted}
+
+    def _on_admitted(self, msg: Admitted) -> Iterator[Message]:
+        attempt = msg.attempt
+        attempt.begun_at = self._clock.now()
+        if attempt.peer:
+            yield Accepted(attempt.attempt_id).at(attempt.peer)
+        yield CallEndpoint(attempt)
--- /dev/null
+++ b/hawthornyard/sidecar/request/fence.py
@@ -0,0 +1,32 @@
+"""Take each attempt at most once."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Handlers, Message
+from ...errors import ErrorKind
+from ...frames import Dispatch, Refused
+from ..attempts import Attempts
+from ..messages import Attempt, Fresh
+
+
+class Fence:
+    """Refuse attempts that were refused before and ignore repeated ones."""
+
+    __slots__ = ("_attempts", "_clock", "handlers")
+
+    def __init__(self, attempts: Attempts, clock: Clock) -> None:
+        self._attempts = attempts
+        self._clock = clock
+        self.handlers: Handlers = {Dispatch: self._on_dispatch}
+
+    def _on_dispatch(self, msg: Dispatch) -> Iterator[Message]:
+        if self._attempts.is_refused(msg.attempt_id):
+            yield Refused(
+                msg.attempt_id, ErrorKind.DUPLICATE_ATTEMPT.value, "refused before"
+            ).at(msg.peer)
+            return
+        if self._attempts.get(msg.attempt_id) is not None:
+            return
+        attempt = Attempt(msg, self._clock.now())
+        self._attempts.add(attempt)
+        yield Fresh(attempt)
--- /dev/null
+++ b/hawthornyard/standins/web.py
@@ -0,0 +1,97 @@
+"""Give stand-ins a small JSON application."""
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+from urllib.parse import parse_qsl
+
+Environ = dict[str, Any]
+
+
+class WebRequest:
+    """One request to a stand-in.
+
+    Attributes:
+        method: HTTP method.
+        path: Path without query.
+        query: Query fields.
+        headers: Request headers by lower-case name.
+        body: Whole body.
+    """
+
+    __slots__ = ("body", "headers", "method", "path", "query")
+
+    def __init__(self, environ: Environ) -> None:
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path: str = environ["PATH_INFO"]
+        self.query = dict(parse_qsl(environ.get("QUERY_STRING", "")))
+        self.headers = {
+            name[5:].replace("_", "-").lower(): value
+            for name, value in environ.items()
+            if name.startswith("HTTP_")
+        }
+        self.body: bytes = environ["wsgi.input"].read()
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body or b"{}")
+
+
+class WebAnswer:
+    """One answer of a stand-in."""
+
+    __slots__ = ("body", "content_type", "status")
+
+    def __init__(
+        self,
+        body: Any = None,
+        *,
+        status: int = 200,
+        content_type: str = "application/json",
+    ) -> None:
+        self.status = status
+        self.content_type = content_type
+        self.body = body
+
+
+Route = Callable[[WebRequest], WebAnswer]
+
+
+class WebApp:
+    """Route requests by method and path.
+
+    Args:
+        routes: Handlers by "METHOD /path"; "/path/*" takes all below.
+    """
+
+    __slots__ = ("_routes",)
+
+    def __init__(self, routes: Mapping[str, Route]) -> None:
+        self._routes = routes
+
+    def __call__(
+        self, environ: Environ, start: Callable[[str, list[tuple[str, str]]], Any]
+    ) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        req = WebRequest(environ)
+        route = self._route(req)
+        answer = route(req) if route else WebAnswer({"error": "no route"}, status=404)
+        body = answer.body
+        start(f"{answer.status} -", [("Content-Type", answer.content_type)])
+        if isinstance(body, bytes):
+            return [body]
+        if answer.content_type == "application/json":
+            return [json.dumps(body).encode()]
+        stream: Iterable[bytes] = body
+        return stream
+
+    def _route(self, req: WebRequest) -> Route | None:
+        exact = self._routes.get(f"{req.method} {req.path}")
+        if exact is not None:
+            return exact
+        for pattern, route in self._routes.items():
+            method, _, path = pattern.partition(" ")
+            if path.endswith("/*") and req.path.startswith(path[:-1]):
+                if method in (req.method, "ANY"):
+                    return route
+        return None
--- /dev/null
+++ b/tools/error_table.py
@@ -0,0 +1,52 @@
+"""Write docs/ERRORS.md from the table of answers, or check that it is current."""
+
+import sys
+from pathlib import Path
+
+from hawthornyard.errors import ANSWERS, ErrorKind
+
+PATH = Path(__file__).resolve().parent.parent / "docs" / "ERRORS.md"
+
+HEAD = """# Errors
+
+Generated from `hawthornyard/errors.py` by `python tools/error_table.py`.
+
+An error answer has a JSON body with `error.type` (the kind), `error.ran`,
+`error.retryable` and `error.n_delivered`, and the same in the headers
+`X-Error-Kind`, `X-Request-Ran`, `X-Should-Retry` and `Retry-After`. A stream
+that has begun ends with an event that holds the same body.
+
+"Ran: no" is said only where the code can show that the request was not run
+and never will be.
+
+| kind | status | ran | may retry | after (s) | meaning |
+| --- | --- | --- | --- | --- | --- |
+"""
+
+
+def table() -> str:
+    """Return the page."""
+    rows = []
+    for kind in ErrorKind:
+        answer = ANSWERS[kind]
+        retry = "yes" if answer.retryable else "no"
+        after = str(answer.retry_after_s or "")
+        cells = [f"`{kind.value}`", str(answer.status), answer.ran.value]
+        cells += [retry, after, answer.meaning]
+        rows.append(f"| {' | '.join(cells)} |")
+    return HEAD + "\n".join(rows) + "\n"
+
+
+def main(args: list[str]) -> int:
+    """Write the page, or compare it with `--check`."""
+    if args != ["--check"]:
+        PATH.write_text(table())
+        return 0
+    if PATH.exists() and PATH.read_text() == table():
+        return 0
+    print("docs/ERRORS.md is not current: run python tools/error_table.py")
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
