--- a/hawthornyard/cli/standin.py
+++ b/hawthornyard/cli/standin.py
@@ -4,13 +4,17 @@
 import eventlet
 
 from ..front import HttpServer
-from ..rim import configure_log, split_address
+from ..rim import MonotonicClock, configure_log, split_address
 from ..standins import (
     EngineModel,
     EngineStandIn,
+    HostStandIn,
     MemoryTable,
+    ObjectStandIn,
     ServiceStandIn,
     TableStandIn,
+    WeightModel,
+    WeightStandIn,
 )
 
 standin_app = cyclopts.App(name="standin", help="Run stand-ins, for trials only.")
@@ -55,6 +59,38 @@
     _serve(listen, TableStandIn(MemoryTable()).app)
 
 
+@standin_app.command
+def objects(*, listen: str) -> None:
+    """Run a stand-in object store.
+
+    Args:
+        listen: "address:port" to listen on.
+    """
+    _serve(listen, ObjectStandIn().app)
+
+
+@standin_app.command
+def weights(*, listen: str, bytes_per_s: float = 2e9) -> None:
+    """Run a stand-in weight store.
+
+    Args:
+        listen: "address:port" to listen on.
+        bytes_per_s: Rate of all readers together.
+    """
+    model = WeightModel(MonotonicClock(), bytes_per_s=bytes_per_s)
+    _serve(listen, WeightStandIn(model).app)
+
+
+@standin_app.command
+def hosts(*, listen: str) -> None:
+    """Run a stand-in host list; POST /v1/hosts changes it.
+
+    Args:
+        listen: "address:port" to listen on.
+    """
+    _serve(listen, HostStandIn().app)
+
+
 def _serve(listen: str, app: object) -> None:
     configure_log()
     server = HttpServer(split_address(listen), app)
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -20,6 +20,9 @@
     Generation,
     Heartbeat,
     Hello,
+    Loaded,
+    PlanEntry,
+    PlanPush,
     Proof,
     RecordEntry,
     Refused,
@@ -48,9 +51,12 @@
     13: Failed,
     14: Heartbeat,
     15: Unknown,
+    16: PlanPush,
+    17: Loaded,
     20: RecordEntry,
     21: Generation,
     22: ServiceCall,
+    23: PlanEntry,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 
--- a/hawthornyard/demo/deployment.py
+++ b/hawthornyard/demo/deployment.py
@@ -16,6 +16,7 @@
     EngineModel,
     EngineStandIn,
     MemoryTable,
+    OrderModel,
     ServiceStandIn,
     TableStandIn,
 )
@@ -89,7 +90,9 @@
         self, name: str, failure_domain: str, *, step_s: float = 0.02
     ) -> EndpointHost:
         """Start a stand-in engine and its sidecar."""
-        standin = EngineStandIn(EngineModel(step_s=step_s))
+        standin = EngineStandIn(
+            EngineModel(step_s=step_s), OrderModel(loaded={"scribe": ""})
+        )
         eventlet.spawn_n(standin.run)
         host = EndpointHost(name, failure_domain, "generation", standin)
         self.hosts[name] = host
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -19,6 +19,7 @@
     Tokens,
     Unknown,
 )
+from .plan import Loaded, PlanEntry, PlanPush
 from .work import Generation, ServiceCall, Work
 
 __all__ = [
@@ -34,6 +35,9 @@
     "Generation",
     "Heartbeat",
     "Hello",
+    "Loaded",
+    "PlanEntry",
+    "PlanPush",
     "Proof",
     "RecordEntry",
     "Refused",
--- /dev/null
+++ b/hawthornyard/frames/plan.py
@@ -0,0 +1,67 @@
+"""Define the frames that carry the plan to sidecars and its effect back."""
+
+from collections.abc import Sequence
+
+from ..core import Message
+from .frame import Frame
+
+
+class PlanEntry(Message):
+    """What one endpoint is to hold, as a desired state.
+
+    Attributes:
+        role: Role of the endpoint.
+        models: Models to load.
+        versions: Weights of each model, in the order of `models`.
+        adapters: Adapters to load.
+    """
+
+    __slots__ = ("role", "models", "versions", "adapters")
+
+    def __init__(
+        self,
+        role: str,
+        models: Sequence[str],
+        versions: Sequence[str],
+        adapters: Sequence[str],
+    ) -> None:
+        self.role = role
+        self.models = list(models)
+        self.versions = list(versions)
+        self.adapters = list(adapters)
+
+
+class PlanPush(Frame):
+    """Gateway to sidecar: the plan's entry for its endpoint.
+
+    Attributes:
+        fencing_number: Revision of the plan that the entry is from.
+        entry: What the endpoint is to hold.
+    """
+
+    __slots__ = ("fencing_number", "entry")
+
+    def __init__(self, fencing_number: int, entry: PlanEntry) -> None:
+        self.fencing_number = fencing_number
+        self.entry = entry
+
+
+class Loaded(Frame):
+    """Sidecar to gateway: what the endpoint holds now; sent on change.
+
+    Attributes:
+        endpoint: Name of the endpoint record.
+        fencing_number: Highest number that the sidecar knows, 0 before a plan.
+        role: Role that it has.
+        models: Models that are ready to serve.
+    """
+
+    __slots__ = ("endpoint", "fencing_number", "role", "models")
+
+    def __init__(
+        self, endpoint: str, fencing_number: int, role: str, models: Sequence[str]
+    ) -> None:
+        self.endpoint = endpoint
+        self.fencing_number = fencing_number
+        self.role = role
+        self.models = models
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -6,7 +6,7 @@
 from ..policy import RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
-from .fleet import ApplyConfig, Fleet, Watch
+from .fleet import ApplyConfig, Fleet, FollowHosts, PushPlan, TrackLoaded, Watch
 from .inflight import InFlight
 from .reply import Meter, Relay, Settle
 from .request import (
@@ -30,6 +30,7 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    planner: Sequence[Filter] = (),
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -41,11 +42,16 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        planner: Filters of the planner's duty.
     """
     budgets = TeamBudgets(clock)
     return [
         ApplyConfig(catalog),
         Watch(fleet),
+        TrackLoaded(fleet.loaded),
+        FollowHosts(fleet.leaving),
+        *planner,
+        PushPlan(),
         drain,
         Authenticate(catalog),
         Resolve(catalog, inflight, clock),
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -7,6 +7,8 @@
 from ...policy import EndpointView
 from ...records import Catalog
 from ..messages import Request
+from .hosts import LeavingHosts
+from .loaded import LoadedModels
 
 SUSPECT_AFTER_S = 3.0
 SERVICE_TIME_WEIGHT = 0.1
@@ -18,15 +20,21 @@
     Args:
         catalog: Records in force.
         clock: Source of time.
+
+    Attributes:
+        leaving: Hosts that the platform is about to reclaim.
+        loaded: Models that the endpoints have ready.
     """
 
-    __slots__ = ("_catalog", "_clock", "_heard_at", "_views")
+    __slots__ = ("_catalog", "_clock", "_heard_at", "_views", "leaving", "loaded")
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
         self._catalog = catalog
         self._clock = clock
         self._views: dict[str, EndpointView] = {}
         self._heard_at: dict[str, float] = {}
+        self.leaving = LeavingHosts()
+        self.loaded = LoadedModels()
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
         """Take the state of an endpoint over."""
@@ -105,6 +113,10 @@
                 continue
             if not self._catalog.in_service(endpoint):
                 continue
+            if self.leaving.holds(endpoint):
+                continue
+            if not self.loaded.serves(endpoint.name, model):
+                continue
             if endpoint.serves(request.service, model):
                 yield view
 
--- /dev/null
+++ b/hawthornyard/gateway/fleet/survey.py
@@ -0,0 +1,91 @@
+"""Tell the planner what this gateway knows of endpoints and demand."""
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+
+from ...core import Clock
+from ...planner import Calendar, ModelNeed, Seat, Situation, is_open
+from ...policy import EndpointView
+from ...records import GENERATION, Catalog, Endpoint
+from ..inflight import InFlight
+from .fleet import Fleet
+
+
+class FleetSurveyor:
+    """Draw the situation from records, heartbeats and own requests.
+
+    Requests that wait in other gateways are not seen; that their model lacks
+    capacity shows in the utilisation of its endpoints.
+
+    Args:
+        catalog: Records in force.
+        fleet: What is known of the endpoints.
+        inflight: Requests of this gateway.
+        calendar: Tells the time of the week.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_calendar", "_catalog", "_clock", "_fleet", "_inflight")
+
+    def __init__(
+        self,
+        catalog: Catalog,
+        fleet: Fleet,
+        inflight: InFlight,
+        calendar: Calendar,
+        clock: Clock,
+    ) -> None:
+        self._catalog = catalog
+        self._fleet = fleet
+        self._inflight = inflight
+        self._calendar = calendar
+        self._clock = clock
+
+    def survey(self) -> Situation:
+        """Return the situation; see `Surveyor.survey`."""
+        views = {view.endpoint: view for view in self._fleet.views()}
+        seats = [
+            self._seat(endpoint, views.get(endpoint.name))
+            for endpoint in self._catalog.endpoints()
+            if endpoint.protocol == GENERATION
+        ]
+        return Situation(self._clock.now(), seats, self._needs())
+
+    def _seat(self, endpoint: Endpoint, view: EndpointView | None) -> Seat:
+        available = (
+            view is not None
+            and view.accepting
+            and self._catalog.in_service(endpoint)
+            and not self._fleet.leaving.holds(endpoint)
+        )
+        return Seat(
+            endpoint.name,
+            endpoint.failure_domain,
+            endpoint.models,
+            self._fleet.loaded.models_of(endpoint.name),
+            endpoint.max_limit,
+            view.n_expected if view is not None else 0,
+            available,
+        )
+
+    def _needs(self) -> Mapping[str, ModelNeed]:
+        open_models = set(self._open_models())
+        waiting = Counter(
+            request.model for request in self._inflight if not request.attempt_id
+        )
+        return {
+            model.name: ModelNeed(
+                model.name,
+                model.weights,
+                model.weight_bytes,
+                model.name in open_models,
+                waiting[model.name],
+            )
+            for model in self._catalog.models()
+        }
+
+    def _open_models(self) -> Iterator[str]:
+        now = self._calendar.week_time()
+        for service in self._catalog.services():
+            if is_open(service, now):
+                yield from service.models
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -24,9 +24,11 @@
     ConfigPush,
     Dispatch,
     Heartbeat,
+    PlanPush,
 )
 from ..front import Application, HttpServer, Replies
-from ..platform import TableStore
+from ..planner import Duty, FollowDemand, planner_chain
+from ..platform import HttpHosts, TableStore
 from ..records import Catalog
 from ..rim import (
     ConfigPoll,
@@ -43,10 +45,13 @@
     run_timer,
     split_address,
 )
+from ..rim.calendar import UtcCalendar
 from ..rim.claims import ClaimWriter
+from ..rim.host_poll import HostPoll
+from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import Fleet
+from .fleet import Fleet, FleetSurveyor
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
@@ -112,6 +117,10 @@
         replies = Replies()
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
+        self._plan_table = PlanTable(table, self._inbox, self._clock)
+        self._host_poll = _host_poll(settings, self._inbox)
+        holder = f"{settings.name}/{identifiers.new()}"
+        self.duty = Duty(holder, self._clock, identifiers)
         chain = gateway_chain(
             self.catalog,
             self.inflight,
@@ -120,6 +129,21 @@
             self._clock,
             random.Random(),
             identifiers,
+            planner_chain(
+                self.duty,
+                FleetSurveyor(
+                    self.catalog,
+                    self.fleet,
+                    self.inflight,
+                    UtcCalendar(),
+                    self._clock,
+                ),
+                FollowDemand(
+                    self._clock, weight_bytes_per_s=settings.weight_bytes_per_s
+                ),
+                self._clock,
+                random.Random(),
+            ),
         )
         app = Application(self._inbox, replies, identifiers, self)
         self._server = HttpServer(split_address(settings.listen), app)
@@ -127,12 +151,15 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, Dispatch, Attach, Cancel, Ack, ConfigPush),
+                FrameSink(
+                    connections, Dispatch, Attach, Cancel, Ack, ConfigPush, PlanPush
+                ),
                 LinkSink(self.catalog, links),
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
                 replies,
                 self._claims,
+                self._plan_table,
                 ListenerSink(self._server),
                 self._stop,
             ],
@@ -152,6 +179,9 @@
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._poll.run)
         self._claims.start()
+        self._plan_table.start()
+        if self._host_poll is not None:
+            eventlet.spawn_n(self._host_poll.run)
         self._server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
@@ -195,3 +225,9 @@
                 for view in self.fleet.views()
             ],
         }
+
+
+def _host_poll(settings: GatewaySettings, inbox: EventletInbox) -> HostPoll | None:
+    if not settings.hosts:
+        return None
+    return HostPoll(HttpHosts(settings.hosts), inbox)
--- /dev/null
+++ b/hawthornyard/planner/__init__.py
@@ -0,0 +1,60 @@
+"""Decide which endpoint holds which models, in one process at a time.
+
+The whole plan is one row of the platform's table, beside the lease's row.
+Entries that are alike share one group, so the row holds little more than the
+names of the endpoints; docs/ORDERS.md gives its size at the target.
+"""
+
+from .chain import planner_chain
+from .demand import ModelNeed, Seat, Situation, Surveyor
+from .draft import Draft, Move
+from .duty import LEASE_DURATION_S, Duty
+from .follow import FollowPlan
+from .hours import Calendar, WeekTime, is_open
+from .lease import LONGEST_ORDER_S, HoldLease
+from .make import PLAN_INTERVAL_S, MakePlan
+from .messages import (
+    AskPlanTable,
+    PlanChanged,
+    PlanTableRefused,
+    PlanTableSeen,
+    PlanTableUnknown,
+    PlanTableWritten,
+    WritePlanTable,
+)
+from .place import DEFAULT_WEIGHT_BYTES_PER_S, FollowDemand, PlacementPolicy
+from .plan import SERVING, SPARE, Lease, Plan
+
+__all__ = [
+    "DEFAULT_WEIGHT_BYTES_PER_S",
+    "LEASE_DURATION_S",
+    "LONGEST_ORDER_S",
+    "PLAN_INTERVAL_S",
+    "SERVING",
+    "SPARE",
+    "AskPlanTable",
+    "Calendar",
+    "Draft",
+    "Duty",
+    "FollowDemand",
+    "FollowPlan",
+    "HoldLease",
+    "Lease",
+    "MakePlan",
+    "ModelNeed",
+    "Move",
+    "PlacementPolicy",
+    "Plan",
+    "PlanChanged",
+    "PlanTableRefused",
+    "PlanTableSeen",
+    "PlanTableUnknown",
+    "PlanTableWritten",
+    "Seat",
+    "Situation",
+    "Surveyor",
+    "WeekTime",
+    "WritePlanTable",
+    "is_open",
+    "planner_chain",
+]
--- /dev/null
+++ b/hawthornyard/planner/demand.py
@@ -0,0 +1,103 @@
+"""Describe what the planner plans for."""
+
+from collections.abc import Mapping, Sequence
+from typing import Protocol
+
+from ..core import Message
+
+
+class Seat(Message):
+    """One endpoint as the planner sees it.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        failure_domain: Its failure domain.
+        allowed: Models that its record lets it serve.
+        loaded: Models that it holds.
+        capacity: Requests that it bears at once when warm.
+        n_busy: Requests that run or wait there.
+        available: Whether it is alive, in service and not leaving.
+    """
+
+    __slots__ = (
+        "endpoint",
+        "failure_domain",
+        "allowed",
+        "loaded",
+        "capacity",
+        "n_busy",
+        "available",
+    )
+
+    def __init__(
+        self,
+        endpoint: str,
+        failure_domain: str,
+        allowed: Sequence[str],
+        loaded: Sequence[str],
+        capacity: int,
+        n_busy: int,
+        available: bool,
+    ) -> None:
+        self.endpoint = endpoint
+        self.failure_domain = failure_domain
+        self.allowed = allowed
+        self.loaded = loaded
+        self.capacity = capacity
+        self.n_busy = n_busy
+        self.available = available
+
+
+class ModelNeed(Message):
+    """One model as the planner sees it.
+
+    Attributes:
+        model: Name of the model.
+        version: Name of its weights.
+        weight_bytes: Size of its weights.
+        is_open: Whether a service that offers it is open now or soon.
+        n_waiting: Requests for it that no endpoint has yet.
+    """
+
+    __slots__ = ("model", "version", "weight_bytes", "is_open", "n_waiting")
+
+    def __init__(
+        self,
+        model: str,
+        version: str,
+        weight_bytes: int,
+        is_open: bool,
+        n_waiting: int,
+    ) -> None:
+        self.model = model
+        self.version = version
+        self.weight_bytes = weight_bytes
+        self.is_open = is_open
+        self.n_waiting = n_waiting
+
+
+class Situation(Message):
+    """Everything that one plan decision looks at.
+
+    Attributes:
+        now: Monotonic seconds.
+        seats: All endpoints that can hold models.
+        needs: Models by name.
+    """
+
+    __slots__ = ("now", "seats", "needs")
+
+    def __init__(
+        self, now: float, seats: Sequence[Seat], needs: Mapping[str, ModelNeed]
+    ) -> None:
+        self.now = now
+        self.seats = seats
+        self.needs = needs
+
+
+class Surveyor(Protocol):
+    """Tell the planner what it plans for."""
+
+    def survey(self) -> Situation:
+        """Return the situation as this process sees it."""
+        ...
--- /dev/null
+++ b/hawthornyard/planner/follow.py
@@ -0,0 +1,40 @@
+"""Bring newer plans into force in this process."""
+
+from collections.abc import Iterator
+
+from ..core import Handlers, Message
+from .duty import Duty
+from .messages import PlanChanged, PlanTableSeen, PlanTableWritten
+from .plan import Plan
+
+
+class FollowPlan:
+    """Take plans over from the table, never back.
+
+    While the table is down the last plan stays in force.
+    """
+
+    __slots__ = ("_duty", "handlers")
+
+    def __init__(self, duty: Duty) -> None:
+        self._duty = duty
+        self.handlers: Handlers = {
+            PlanTableSeen: self._on_seen,
+            PlanTableWritten: self._on_written,
+        }
+
+    def _on_seen(self, msg: PlanTableSeen) -> Iterator[Message]:
+        if msg.plan is not None:
+            yield from self._adopt(msg.plan)
+
+    def _on_written(self, msg: PlanTableWritten) -> Iterator[Message]:
+        pending = self._duty.pending
+        if pending is not None and pending.plan is not None:
+            yield from self._adopt(Plan(msg.revision, pending.plan.entries))
+        yield msg
+
+    def _adopt(self, plan: Plan) -> Iterator[Message]:
+        if plan.revision <= self._duty.plan_revision:
+            return
+        self._duty.plan = plan
+        yield PlanChanged(plan)
--- /dev/null
+++ b/hawthornyard/planner/plan.py
@@ -0,0 +1,45 @@
+"""Define the plan, the lease and their rows in the platform's table."""
+
+from collections.abc import Mapping
+
+from ..core import Message
+from ..frames import PlanEntry
+
+SERVING = "serving"
+SPARE = "spare"
+
+
+class Plan(Message):
+    """Which endpoint holds which models, in which role.
+
+    Attributes:
+        revision: Revision of the row; the fencing number of every order.
+        entries: Entry of each planned endpoint.
+    """
+
+    __slots__ = ("revision", "entries")
+
+    def __init__(self, revision: int, entries: Mapping[str, PlanEntry]) -> None:
+        self.revision = revision
+        self.entries = entries
+
+
+class Lease(Message):
+    """The right to write the plan.
+
+    Attributes:
+        revision: Revision of the row, 0 for one that is not written yet.
+        holder: Process that holds it, empty once it was given back.
+        token: Identifier of the write, to recognise a lost reply.
+        duration_s: How long it holds after the write.
+    """
+
+    __slots__ = ("revision", "holder", "token", "duration_s")
+
+    def __init__(
+        self, revision: int, holder: str, token: str, duration_s: float
+    ) -> None:
+        self.revision = revision
+        self.holder = holder
+        self.token = token
+        self.duration_s = duration_s
--- /dev/null
+++ b/hawthornyard/platform/hosts.py
@@ -0,0 +1,74 @@
+"""Define the platform's list of hosts and reach it over HTTP.
+
+The list lags and may be wrong. It is used for one thing only, to learn which
+hosts are leaving; what is alive is known from heartbeats.
+"""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from ..core import Message
+from .http import HttpService
+
+
+class HostEntry(Message):
+    """One host of the list.
+
+    Attributes:
+        address: IP number, or "address:port" where several sidecars share one.
+        leaving: Whether the platform is about to reclaim the host.
+    """
+
+    __slots__ = ("address", "leaving")
+
+    def __init__(self, address: str, leaving: bool) -> None:
+        self.address = address
+        self.leaving = leaving
+
+
+class HostPage(Message):
+    """The list as it was at a revision.
+
+    Attributes:
+        revision: Grows with every change of the list.
+        hosts: Live and leaving hosts.
+    """
+
+    __slots__ = ("revision", "hosts")
+
+    def __init__(self, revision: int, hosts: Sequence[HostEntry]) -> None:
+        self.revision = revision
+        self.hosts = hosts
+
+
+class HostList(Protocol):
+    """The platform's list of live and leaving hosts."""
+
+    def hosts(self) -> HostPage:
+        """Return the list.
+
+        Raises:
+            PlatformError: If there was no answer.
+        """
+        ...
+
+
+class HttpHosts:
+    """A host list behind a URL.
+
+    Args:
+        url: Base URL of the service.
+    """
+
+    __slots__ = ("_service",)
+
+    def __init__(self, url: str) -> None:
+        self._service = HttpService("host list", url)
+
+    def hosts(self) -> HostPage:
+        """Return the list; see `HostList.hosts`."""
+        answer = self._service.call_json("GET", "/v1/hosts")
+        hosts = [
+            HostEntry(item["address"], item["leaving"]) for item in answer["hosts"]
+        ]
+        return HostPage(answer["revision"], hosts)
--- /dev/null
+++ b/hawthornyard/platform/http.py
@@ -0,0 +1,125 @@
+"""Call a platform service over HTTP, with every size and wait bounded."""
+
+import json
+from typing import Any
+
+import urllib3
+
+from ..core import Message
+from ..errors import PlatformError
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+
+
+class HttpAnswer(Message):
+    """A whole answer of a platform service.
+
+    Attributes:
+        status: HTTP status code, below 400 or one that the caller expects.
+        data: Body.
+    """
+
+    __slots__ = ("status", "data")
+
+    def __init__(self, status: int, data: bytes) -> None:
+        self.status = status
+        self.data = data
+
+
+class HttpService:
+    """One platform service behind a URL.
+
+    Args:
+        name: Name of the service in error messages.
+        url: Base URL of the service.
+        connect_timeout_s: Bound on connecting.
+        read_timeout_s: Bound on waiting for an answer.
+        max_answer_bytes: Bound on the size of an answer.
+    """
+
+    __slots__ = ("_max_answer_bytes", "_name", "_pool", "_timeout", "_url")
+
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        *,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+    ) -> None:
+        self._name = name
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager()
+        self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
+        self._max_answer_bytes = max_answer_bytes
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        fields: dict[str, str] | None = None,
+        data: bytes | None = None,
+        expected: frozenset[int] = frozenset(),
+    ) -> HttpAnswer:
+        """Send one request, once.
+
+        Args:
+            method: HTTP method.
+            path: Path below the service's URL.
+            fields: Query fields.
+            data: Request body.
+            expected: Error statuses that are returned rather than raised.
+
+        Raises:
+            PlatformError: If there was no answer, or an unexpected one.
+        """
+        try:
+            resp = self._pool.request(
+                method,
+                self._url + path,
+                fields=fields,
+                body=data,
+                timeout=self._timeout,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+            answer = HttpAnswer(resp.status, self._read(resp))
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise PlatformError(f"{self._name}: {exc}") from exc
+        if answer.status >= 300 and answer.status not in expected:
+            raise PlatformError(f"{self._name} answered {answer.status}")
+        return answer
+
+    def call_json(
+        self,
+        method: str,
+        path: str,
+        *,
+        fields: dict[str, str] | None = None,
+        body: Any = None,
+        expected: frozenset[int] = frozenset(),
+    ) -> Any:
+        """Send one request with a JSON body and return the JSON answer.
+
+        Raises:
+            PlatformError: If there was no answer, or an unexpected one.
+        """
+        data = json.dumps(body).encode() if body is not None else None
+        answer = self.call(method, path, fields=fields, data=data, expected=expected)
+        try:
+            return json.loads(answer.data)
+        except ValueError as exc:
+            raise PlatformError(f"{self._name}: {exc}") from exc
+
+    def _read(self, resp: Any) -> bytes:
+        data: bytes = resp.read(self._max_answer_bytes + 1)
+        if len(data) > self._max_answer_bytes:
+            resp.close()
+            raise PlatformError(f"{self._name}: the answer is over the size bound")
+        resp.release_conn()
+        return data
--- /dev/null
+++ b/hawthornyard/platform/objects.py
@@ -0,0 +1,75 @@
+"""Define the platform's object store and reach it over HTTP."""
+
+from typing import Protocol
+
+from ..errors import ErrorKind, HawthornyardError
+from .http import HttpService
+
+MAX_OBJECT_BYTES = 16 * 1024 * 1024
+_NOT_FOUND = 404
+
+
+class ObjectStore(Protocol):
+    """The platform's object store; every operation is idempotent."""
+
+    def put(self, key: str, data: bytes) -> None:
+        """Store an object, in place of an older one of the same key.
+
+        Raises:
+            HawthornyardError: If the object is over the size bound.
+            PlatformError: If there was no answer; the write may have taken effect.
+        """
+        ...
+
+    def get(self, key: str) -> bytes | None:
+        """Return an object, or None if there is none.
+
+        Raises:
+            PlatformError: If there was no answer.
+        """
+        ...
+
+    def delete(self, key: str) -> None:
+        """Remove an object; one that is absent is no error.
+
+        Raises:
+            PlatformError: If there was no answer; the write may have taken effect.
+        """
+        ...
+
+
+class HttpObjects:
+    """An object store behind a URL.
+
+    Args:
+        url: Base URL of the service.
+        max_object_bytes: Bound on the size of one object.
+    """
+
+    __slots__ = ("_max_object_bytes", "_service")
+
+    def __init__(self, url: str, *, max_object_bytes: int = MAX_OBJECT_BYTES) -> None:
+        self._max_object_bytes = max_object_bytes
+        self._service = HttpService(
+            "object store", url, max_answer_bytes=max_object_bytes
+        )
+
+    def put(self, key: str, data: bytes) -> None:
+        """Store an object; see `ObjectStore.put`."""
+        if len(data) > self._max_object_bytes:
+            raise HawthornyardError(
+                f"object of {len(data)} bytes is over the bound",
+                kind=ErrorKind.BODY_TOO_LARGE,
+            )
+        self._service.call("PUT", f"/v1/objects/{key}", data=data)
+
+    def get(self, key: str) -> bytes | None:
+        """Return an object; see `ObjectStore.get`."""
+        answer = self._service.call(
+            "GET", f"/v1/objects/{key}", expected=frozenset({_NOT_FOUND})
+        )
+        return None if answer.status == _NOT_FOUND else answer.data
+
+    def delete(self, key: str) -> None:
+        """Remove an object; see `ObjectStore.delete`."""
+        self._service.call("DELETE", f"/v1/objects/{key}")
--- /dev/null
+++ b/hawthornyard/rim/host_poll.py
@@ -0,0 +1,56 @@
+"""Poll the platform's list of hosts."""
+
+import random
+
+import eventlet
+from loguru import logger
+
+from ..core import Inbox
+from ..errors import PlatformError
+from ..gateway.fleet import HostsListed
+from ..platform import HostList
+
+HOST_POLL_INTERVAL_S = 1.0
+
+
+class HostPoll:
+    """Put the list of hosts into the inbox as it changes.
+
+    Args:
+        hosts: The platform's list.
+        inbox: Where `HostsListed` goes.
+        interval_s: Mean seconds between polls.
+    """
+
+    __slots__ = ("_hosts", "_inbox", "_interval_s", "_revision")
+
+    def __init__(
+        self,
+        hosts: HostList,
+        inbox: Inbox,
+        *,
+        interval_s: float = HOST_POLL_INTERVAL_S,
+    ) -> None:
+        self._hosts = hosts
+        self._inbox = inbox
+        self._interval_s = interval_s
+        self._revision = 0
+
+    def run(self) -> None:
+        """Poll for ever, with jitter."""
+        while True:
+            self.poll()
+            eventlet.sleep(self._interval_s * (0.5 + random.random()))
+
+    def poll(self) -> None:
+        """Poll once; an outage is logged and left to the next poll."""
+        try:
+            page = self._hosts.hosts()
+        except PlatformError as exc:
+            logger.bind(detail=str(exc)).warning("host_poll_failed")
+            return
+        if page.revision == self._revision:
+            return
+        self._revision = page.revision
+        leaving = [host.address for host in page.hosts if host.leaving]
+        self._inbox.put(HostsListed(page.revision, leaving))
--- a/hawthornyard/rim/inbox.py
+++ b/hawthornyard/rim/inbox.py
@@ -21,3 +21,7 @@
         """Wait for the next message and take it."""
         msg: Message = self._queue.get()
         return msg
+
+    def is_empty(self) -> bool:
+        """Return whether no message waits."""
+        return bool(self._queue.empty())
--- /dev/null
+++ b/hawthornyard/rim/orders.py
@@ -0,0 +1,173 @@
+"""Give orders to the endpoint beside the sidecar, and read its state."""
+
+import json
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import eventlet
+import urllib3
+from eventlet.queue import LightQueue
+
+from ..core import Consumers, Inbox, Message
+from ..errors import EndpointError
+from ..frames import PlanEntry
+from ..sidecar.orders import (
+    AskState,
+    EndpointState,
+    Order,
+    OrderAnswered,
+    SendOrder,
+    StateAnswered,
+)
+
+CONNECT_TIMEOUT_S = 1.0
+ORDER_TIMEOUT_S = 4.0
+_NOT_FOUND = 404
+_CONFLICT = 409
+
+
+class OrderClient(Protocol):
+    """Speak the order protocol of one kind of endpoint."""
+
+    def state(self) -> EndpointState | None:
+        """Return what the endpoint holds, None if it knows no orders.
+
+        Raises:
+            EndpointError: If it did not answer.
+        """
+        ...
+
+    def order(self, order: Order) -> bool:
+        """Give an order once and return whether it was accepted.
+
+        Raises:
+            EndpointError: If it did not answer; the order may be in effect.
+        """
+        ...
+
+
+class NoOrders:
+    """An endpoint that takes no orders, such as a plain service."""
+
+    __slots__ = ()
+
+    def state(self) -> EndpointState | None:
+        """Return None; see `OrderClient.state`."""
+        return None
+
+    def order(self, order: Order) -> bool:
+        """Refuse; see `OrderClient.order`."""
+        return False
+
+
+class EngineOrders:
+    """Order a model engine over HTTP.
+
+    Args:
+        url: Base URL of the engine.
+    """
+
+    __slots__ = ("_pool", "_timeout", "_url")
+
+    def __init__(self, url: str) -> None:
+        self._url = url.rstrip("/")
+        self._pool = urllib3.PoolManager()
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=ORDER_TIMEOUT_S)
+
+    def state(self) -> EndpointState | None:
+        """Return what the engine holds; see `OrderClient.state`."""
+        resp = self._call("GET", "/v1/state")
+        if resp.status == _NOT_FOUND:
+            return None
+        if resp.status != 200:
+            raise EndpointError(f"the engine answered {resp.status}")
+        try:
+            return _state(json.loads(resp.data))
+        except (ValueError, KeyError, TypeError) as exc:
+            raise EndpointError(f"the engine's state is malformed: {exc!r}") from exc
+
+    def order(self, order: Order) -> bool:
+        """Give an order once; see `OrderClient.order`."""
+        entry = order.entry
+        body = {
+            "fencing": order.fencing_number,
+            "role": entry.role,
+            "models": entry.models,
+            "versions": entry.versions,
+            "adapters": entry.adapters,
+        }
+        resp = self._call("POST", "/v1/orders", body=json.dumps(body).encode())
+        if resp.status not in (200, _CONFLICT):
+            raise EndpointError(f"the engine answered {resp.status}")
+        return bool(resp.status == 200)
+
+    def _call(self, method: str, path: str, *, body: bytes | None = None) -> Any:
+        try:
+            return self._pool.request(
+                method,
+                self._url + path,
+                body=body,
+                timeout=self._timeout,
+                retries=False,
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise EndpointError(str(exc)) from exc
+
+
+class OrderSink:
+    """Carry out questions and orders one after the other.
+
+    Args:
+        client: Speaks to the endpoint.
+        inbox: Where the answers go.
+    """
+
+    __slots__ = ("_client", "_inbox", "_queue", "consumers")
+
+    def __init__(self, client: OrderClient, inbox: Inbox) -> None:
+        self._client = client
+        self._inbox = inbox
+        self._queue = LightQueue()
+        self.consumers: Consumers = {
+            AskState: lambda _: self._queue.put(self._ask),
+            SendOrder: lambda msg: self._queue.put(lambda: self._send(msg.order)),
+        }
+
+    def start(self) -> None:
+        """Start the green thread that speaks to the endpoint."""
+        eventlet.spawn_n(self._run)
+
+    def _run(self) -> None:
+        while True:
+            call: Callable[[], Message] = self._queue.get()
+            self._inbox.put(call())
+
+    def _ask(self) -> Message:
+        try:
+            state = self._client.state()
+        except EndpointError:
+            return StateAnswered(None)
+        return StateAnswered(state, state is not None)
+
+    def _send(self, order: Order) -> Message:
+        try:
+            return OrderAnswered(order, self._client.order(order))
+        except EndpointError:
+            return OrderAnswered(order, None)
+
+
+def _state(body: dict[str, Any]) -> EndpointState:
+    target = body.get("target")
+    return EndpointState(
+        int(body["fencing"]),
+        str(body["role"]),
+        body["models"],
+        body["versions"],
+        body["adapters"],
+        _entry(target) if target else None,
+    )
+
+
+def _entry(body: dict[str, Any]) -> PlanEntry:
+    return PlanEntry(body["role"], body["models"], body["versions"], body["adapters"])
--- /dev/null
+++ b/hawthornyard/rim/plan_rows.py
@@ -0,0 +1,61 @@
+"""Encode the plan and the planner's lease as rows of the table."""
+
+import json
+
+from ..frames import PlanEntry
+from ..planner import Lease, Plan
+from ..platform import Row
+
+PLAN_PREFIX = "plan/"
+LEASE_KEY = f"{PLAN_PREFIX}lease"
+PLAN_KEY = f"{PLAN_PREFIX}current"
+
+
+def lease_value(lease: Lease) -> str:
+    """Return the row's text of a lease."""
+    return json.dumps(
+        {
+            "holder": lease.holder,
+            "token": lease.token,
+            "duration_s": lease.duration_s,
+        }
+    )
+
+
+def lease_of(row: Row) -> Lease:
+    """Return the lease in a row.
+
+    Raises:
+        ValueError: If the row's text is no lease.
+    """
+    try:
+        body = json.loads(row.value)
+        return Lease(row.revision, body["holder"], body["token"], body["duration_s"])
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"malformed lease: {exc!r}") from exc
+
+
+def plan_value(plan: Plan) -> str:
+    """Return the row's text of a plan; equal entries share one group."""
+    groups: dict[str, list[str]] = {}
+    for endpoint, entry in plan.entries.items():
+        groups.setdefault(json.dumps(list(entry.values())), []).append(endpoint)
+    body = [[json.loads(entry), names] for entry, names in groups.items()]
+    return json.dumps(body, separators=(",", ":"))
+
+
+def plan_of(row: Row) -> Plan:
+    """Return the plan in a row.
+
+    Raises:
+        ValueError: If the row's text is no plan.
+    """
+    try:
+        entries = {
+            endpoint: PlanEntry(*fields)
+            for fields, endpoints in json.loads(row.value)
+            for endpoint in endpoints
+        }
+    except TypeError as exc:
+        raise ValueError(f"malformed plan: {exc!r}") from exc
+    return Plan(row.revision, entries)
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -9,6 +9,7 @@
 import yaml
 
 from .errors import SettingsError
+from .planner import DEFAULT_WEIGHT_BYTES_PER_S
 
 PEER_KEY_VARIABLE = "HAWTHORNYARD_PEER_KEY"
 MIN_PEER_KEY_CHARS = 16
@@ -28,6 +29,10 @@
         "failure_domain": _NAME,
         "listen": _ADDRESS,
         "table": _URL,
+        "hosts": _URL,
+        "objects": _URL,
+        "weights": _URL,
+        "weight_bytes_per_s": {"type": "number", "exclusiveMinimum": 0},
         "log_level": _LEVEL,
     },
 }
@@ -60,9 +65,24 @@
         table: URL of the platform's table service.
         peer_key: Shared secret of the deployment's processes.
         log_level: Least severe level that is logged.
+        hosts: URL of the platform's host list, empty for none.
+        objects: URL of the platform's object store, empty for none.
+        weights: URL of the platform's weight store, empty for none.
+        weight_bytes_per_s: Rate at which the weight store serves all endpoints.
     """
 
-    __slots__ = ("failure_domain", "listen", "log_level", "name", "peer_key", "table")
+    __slots__ = (
+        "failure_domain",
+        "hosts",
+        "listen",
+        "log_level",
+        "name",
+        "objects",
+        "peer_key",
+        "table",
+        "weight_bytes_per_s",
+        "weights",
+    )
 
     def __init__(
         self,
@@ -73,6 +93,10 @@
         peer_key: bytes,
         *,
         log_level: str = "INFO",
+        hosts: str = "",
+        objects: str = "",
+        weights: str = "",
+        weight_bytes_per_s: float = DEFAULT_WEIGHT_BYTES_PER_S,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -80,6 +104,10 @@
         self.table = table
         self.peer_key = peer_key
         self.log_level = log_level
+        self.hosts = hosts
+        self.objects = objects
+        self.weights = weights
+        self.weight_bytes_per_s = weight_bytes_per_s
 
 
 class SidecarSettings:
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -5,6 +5,7 @@
 from ..core import Clock, Filter
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
+from .orders import Reconcile
 from .reply import AttachPeers, NumberOutput
 from .request import Admit, Begin, Fence, Gate
 from .state import SidecarState
@@ -22,6 +23,7 @@
     """
     return [
         TakeConfig(state.catalog),
+        Reconcile(state.name, clock),
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
--- /dev/null
+++ b/hawthornyard/sidecar/orders/reconcile.py
@@ -0,0 +1,174 @@
+"""Bring the endpoint to its entry of the plan."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Decision, Handlers, Message, PeerDown, PeerUp, Tick
+from ...frames import Loaded, PlanEntry, PlanPush
+from .messages import (
+    AskState,
+    EndpointState,
+    Order,
+    OrderAnswered,
+    SendOrder,
+    StateAnswered,
+)
+
+SETTLED_INTERVAL_S = 2.0
+UNSETTLED_INTERVAL_S = 0.25
+NO_ORDERS_INTERVAL_S = 60.0
+REASSERT_INTERVAL_S = 2.0
+
+
+class Reconcile:
+    """Compare what the endpoint holds with the plan, and order the difference.
+
+    An order states the whole desired state, so it may be repeated. One is sent
+    only after the endpoint's state was read, and never with a number below the
+    highest that this process or the endpoint has acted on. After every order,
+    whatever became of it, the state is read back; an endpoint that ignores the
+    number and was changed by another hand differs again and is ordered again.
+    At most one question or order is under way.
+
+    Args:
+        endpoint: Name of the endpoint record.
+        clock: Source of time.
+    """
+
+    __slots__ = (
+        "_asked",
+        "_clock",
+        "_due_at",
+        "_endpoint",
+        "_floor",
+        "_peers",
+        "_plan",
+        "_reassert_at",
+        "_said",
+        "handlers",
+    )
+
+    def __init__(self, endpoint: str, clock: Clock) -> None:
+        self._endpoint = endpoint
+        self._clock = clock
+        self._plan: Order | None = None
+        self._floor = 0
+        self._asked = False
+        self._due_at = 0.0
+        self._reassert_at = 0.0
+        self._said: Loaded | None = None
+        self._peers: set[str] = set()
+        self.handlers: Handlers = {
+            PlanPush: self._on_push,
+            StateAnswered: self._on_state,
+            OrderAnswered: self._on_order,
+            Tick: self._on_tick,
+            PeerUp: self._on_peer_up,
+            PeerDown: self._on_peer_down,
+        }
+
+    def _on_push(self, msg: PlanPush) -> Iterator[Message]:
+        held = self._plan.fencing_number if self._plan else 0
+        if msg.fencing_number <= max(held, self._floor - 1):
+            return
+        self._plan = Order(msg.fencing_number, msg.entry)
+        self._reassert_at = 0.0
+        yield from self._ask()
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        yield msg
+        if msg.now >= self._due_at:
+            yield from self._ask()
+
+    def _ask(self) -> Iterator[Message]:
+        if self._asked:
+            return
+        self._asked = True
+        yield AskState()
+
+    def _on_state(self, msg: StateAnswered) -> Iterator[Message]:
+        self._asked = False
+        if not msg.takes_orders:
+            self._wait(NO_ORDERS_INTERVAL_S)
+            return
+        if msg.state is None:
+            self._wait(SETTLED_INTERVAL_S)
+            return
+        self._floor = max(self._floor, msg.state.fencing_number)
+        yield from self._report(msg.state)
+        yield from self._order(msg.state)
+
+    def _order(self, state: EndpointState) -> Iterator[Message]:
+        order = self._plan
+        if order is None or order.fencing_number < self._floor:
+            self._wait(SETTLED_INTERVAL_S)
+            return
+        if _has_reached(state, order.entry):
+            self._wait(SETTLED_INTERVAL_S)
+            return
+        now = self._clock.now()
+        if state.target == order.entry or now < self._reassert_at:
+            self._wait(UNSETTLED_INTERVAL_S)
+            return
+        self._reassert_at = now + REASSERT_INTERVAL_S
+        self._floor = order.fencing_number
+        self._asked = True
+        yield Decision(
+            "order",
+            reason="the endpoint differs from the plan",
+            endpoint=self._endpoint,
+            fencing_number=order.fencing_number,
+            role=order.entry.role,
+            models=order.entry.models,
+        )
+        yield SendOrder(order)
+
+    def _on_order(self, msg: OrderAnswered) -> Iterator[Message]:
+        self._asked = False
+        if msg.accepted is not True:
+            yield Decision(
+                "order_not_confirmed",
+                reason="refused" if msg.accepted is False else "the reply was lost",
+                endpoint=self._endpoint,
+                fencing_number=msg.order.fencing_number,
+            )
+            self._wait(UNSETTLED_INTERVAL_S)
+            return
+        yield from self._ask()
+
+    def _report(self, state: EndpointState) -> Iterator[Message]:
+        planned = self._plan.fencing_number if self._plan else 0
+        said = Loaded(
+            self._endpoint, max(planned, self._floor), state.role, state.models
+        )
+        if said == self._said:
+            return
+        self._said = said
+        for peer in sorted(self._peers):
+            yield _copy(said).at(peer)
+
+    def _on_peer_up(self, msg: PeerUp) -> Iterator[Message]:
+        self._peers.add(msg.peer)
+        if self._said is not None:
+            yield _copy(self._said).at(msg.peer)
+        yield msg
+
+    def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
+        self._peers.discard(msg.peer)
+        yield msg
+
+    def _wait(self, seconds: float) -> None:
+        self._due_at = self._clock.now() + seconds
+
+
+def _has_reached(state: EndpointState, entry: PlanEntry) -> bool:
+    return (
+        state.target in (None, entry)
+        and state.role == entry.role
+        and sorted(state.models) == sorted(entry.models)
+        and sorted(state.versions) == sorted(entry.versions)
+        and sorted(state.adapters) == sorted(entry.adapters)
+    )
+
+
+def _copy(said: Loaded) -> Loaded:
+    return Loaded(said.endpoint, said.fencing_number, said.role, said.models)
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -19,6 +19,7 @@
     Ended,
     Failed,
     Heartbeat,
+    Loaded,
     Refused,
     Replied,
     Tokens,
@@ -41,6 +42,7 @@
 )
 from ..rim.endpoint import EndpointClient, EndpointSink
 from ..rim.engine import EngineClient
+from ..rim.orders import EngineOrders, NoOrders, OrderClient, OrderSink
 from ..rim.service import ServiceClient
 from ..settings import SidecarSettings
 from .attempts import Attempts
@@ -66,6 +68,7 @@
             settings.name, settings.failure_domain, incarnation, Catalog()
         )
         connections = Connections(self._inbox)
+        self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
             [
@@ -78,9 +81,11 @@
                     Replied,
                     Failed,
                     Heartbeat,
+                    Loaded,
                     Unknown,
                 ),
                 EndpointSink(_client(settings), self._inbox),
+                self._orders,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
                 self._stop,
@@ -108,6 +113,7 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
+        self._orders.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
@@ -127,3 +133,9 @@
     if settings.protocol == GENERATION:
         return EngineClient(settings.endpoint)
     return ServiceClient(settings.endpoint)
+
+
+def _order_client(settings: SidecarSettings) -> OrderClient:
+    if settings.protocol == GENERATION:
+        return EngineOrders(settings.endpoint)
+    return NoOrders()
--- a/hawthornyard/standins/engine.py
+++ b/hawthornyard/standins/engine.py
@@ -9,6 +9,7 @@
 from eventlet.queue import LightQueue
 
 from .engine_model import EngineModel, Sequence
+from .engine_orders import EngineOrderRoutes, OrderModel
 from .web import WebAnswer, WebApp, WebRequest
 
 _WORDS = ("the", "visitor", "signs", "in", "at", "desk", "and", "waits", "for", "badge")
@@ -19,14 +20,17 @@
 
     Args:
         model: Decides which sequences advance.
+        orders: Takes orders; an engine without models by default.
 
     Attributes:
+        orders: Routes of the orders.
         ran: Request id and attempt id of every generation that was begun.
     """
 
-    __slots__ = ("_model", "_queues", "app", "ran")
+    __slots__ = ("_model", "_queues", "app", "orders", "ran")
 
-    def __init__(self, model: EngineModel) -> None:
+    def __init__(self, model: EngineModel, orders: OrderModel | None = None) -> None:
+        self.orders = EngineOrderRoutes(orders or OrderModel())
         self._model = model
         self._queues: dict[str, LightQueue] = {}
         self.ran: list[tuple[str, str]] = []
@@ -35,6 +39,7 @@
                 "POST /v1/generate": self._generate,
                 "POST /v1/cancel": self._cancel,
                 "GET /ran": self._ran,
+                **self.orders.routes,
             }
         )
 
--- /dev/null
+++ b/hawthornyard/standins/engine_orders.py
@@ -0,0 +1,208 @@
+"""Model the orders that a stand-in engine takes, and serve them."""
+
+from typing import Any
+
+import eventlet
+
+from ..core import Message
+from ..errors import PlatformError
+from ..frames import PlanEntry
+from ..platform import WeightStore
+from ..sidecar.orders import EndpointState, Order
+from .web import Route, WebAnswer, WebRequest
+
+LOAD_STEP_S = 0.05
+
+
+class ModelLoad(Message):
+    """Weights on their way into the engine.
+
+    Attributes:
+        model: Name of the model.
+        version: Name of its weights.
+        n_read: Bytes read so far.
+    """
+
+    __slots__ = ("model", "version", "n_read")
+
+    def __init__(self, model: str, version: str) -> None:
+        self.model = model
+        self.version = version
+        self.n_read = 0
+
+
+class OrderModel:
+    """Take orders and load weights, one model after the other.
+
+    A model that is no longer wanted is dropped at once; a new version serves
+    only once its weights are whole, and the old one serves until then.
+
+    Args:
+        weights: The weight store; None loads at once.
+        checks_fencing: Whether an order with an old number is refused.
+        loaded: Weights by model at the start.
+
+    Attributes:
+        fencing_number: Number of the last order, the highest if checked.
+        target: Entry that was ordered last.
+        loaded: Weights by model that are ready to serve.
+        orders: Every order that arrived, with whether it was accepted.
+    """
+
+    __slots__ = (
+        "_checks_fencing",
+        "_load",
+        "_weights",
+        "fencing_number",
+        "loaded",
+        "orders",
+        "target",
+    )
+
+    def __init__(
+        self,
+        weights: WeightStore | None = None,
+        *,
+        checks_fencing: bool = True,
+        loaded: dict[str, str] | None = None,
+    ) -> None:
+        self._weights = weights
+        self._checks_fencing = checks_fencing
+        self._load: ModelLoad | None = None
+        self.loaded = dict(loaded or {})
+        self.fencing_number = 0
+        self.target = PlanEntry("", list(self.loaded), list(self.loaded.values()), ())
+        self.orders: list[tuple[Order, bool]] = []
+
+    def order(self, order: Order) -> bool:
+        """Take an order and return whether it was accepted."""
+        accepted = not self._is_old(order)
+        self.orders.append((order, accepted))
+        if accepted:
+            self.fencing_number = order.fencing_number
+            self.target = order.entry
+            self._drop_unwanted()
+        return accepted
+
+    def state(self) -> EndpointState:
+        """Return what the engine holds."""
+        return EndpointState(
+            self.fencing_number,
+            self.target.role,
+            list(self.loaded),
+            list(self.loaded.values()),
+            self.target.adapters,
+            self.target,
+        )
+
+    def is_loading(self) -> bool:
+        """Return whether weights are still missing."""
+        return self._next_load() is not None
+
+    def advance(self) -> float:
+        """Read the next part of the weights that are missing.
+
+        Returns:
+            Seconds to wait before the next call.
+
+        Raises:
+            PlatformError: If the weight store did not answer.
+        """
+        load = self._load = self._next_load()
+        if load is None:
+            return 0.0
+        if self._weights is None:
+            self.loaded[load.model] = load.version
+            return 0.0
+        part = self._weights.read(load.version, load.n_read)
+        load.n_read += part.n_granted
+        if load.n_read >= part.n_bytes:
+            self.loaded[load.model] = load.version
+        return part.wait_s
+
+    def _is_old(self, order: Order) -> bool:
+        return self._checks_fencing and order.fencing_number < self.fencing_number
+
+    def _drop_unwanted(self) -> None:
+        wanted = self.target.models
+        self.loaded = {
+            model: version for model, version in self.loaded.items() if model in wanted
+        }
+
+    def _next_load(self) -> ModelLoad | None:
+        target = self.target
+        for model, version in zip(target.models, target.versions, strict=True):
+            if self.loaded.get(model) == version:
+                continue
+            load = self._load
+            if load and (load.model, load.version) == (model, version):
+                return load
+            return ModelLoad(model, version)
+        return None
+
+
+class EngineOrderRoutes:
+    """Serve an order model; `routes` is mounted by the stand-in engine.
+
+    Args:
+        model: Takes the orders.
+
+    Attributes:
+        lose_replies: Number of orders to come whose reply is lost.
+        routes: Handlers by "METHOD /path".
+    """
+
+    __slots__ = ("_is_running", "lose_replies", "model", "routes")
+
+    def __init__(self, model: OrderModel) -> None:
+        self.model = model
+        self.lose_replies = 0
+        self._is_running = False
+        self.routes: dict[str, Route] = {
+            "GET /v1/state": self._state,
+            "POST /v1/orders": self._order,
+        }
+
+    def _state(self, req: WebRequest) -> WebAnswer:
+        state = self.model.state()
+        body = {
+            "fencing": state.fencing_number,
+            "role": state.role,
+            "models": state.models,
+            "versions": state.versions,
+            "adapters": state.adapters,
+            "target": _entry_body(self.model.target),
+        }
+        return WebAnswer(body)
+
+    def _order(self, req: WebRequest) -> WebAnswer:
+        body = req.json()
+        entry = PlanEntry(
+            body["role"], body["models"], body["versions"], body["adapters"]
+        )
+        accepted = self.model.order(Order(int(body["fencing"]), entry))
+        if accepted and not self._is_running:
+            self._is_running = True
+            eventlet.spawn_n(self._load)
+        if self.lose_replies:
+            self.lose_replies -= 1
+            return WebAnswer({"detail": "the reply was lost"}, status=500)
+        return WebAnswer({}, status=200 if accepted else 409)
+
+    def _load(self) -> None:
+        while self.model.is_loading():
+            try:
+                wait_s = self.model.advance()
+            except PlatformError:
+                wait_s = LOAD_STEP_S
+            eventlet.sleep(wait_s)
+        self._is_running = False
+
+
+def _entry_body(entry: PlanEntry) -> dict[str, Any]:
+    return {
+        "role": entry.role,
+        "models": entry.models,
+        "versions": entry.versions,
+        "adapters": entry.adapters,
+    }
--- /dev/null
+++ b/hawthornyard/standins/hosts.py
@@ -0,0 +1,71 @@
+"""Stand in for the platform's list of hosts, which lags."""
+
+from ..core import Clock
+from ..platform import HostEntry, HostPage
+from ..rim import MonotonicClock
+from .faults import Faults
+from .web import WebAnswer, WebApp, WebRequest
+
+MAX_HISTORY = 1000
+
+
+class HostStandIn:
+    """Hold the list and show it as it was `faults.lag_s` ago.
+
+    Args:
+        clock: Source of time, the machine's by default.
+    """
+
+    __slots__ = ("_clock", "_hosts", "_pages", "app", "faults")
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self._clock = clock or MonotonicClock()
+        self._hosts: dict[str, HostEntry] = {}
+        self._pages: list[tuple[float, HostPage]] = []
+        self.faults = Faults(self._clock)
+        self.app = WebApp(
+            {
+                "GET /v1/hosts": self.faults.reading(self._show),
+                "POST /v1/hosts": self._take,
+                "POST /faults": self.faults.set,
+            }
+        )
+
+    def put(self, address: str, *, leaving: bool = False) -> None:
+        """Add a host to the list or change it."""
+        self._hosts[address] = HostEntry(address, leaving)
+        self._record()
+
+    def remove(self, address: str) -> None:
+        """Take a host off the list."""
+        self._hosts.pop(address, None)
+        self._record()
+
+    def page(self) -> HostPage:
+        """Return the list as it is shown now."""
+        shown_at = self._clock.now() - self.faults.lag_s
+        for changed_at, page in reversed(self._pages):
+            if changed_at <= shown_at:
+                return page
+        return HostPage(0, [])
+
+    def _record(self) -> None:
+        revision = self._pages[-1][1].revision + 1 if self._pages else 1
+        page = HostPage(revision, list(self._hosts.values()))
+        self._pages.append((self._clock.now(), page))
+        del self._pages[:-MAX_HISTORY]
+
+    def _show(self, req: WebRequest) -> WebAnswer:
+        page = self.page()
+        hosts = [
+            {"address": host.address, "leaving": host.leaving} for host in page.hosts
+        ]
+        return WebAnswer({"revision": page.revision, "hosts": hosts})
+
+    def _take(self, req: WebRequest) -> WebAnswer:
+        body = req.json()
+        if body.get("removed", False):
+            self.remove(body["address"])
+        else:
+            self.put(body["address"], leaving=bool(body.get("leaving", False)))
+        return WebAnswer({})
--- /dev/null
+++ b/hawthornyard/standins/weights.py
@@ -0,0 +1,83 @@
+"""Stand in for the platform's weight store."""
+
+from ..core import Clock
+from ..platform import WeightPart
+from ..rim import MonotonicClock
+from .faults import Faults
+from .web import WebAnswer, WebApp, WebRequest
+
+DEFAULT_BYTES_PER_S = 2_000_000_000
+DEFAULT_WEIGHT_BYTES = 200_000_000
+BURST_S = 0.1
+
+
+class WeightModel:
+    """Share a rate of bytes among all readers; a `WeightStore` in memory.
+
+    Args:
+        clock: Source of time.
+        bytes_per_s: Rate of all readers together.
+
+    Attributes:
+        sizes: Bytes of each weights by name; others have a default size.
+        n_granted: Bytes granted since the start.
+    """
+
+    __slots__ = ("_bytes_per_s", "_clock", "_free", "_updated_at", "n_granted", "sizes")
+
+    def __init__(
+        self, clock: Clock, *, bytes_per_s: float = DEFAULT_BYTES_PER_S
+    ) -> None:
+        self._clock = clock
+        self._bytes_per_s = bytes_per_s
+        self._free = bytes_per_s * BURST_S
+        self._updated_at = clock.now()
+        self.sizes: dict[str, int] = {}
+        self.n_granted = 0
+
+    def read(self, name: str, offset: int) -> WeightPart:
+        """Grant what the rate allows now; see `WeightStore.read`."""
+        self._refill()
+        n_bytes = self.sizes.get(name, DEFAULT_WEIGHT_BYTES)
+        n_granted = min(n_bytes - offset, int(self._free))
+        self._free -= n_granted
+        self.n_granted += n_granted
+        rest = n_bytes - offset - n_granted
+        wait_s = min(BURST_S, rest / self._bytes_per_s) if rest else 0.0
+        return WeightPart(n_bytes, n_granted, wait_s)
+
+    def _refill(self) -> None:
+        now = self._clock.now()
+        earned = (now - self._updated_at) * self._bytes_per_s
+        self._free = min(self._bytes_per_s * BURST_S, self._free + earned)
+        self._updated_at = now
+
+
+class WeightStandIn:
+    """Serve a weight model over HTTP.
+
+    Args:
+        model: Decides what each reader gets.
+        clock: Source of time, the machine's by default.
+    """
+
+    __slots__ = ("app", "faults", "model")
+
+    def __init__(self, model: WeightModel, clock: Clock | None = None) -> None:
+        self.model = model
+        self.faults = Faults(clock or MonotonicClock())
+        self.app = WebApp(
+            {
+                "GET /v1/weights": self.faults.reading(self._read),
+                "POST /faults": self.faults.set,
+            }
+        )
+
+    def _read(self, req: WebRequest) -> WebAnswer:
+        part = self.model.read(req.query["name"], int(req.query["offset"]))
+        body = {
+            "n_bytes": part.n_bytes,
+            "n_granted": part.n_granted,
+            "wait_s": part.wait_s,
+        }
+        return WebAnswer(body)
