Prove the planner's lease and the orders, directly and over sockets

Found and mended on the way: the contention spread and clock margin were fixed seconds and did not follow the lease's duration, now shares of it.

--- a/features/environment.py
+++ b/features/environment.py
@@ -17,6 +17,8 @@
 
 _BY_TAG = {
     "fixture.kingston": fixtures.kingston,
+    "fixture.ordered_engines": fixtures.ordered_engines,
+    "fixture.planners": fixtures.planners,
     "fixture.platform": fixtures.platform,
 }
 
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -2,18 +2,27 @@
 
 from collections.abc import Iterator
 
+import eventlet
 from behave import fixture
 from behave.runner import Context
 
+from features.planning import PlannerWorld
 from hawthornyard.demo import Client, Deployment
-from hawthornyard.demo.deployment import LOOPBACK
+from hawthornyard.demo.deployment import ANY_PORT, LOOPBACK, PEER_KEY, EndpointHost
 from hawthornyard.front import HttpServer
+from hawthornyard.gateway.program import Gateway
 from hawthornyard.platform import HttpHosts, HttpObjects, HttpTable, HttpWeights
+from hawthornyard.records import Document
 from hawthornyard.rim import MonotonicClock
+from hawthornyard.settings import GatewaySettings, SidecarSettings
+from hawthornyard.sidecar.program import Sidecar
 from hawthornyard.standins import (
+    EngineModel,
+    EngineStandIn,
     HostStandIn,
     MemoryTable,
     ObjectStandIn,
+    OrderModel,
     TableStandIn,
     WeightModel,
     WeightStandIn,
@@ -81,3 +90,76 @@
     """Every service of the platform."""
     context.platform = PlatformServices()
     yield context.platform
+
+
+@fixture
+def planners(context: Context) -> Iterator[PlannerWorld]:
+    """Two planner processes on one table, with a handed-in time."""
+    context.world = PlannerWorld(2)
+    yield context.world
+
+
+@fixture
+def ordered_engines(context: Context) -> Iterator[Deployment]:
+    """Two engines that either model fits, one of which ignores the number."""
+    deployment = Deployment()
+    context.engine_names = {"checks": "engine-1", "ignores": "engine-2"}
+    for checking, name in context.engine_names.items():
+        orders = OrderModel(
+            checks_fencing=checking == "checks",
+            loaded={"scribe": "", "radgjafi": ""},
+        )
+        standin = EngineStandIn(EngineModel(step_s=0.005), orders)
+        eventlet.spawn_n(standin.run)
+        deployment.hosts[name] = EndpointHost(name, checking, "generation", standin)
+    table_url = serve_standin(deployment.table.app)
+    for index in (1, 2):
+        gateway = Gateway(
+            GatewaySettings(
+                f"gateway-{index}",
+                "checks",
+                ANY_PORT,
+                table_url,
+                PEER_KEY,
+                planner_lease_s=1.5,
+            ),
+            HttpTable(table_url),
+        )
+        gateway.start()
+        deployment.gateways.append(gateway)
+    deployment.apply(two_model_documents(deployment))
+    deployment.wait_ready()
+    context.deployment = deployment
+    context.client = Client(deployment.url(), deployment.key)
+    context.replace_sidecar = lambda name: replace_sidecar(deployment, name)
+    yield deployment
+    for gateway in deployment.gateways:
+        gateway.stop()
+
+
+def two_model_documents(deployment: Deployment) -> list[Document]:
+    """Return the records of a deployment, with a second model everywhere."""
+    documents = deployment.documents()
+    for document in documents:
+        if "models" in document["spec"]:
+            document["spec"]["models"] = ["scribe", "radgjafi"]
+    model = {"kind": "model", "schema": 1, "name": "radgjafi"}
+    return [*documents, {**model, "spec": {"context_tokens": 8192}}]
+
+
+def replace_sidecar(deployment: Deployment, name: str) -> None:
+    """Stop a sidecar and start another incarnation at another address."""
+    host = deployment.hosts[name]
+    host.sidecar.stop()
+    host.sidecar = Sidecar(
+        SidecarSettings(
+            name,
+            host.failure_domain,
+            ANY_PORT,
+            f"http://{LOOPBACK}:{host.server.port}",
+            "generation",
+            PEER_KEY,
+        )
+    )
+    host.sidecar.start()
+    deployment.apply(two_model_documents(deployment))
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -120,7 +120,12 @@
         self._plan_table = PlanTable(table, self._inbox, self._clock)
         self._host_poll = _host_poll(settings, self._inbox)
         holder = f"{settings.name}/{identifiers.new()}"
-        self.duty = Duty(holder, self._clock, identifiers)
+        self.duty = Duty(
+            holder,
+            self._clock,
+            identifiers,
+            duration_s=settings.planner_lease_s,
+        )
         chain = gateway_chain(
             self.catalog,
             self.inflight,
--- a/hawthornyard/planner/lease.py
+++ b/hawthornyard/planner/lease.py
@@ -20,8 +20,8 @@
 from .plan import Lease
 
 RENEWAL_SHARE = 1 / 3
-CLOCK_MARGIN_S = 1.0
-CONTENTION_SPREAD_S = 5.0
+CLOCK_MARGIN_SHARE = 0.1
+CONTENTION_SHARE = 1 / 3
 LONGEST_ORDER_S = 6.0
 RETRY_S = 1.0
 
@@ -134,8 +134,9 @@
         lease = self._duty.lease
         lapsed_at = self._duty.lease_seen_at
         if lease is not None and lease.holder:
-            lapsed_at += lease.duration_s + CLOCK_MARGIN_S
-        self._attempt_at = lapsed_at + CONTENTION_SPREAD_S * self._chance.random()
+            lapsed_at += lease.duration_s * (1 + CLOCK_MARGIN_SHARE)
+        spread_s = CONTENTION_SHARE * self._duty.duration_s
+        self._attempt_at = lapsed_at + spread_s * self._chance.random()
 
     def _schedule_first(self) -> None:
         if self._attempt_at is None:
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -9,7 +9,7 @@
 import yaml
 
 from .errors import SettingsError
-from .planner import DEFAULT_WEIGHT_BYTES_PER_S
+from .planner import DEFAULT_WEIGHT_BYTES_PER_S, LEASE_DURATION_S
 
 PEER_KEY_VARIABLE = "HAWTHORNYARD_PEER_KEY"
 MIN_PEER_KEY_CHARS = 16
@@ -33,6 +33,7 @@
         "objects": _URL,
         "weights": _URL,
         "weight_bytes_per_s": {"type": "number", "exclusiveMinimum": 0},
+        "planner_lease_s": {"type": "number", "minimum": 1, "maximum": 600},
         "log_level": _LEVEL,
     },
 }
@@ -69,6 +70,7 @@
         objects: URL of the platform's object store, empty for none.
         weights: URL of the platform's weight store, empty for none.
         weight_bytes_per_s: Rate at which the weight store serves all endpoints.
+        planner_lease_s: How long the planner's lease holds.
     """
 
     __slots__ = (
@@ -79,6 +81,7 @@
         "name",
         "objects",
         "peer_key",
+        "planner_lease_s",
         "table",
         "weight_bytes_per_s",
         "weights",
@@ -97,6 +100,7 @@
         objects: str = "",
         weights: str = "",
         weight_bytes_per_s: float = DEFAULT_WEIGHT_BYTES_PER_S,
+        planner_lease_s: float = LEASE_DURATION_S,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -108,6 +112,7 @@
         self.objects = objects
         self.weights = weights
         self.weight_bytes_per_s = weight_bytes_per_s
+        self.planner_lease_s = planner_lease_s
 
 
 class SidecarSettings:
