Bound the loops of the order and planner steps

Cause: a trial that broke the read-back left a step waiting for a lease that never came; the run hung instead of failing.

--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -11,9 +11,10 @@
 from hawthornyard.planner import Plan
 from hawthornyard.platform import Condition, Put
 from hawthornyard.rim.plan_rows import PLAN_KEY, plan_of, plan_value
-from hawthornyard.sidecar.orders import Order
+from hawthornyard.sidecar.orders import Order, SendOrder
 from hawthornyard.standins import OrderModel, WeightModel
 
+MAX_DELIVERIES = 10
 ENGINE_MODELS = ("scribe", "radgjafi")
 
 
@@ -48,8 +49,11 @@
 
 
 def _until_order(world):
-    while not (world.waiting and hasattr(world.waiting[0], "order")):
+    for _ in range(MAX_DELIVERIES):
+        if world.waiting and isinstance(world.waiting[0], SendOrder):
+            return
         world.deliver()
+    raise AssertionError("the sidecar never sent an order")
 
 
 @when("nothing")
--- a/features/steps/planner.py
+++ b/features/steps/planner.py
@@ -28,13 +28,16 @@
 from hawthornyard.records import OpeningHours, Service
 
 PLAN_INTERVAL_S = 5.0
+MAX_TICKS = 500
 
 
 def _take_lease(world, *, with_plan=True):
     first = world.processes[0]
-    while not first.duty.is_held or (with_plan and world.plan_row() is None):
+    for _ in range(MAX_TICKS):
+        if first.duty.is_held and (not with_plan or world.plan_row() is not None):
+            return first
         world.run(TICK_S, first)
-    return first
+    raise AssertionError("the first planner never took the lease")
 
 
 @when("{n_planners:d} planners run for {seconds:g} seconds")
@@ -68,7 +71,7 @@
 
 
 def _step_until_write(world, process, *, with_plan):
-    while True:
+    for _ in range(MAX_TICKS):
         world.time.advance(TICK_S)
         process.tick()
         for write in process.writes:
@@ -77,6 +80,7 @@
         while process.writes:
             process.write()
         process.read()
+    raise AssertionError("the planner never wrote")
 
 
 @given("the first planner holds the lease and was paused with {step}")
@@ -496,7 +500,9 @@
 
 @when("plans are made every 5 seconds until all endpoints are planned")
 def plan_all(context: Context) -> None:
-    while context.plan is None or len(context.plan.entries) < len(context.seats):
+    for _ in range(MAX_TICKS):
+        if context.plan and len(context.plan.entries) == len(context.seats):
+            return
         _plan(context)
         context.clock.advance(PLAN_INTERVAL_S)
 
