Share team limits and configuration among gateways

Cause: each gateway held a team to its whole limit, so n gateways let n times the limit through, and a gateway that could not reach the table had no configuration at all.

Change: gateways with a peer address beat to each other. A team's owner by rendezvous divides the limit max-min fairly by demand; a gateway that is cut off falls back to an even part of the gateways it last knew. A push of records now says after which revision it is complete; a receiver with a gap asks for the rest instead of skipping changes. The poll took the table's head, which moves with every claim, for the configuration's revision; it now takes the revision of the newest record.

Ruled out: letting every live side of a cut divide the whole limit. Half or fewer of the known gateways now divide only their own part; most of them take the others for dead.

--- /dev/null
+++ b/features/limits.feature
@@ -0,0 +1,36 @@
+Feature: A team's limits hold over all gateways together
+
+  Scenario Outline: A team that asks for more than its limit gets its limit
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    When callers send <first>, <second> and <third> requests a second to them
+    Then the team gets between 0.95 and 1.05 of its limit
+
+    Examples:
+      | first | second | third |
+      | 40    | 40     | 40    |
+      | 100   | 5      | 1     |
+      | 90    | 0      | 0     |
+      | 30    | 30     | 6     |
+
+  Scenario: A team that asks for less than its limit gets what it asks for
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    When callers send 30, 10 and 2 requests a second to them
+    Then at most 2 in 100 requests are refused
+
+  Scenario: A gateway that is cut off falls back to an even part
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    And the gateways lose each other after 10 seconds
+    When callers send 50, 50 and 50 requests a second to them
+    Then the team gets between 0.95 and 1.05 of its limit
+
+  Scenario: An owner that dies is followed by another
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    And the owner of the team dies after 10 seconds
+    When callers send 50, 50 and 50 requests a second to them
+    Then the team gets between 0.95 and 1.05 of its limit
+
+  Scenario: Changed limits hold at once
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    And the limit becomes 30 requests a second after 10 seconds
+    When callers send 40, 40 and 40 requests a second to them
+    Then the team gets between 0.95 and 1.05 of its limit
--- /dev/null
+++ b/features/steps/limits.py
@@ -0,0 +1,188 @@
+"""Steps that drive the limit filters of several gateways with a handed-in clock."""
+
+import json
+import random
+from collections.abc import Callable
+
+from behave import given, then, when
+from behave.runner import Context
+
+from hawthornyard.core import ManualClock, Message, Pipeline, Tick
+from hawthornyard.frames import Demand, Generation, Portion, RecordEntry
+from hawthornyard.gateway.budget import TeamBudgets
+from hawthornyard.gateway.fleet import Neighbours, ShareLimits
+from hawthornyard.gateway.messages import Permitted, ReplyFailed, Request, Resolved
+from hawthornyard.gateway.request import TeamLimit
+from hawthornyard.records import GENERATION, Catalog, Service
+
+SEED = 20261204
+STEP_S = 0.1
+WARM_UP_S = 20.0
+END_S = 80.0
+TEAM = "kiosk"
+NAMES = ("gateway-1", "gateway-2", "gateway-3")
+
+
+class LimitGateway:
+    """The limit filters of one gateway, with what they let through."""
+
+    __slots__ = (
+        "catalog",
+        "is_alive",
+        "n_admitted",
+        "n_refused",
+        "neighbours",
+        "outbox",
+        "pipeline",
+    )
+
+    def __init__(self, name: str, clock: ManualClock) -> None:
+        self.catalog = Catalog()
+        peers = [peer for peer in NAMES if peer != name]
+        self.neighbours = Neighbours(name, peers, clock)
+        self.is_alive = True
+        self.n_admitted = 0
+        self.n_refused = 0
+        self.outbox: list[Message] = []
+        budgets = TeamBudgets(clock)
+        share = ShareLimits(self.catalog, budgets, self.neighbours, clock)
+        self.pipeline = Pipeline([share, TeamLimit(budgets)], [self])
+
+    @property
+    def consumers(self) -> dict[type[Message], Callable[[Message], None]]:
+        return {
+            Demand: self.outbox.append,
+            Portion: self.outbox.append,
+            Permitted: self._count_admitted,
+            ReplyFailed: self._count_refused,
+            Tick: lambda msg: None,
+        }
+
+    def _count_admitted(self, msg: Message) -> None:
+        self.n_admitted += 1
+
+    def _count_refused(self, msg: Message) -> None:
+        self.n_refused += 1
+
+
+@given("3 gateways that share the limit of {limit:d} requests a second of a team")
+def start_gateways(context: Context, limit: int) -> None:
+    context.clock = ManualClock(100.0)
+    context.gateways = {name: LimitGateway(name, context.clock) for name in NAMES}
+    context.events = []
+    context.is_connected = True
+    _set_limit(context, limit, 1)
+
+
+@given("the gateways lose each other after {seconds:d} seconds")
+def plan_cut(context: Context, seconds: int) -> None:
+    context.events.append((seconds, _cut))
+
+
+@given("the owner of the team dies after {seconds:d} seconds")
+def plan_death(context: Context, seconds: int) -> None:
+    context.events.append((seconds, _kill_owner))
+
+
+@given("the limit becomes {limit:d} requests a second after {seconds:d} seconds")
+def plan_limit(context: Context, limit: int, seconds: int) -> None:
+    context.events.append((seconds, lambda ctx: _set_limit(ctx, limit, 2)))
+
+
+@when("callers send {first:d}, {second:d} and {third:d} requests a second to them")
+def drive(context: Context, first: int, second: int, third: int) -> None:
+    rng = random.Random(SEED)
+    rates = dict(zip(NAMES, (first, second, third), strict=True))
+    start = context.clock.now()
+    counted = False
+    while context.clock.now() - start < END_S:
+        context.clock.advance(STEP_S)
+        elapsed = context.clock.now() - start
+        for event in [item for item in context.events if item[0] <= elapsed]:
+            context.events.remove(event)
+            event[1](context)
+        if elapsed >= WARM_UP_S and not counted:
+            counted = True
+            _reset_counts(context)
+        _exchange(context)
+        for name, rate in rates.items():
+            _send(context, name, rate, rng)
+    context.measured_s = END_S - WARM_UP_S
+
+
+@then("the team gets between {low:f} and {high:f} of its limit")
+def check_share(context: Context, low: float, high: float) -> None:
+    n_admitted = sum(item.n_admitted for item in context.gateways.values())
+    share = n_admitted / context.measured_s / context.limit
+    assert low <= share <= high, share
+
+
+@then("at most {percent:d} in 100 requests are refused")
+def check_refused(context: Context, percent: int) -> None:
+    n_admitted = sum(item.n_admitted for item in context.gateways.values())
+    n_refused = sum(item.n_refused for item in context.gateways.values())
+    share = n_refused / (n_admitted + n_refused)
+    assert share * 100 <= percent, share
+
+
+def _set_limit(context: Context, limit: int, revision: int) -> None:
+    context.limit = limit
+    document = {
+        "kind": "team",
+        "schema": 1,
+        "name": TEAM,
+        "spec": {"key_hash": "x", "requests_per_s": limit, "tokens_per_s": 1e9},
+    }
+    entry = RecordEntry("team", TEAM, revision, json.dumps(document))
+    for gateway in context.gateways.values():
+        gateway.catalog.apply(revision, [entry])
+
+
+def _cut(context: Context) -> None:
+    context.is_connected = False
+    for gateway in context.gateways.values():
+        for name in NAMES:
+            gateway.neighbours.on_lost(name)
+
+
+def _kill_owner(context: Context) -> None:
+    owner = context.gateways[NAMES[0]].neighbours.owner(TEAM)
+    context.gateways[owner].is_alive = False
+    for gateway in context.gateways.values():
+        gateway.neighbours.on_lost(owner)
+
+
+def _exchange(context: Context) -> None:
+    live = {name: item for name, item in context.gateways.items() if item.is_alive}
+    for name, gateway in live.items():
+        for other in live:
+            if other != name and context.is_connected:
+                gateway.neighbours.on_beat(other)
+        gateway.pipeline.push(Tick(context.clock.now()))
+    for _ in range(2):
+        for name, gateway in live.items():
+            frames, gateway.outbox[:] = list(gateway.outbox), []
+            for frame in frames:
+                if context.is_connected and frame.peer in live:
+                    live[frame.peer].pipeline.push(frame.at(name))
+
+
+def _send(context: Context, name: str, rate: int, rng: random.Random) -> None:
+    gateway = context.gateways[name]
+    if not gateway.is_alive:
+        return
+    team = gateway.catalog.team(TEAM)
+    service = Service("summaries", GENERATION)
+    for _ in range(rate):
+        if rng.random() < STEP_S:
+            work = Generation("scribe", "x", 1)
+            request = Request(
+                "c", "r", work, team, service, idempotent=True, deadline=1e9
+            )
+            gateway.pipeline.push(Resolved(request))
+
+
+def _reset_counts(context: Context) -> None:
+    for gateway in context.gateways.values():
+        gateway.n_admitted = 0
+        gateway.n_refused = 0
--- a/hawthornyard/frames/frame.py
+++ b/hawthornyard/frames/frame.py
@@ -128,16 +128,20 @@
 
 
 class ConfigPush(Frame):
-    """Gateway to peer: records up to a revision.
+    """Gateway to peer: the records that changed between two revisions.
 
     Attributes:
+        after: Revision that the receiver must hold already.
         revision: Revision that the receiver holds afterwards.
         entries: Changed records in order of revision.
     """
 
-    __slots__ = ("revision", "entries")
+    __slots__ = ("after", "revision", "entries")
 
-    def __init__(self, revision: int, entries: Sequence[RecordEntry]) -> None:
+    def __init__(
+        self, after: int, revision: int, entries: Sequence[RecordEntry]
+    ) -> None:
+        self.after = after
         self.revision = revision
         self.entries = entries
 
@@ -322,3 +326,61 @@
     def __init__(self, attempt_id: str, incarnation: str) -> None:
         self.attempt_id = attempt_id
         self.incarnation = incarnation
+
+
+class ConfigPull(Frame):
+    """Peer to gateway: send the records that changed after a revision."""
+
+    __slots__ = ("after",)
+
+    def __init__(self, after: int) -> None:
+        self.after = after
+
+
+class GatewayBeat(Frame):
+    """Gateway to gateway: the state of a gateway.
+
+    Attributes:
+        revision: Configuration revision in force.
+        stopping: Whether it was asked to stop.
+    """
+
+    __slots__ = ("revision", "stopping")
+
+    def __init__(self, revision: int, stopping: bool) -> None:
+        self.revision = revision
+        self.stopping = stopping
+
+
+class Demand(Frame):
+    """Gateway to a team's owner: what the team asks for here.
+
+    Attributes:
+        team: The team.
+        requests_per_s: Requests that arrive, admitted or not.
+        tokens_per_s: Tokens that they would use.
+    """
+
+    __slots__ = ("team", "requests_per_s", "tokens_per_s")
+
+    def __init__(self, team: str, requests_per_s: float, tokens_per_s: float) -> None:
+        self.team = team
+        self.requests_per_s = requests_per_s
+        self.tokens_per_s = tokens_per_s
+
+
+class Portion(Frame):
+    """Owner to gateway: the part of a team's limits that holds there.
+
+    Attributes:
+        team: The team.
+        requests_per_s: Requests that may be admitted.
+        tokens_per_s: Tokens that may be used.
+    """
+
+    __slots__ = ("team", "requests_per_s", "tokens_per_s")
+
+    def __init__(self, team: str, requests_per_s: float, tokens_per_s: float) -> None:
+        self.team = team
+        self.requests_per_s = requests_per_s
+        self.tokens_per_s = tokens_per_s
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -6,7 +6,7 @@
 from ..policy import RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
-from .fleet import ApplyConfig, Fleet, Watch
+from .fleet import ApplyConfig, Fleet, Greet, Neighbours, ShareLimits, Watch
 from .inflight import InFlight
 from .reply import Meter, Relay, Settle
 from .request import (
@@ -26,6 +26,7 @@
     catalog: Catalog,
     inflight: InFlight,
     fleet: Fleet,
+    neighbours: Neighbours,
     drain: Drain,
     clock: Clock,
     chance: Chance,
@@ -37,6 +38,7 @@
         catalog: Records in force.
         inflight: Requests that are not answered yet.
         fleet: What is known of the endpoints.
+        neighbours: What is known of the other gateways.
         drain: Tells the program whether it is stopping.
         clock: Source of time.
         chance: Source of randomness.
@@ -44,7 +46,9 @@
     """
     budgets = TeamBudgets(clock)
     return [
-        ApplyConfig(catalog),
+        ApplyConfig(catalog, neighbours),
+        Greet(catalog, neighbours),
+        ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
         drain,
         Authenticate(catalog),
--- a/hawthornyard/gateway/fleet/__init__.py
+++ b/hawthornyard/gateway/fleet/__init__.py
@@ -1,7 +1,10 @@
-"""Follow the fleet: heartbeats, connections and configuration."""
+"""Follow the fleet: configuration, endpoints, the other gateways."""
 
 from .config import ApplyConfig
 from .fleet import Fleet
+from .greet import Greet
+from .neighbours import Neighbours
+from .share import ShareLimits
 from .watch import Watch
 
-__all__ = ["ApplyConfig", "Fleet", "Watch"]
+__all__ = ["ApplyConfig", "Fleet", "Greet", "Neighbours", "ShareLimits", "Watch"]
--- /dev/null
+++ b/hawthornyard/gateway/fleet/greet.py
@@ -0,0 +1,75 @@
+"""Keep in touch with the other gateways."""
+
+from collections.abc import Iterator
+
+from ...core import Handlers, Message, PeerDown, PeerUp, StopRequested, Tick
+from ...frames import GatewayBeat
+from ...records import Catalog
+from .neighbours import Neighbours
+
+BEAT_INTERVAL_S = 1.0
+
+
+class Greet:
+    """Send beats to the other gateways and take note of theirs.
+
+    Args:
+        catalog: Records in force; beats carry their revision.
+        neighbours: What is known of the other gateways.
+    """
+
+    __slots__ = (
+        "_catalog",
+        "_due_at",
+        "_neighbours",
+        "_peers",
+        "_stopping",
+        "handlers",
+    )
+
+    def __init__(self, catalog: Catalog, neighbours: Neighbours) -> None:
+        self._catalog = catalog
+        self._neighbours = neighbours
+        self._peers: set[str] = set()
+        self._stopping = False
+        self._due_at = 0.0
+        self.handlers: Handlers = {
+            PeerUp: self._on_peer_up,
+            PeerDown: self._on_peer_down,
+            GatewayBeat: self._on_beat,
+            StopRequested: self._on_stop,
+            Tick: self._on_tick,
+        }
+
+    def _on_peer_up(self, msg: PeerUp) -> Iterator[Message]:
+        if self._neighbours.is_gateway(msg.peer):
+            self._peers.add(msg.peer)
+            yield self._beat(msg.peer)
+        yield msg
+
+    def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
+        self._peers.discard(msg.peer)
+        self._neighbours.on_lost(msg.peer)
+        yield msg
+
+    def _on_beat(self, msg: GatewayBeat) -> Iterator[Message]:
+        if msg.stopping:
+            self._neighbours.on_lost(msg.peer)
+        else:
+            self._neighbours.on_beat(msg.peer)
+        yield from ()
+
+    def _on_stop(self, msg: StopRequested) -> Iterator[Message]:
+        self._stopping = True
+        yield msg
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        yield msg
+        if msg.now < self._due_at:
+            return
+        self._due_at = msg.now + BEAT_INTERVAL_S
+        for peer in sorted(self._peers):
+            yield self._beat(peer)
+
+    def _beat(self, peer: str) -> Message:
+        return GatewayBeat(self._catalog.revision, self._stopping).at(peer)
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -21,9 +21,13 @@
     Ack,
     Attach,
     Cancel,
+    ConfigPull,
     ConfigPush,
+    Demand,
     Dispatch,
+    GatewayBeat,
     Heartbeat,
+    Portion,
 )
 from ..front import Application, HttpServer, Replies
 from ..platform import TableStore
@@ -37,6 +41,7 @@
     FrameSink,
     MonotonicClock,
     PeerLinks,
+    PeerListener,
     RandomIdentifiers,
     StopSink,
     run_loop,
@@ -46,7 +51,7 @@
 from ..rim.claims import ClaimWriter
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import Fleet
+from .fleet import Fleet, Neighbours
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
@@ -74,16 +79,41 @@
 class LinkSink:
     """Point the peer links at the sidecars that the records name."""
 
-    __slots__ = ("_catalog", "_links", "consumers")
+    __slots__ = ("_catalog", "_gateways", "_links", "consumers")
 
-    def __init__(self, catalog: Catalog, links: PeerLinks) -> None:
+    def __init__(
+        self, catalog: Catalog, links: PeerLinks, settings: GatewaySettings
+    ) -> None:
         self._catalog = catalog
         self._links = links
+        self._gateways = {
+            name: address
+            for name, address in settings.peers.items()
+            # Of two gateways, one connects: the one whose name comes first.
+            if settings.name < name
+        }
         self.consumers: Consumers = {ConfigChanged: self._on_changed}
 
-    def _on_changed(self, msg: ConfigChanged) -> None:
+    def refresh(self) -> None:
+        """Hold connections to the gateways and sidecars that are known now."""
         addresses = {item.name: item.sidecar for item in self._catalog.endpoints()}
-        self._links.set_addresses(addresses)
+        self._links.set_addresses({**addresses, **self._gateways})
+
+    def _on_changed(self, msg: ConfigChanged) -> None:
+        self.refresh()
+
+
+_SENT = (
+    Dispatch,
+    Attach,
+    Cancel,
+    Ack,
+    ConfigPush,
+    ConfigPull,
+    GatewayBeat,
+    Demand,
+    Portion,
+)
 
 
 class Gateway:
@@ -109,13 +139,17 @@
         links = PeerLinks(
             settings.name, settings.peer_key, codec, connections, self._inbox
         )
+        self._link_sink = LinkSink(self.catalog, links, settings)
+        self._listener = _peer_listener(settings, codec, connections, self._inbox)
         replies = Replies()
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
+        neighbours = Neighbours(settings.name, settings.peers, self._clock)
         chain = gateway_chain(
             self.catalog,
             self.inflight,
             self.fleet,
+            neighbours,
             self._drain,
             self._clock,
             random.Random(),
@@ -127,8 +161,8 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, Dispatch, Attach, Cancel, Ack, ConfigPush),
-                LinkSink(self.catalog, links),
+                FrameSink(connections, *_SENT),
+                self._link_sink,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
                 replies,
@@ -152,6 +186,9 @@
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._poll.run)
         self._claims.start()
+        self._link_sink.refresh()
+        if self._listener is not None:
+            eventlet.spawn_n(self._listener.run)
         self._server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
@@ -195,3 +232,21 @@
                 for view in self.fleet.views()
             ],
         }
+
+
+def _peer_listener(
+    settings: GatewaySettings,
+    codec: MsgpackCodec,
+    connections: Connections,
+    inbox: EventletInbox,
+) -> PeerListener | None:
+    if not settings.peer_listen:
+        return None
+    return PeerListener(
+        split_address(settings.peer_listen),
+        settings.name,
+        settings.peer_key,
+        codec,
+        connections,
+        inbox,
+    )
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -2,6 +2,8 @@
 
 from .bucket import TokenBucket
 from .fairqueue import FairQueue, Queue
+from .portion import divide
+from .rendezvous import rank, spread_subset
 from .retry import RetryBudget
 from .routing import Choice, RoutingPolicy, TwoChoices
 from .slowstart import ConcurrencyLimit, SlowStart
@@ -18,4 +20,7 @@
     "SlowStart",
     "TokenBucket",
     "TwoChoices",
+    "divide",
+    "rank",
+    "spread_subset",
 ]
--- a/hawthornyard/policy/bucket.py
+++ b/hawthornyard/policy/bucket.py
@@ -2,7 +2,8 @@
 
 from ..core import Clock
 
-BURST_S = 2.0
+DEFAULT_BURST_S = 2.0
+MIN_BURST = 1.0
 
 
 class TokenBucket:
@@ -11,18 +12,26 @@
     Args:
         rate: Units a second.
         clock: Source of time.
-        burst: Units that it holds when full; two seconds' worth by default.
+        burst_s: Seconds of the rate that a full bucket holds.
     """
 
-    __slots__ = ("_burst", "_clock", "_filled_at", "_level", "rate")
+    __slots__ = ("_burst_s", "_clock", "_filled_at", "_level", "rate")
 
-    def __init__(self, rate: float, clock: Clock, *, burst: float | None = None):
+    def __init__(
+        self, rate: float, clock: Clock, *, burst_s: float = DEFAULT_BURST_S
+    ) -> None:
         self.rate = rate
         self._clock = clock
-        self._burst = max(1.0, rate * BURST_S if burst is None else burst)
-        self._level = self._burst
+        self._burst_s = burst_s
+        self._level = self._capacity()
         self._filled_at = clock.now()
 
+    def set_rate(self, rate: float) -> None:
+        """Refill at another rate from now on."""
+        self._refill()
+        self.rate = rate
+        self._level = min(self._level, self._capacity())
+
     def take(self, amount: float = 1.0) -> bool:
         """Take `amount` units if the bucket holds them."""
         self._refill()
@@ -41,8 +50,11 @@
         self._refill()
         return self._level > 0
 
+    def _capacity(self) -> float:
+        return max(MIN_BURST, self.rate * self._burst_s)
+
     def _refill(self) -> None:
         now = self._clock.now()
         earned = (now - self._filled_at) * self.rate
-        self._level = min(self._burst, self._level + earned)
+        self._level = min(self._capacity(), self._level + earned)
         self._filled_at = now
--- /dev/null
+++ b/hawthornyard/policy/rendezvous.py
@@ -0,0 +1,40 @@
+"""Choose owners and subsets by rendezvous hashing."""
+
+import hashlib
+from collections.abc import Iterable, Sequence
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Return the names in the order in which they own a key.
+
+    A name that joins or leaves changes only the keys that it owns.
+
+    Args:
+        key: What is owned.
+        names: Candidates.
+    """
+    return sorted(names, key=lambda name: (_weight(key, name), name))
+
+
+def spread_subset(key: str, groups: Iterable[Sequence[str]], size: int) -> list[str]:
+    """Return up to `size` names, taken from all groups in turn.
+
+    Args:
+        key: Who chooses, so that different choosers differ.
+        groups: Candidates by failure domain.
+        size: Number of names wanted.
+    """
+    ranked = [rank(key, group) for group in groups]
+    chosen: list[str] = []
+    depth = 0
+    while len(chosen) < size and any(depth < len(names) for names in ranked):
+        for names in ranked:
+            if depth < len(names) and len(chosen) < size:
+                chosen.append(names[depth])
+        depth += 1
+    return chosen
+
+
+def _weight(key: str, name: str) -> bytes:
+    text = f"{key}\0{name}".encode()
+    return hashlib.blake2b(text, digest_size=8).digest()
--- a/hawthornyard/records/catalog.py
+++ b/hawthornyard/records/catalog.py
@@ -24,12 +24,16 @@
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
         self._entries: dict[tuple[str, str], RecordEntry] = {}
 
+    def misses(self, after: int) -> bool:
+        """Return whether changes from `after` on would leave a gap."""
+        return after > self.revision
+
     def apply(self, revision: int, entries: Iterable[RecordEntry]) -> bool:
         """Take entries over that are newer than those in force.
 
         Args:
             revision: Revision up to which `entries` are complete.
-            entries: Changed records.
+            entries: Changed records, without a gap to the revision in force.
 
         Returns:
             Whether anything changed.
--- a/hawthornyard/rim/poll.py
+++ b/hawthornyard/rim/poll.py
@@ -51,10 +51,13 @@
         except PlatformError as exc:
             logger.bind(detail=str(exc)).warning("poll_failed")
             return
-        if page.head <= self._head:
+        if not page.rows:
             return
-        self._head = page.head
-        self._inbox.put(ConfigPush(page.head, [_entry(row) for row in page.rows]))
+        # The head also moves with rows that are no records.
+        revision = page.rows[-1].revision
+        entries = [_entry(row) for row in page.rows]
+        self._inbox.put(ConfigPush(self._head, revision, entries).at(""))
+        self._head = revision
 
 
 def _entry(row: Row) -> RecordEntry:
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -29,6 +29,8 @@
         "listen": _ADDRESS,
         "table": _URL,
         "log_level": _LEVEL,
+        "peer_listen": _ADDRESS,
+        "peers": {"type": "object", "additionalProperties": _ADDRESS},
     },
 }
 
@@ -60,9 +62,20 @@
         table: URL of the platform's table service.
         peer_key: Shared secret of the deployment's processes.
         log_level: Least severe level that is logged.
+        peer_listen: "address:port" for other gateways, empty for none.
+        peers: "address:port" of the other gateways by name.
     """
 
-    __slots__ = ("failure_domain", "listen", "log_level", "name", "peer_key", "table")
+    __slots__ = (
+        "failure_domain",
+        "listen",
+        "log_level",
+        "name",
+        "peer_key",
+        "peer_listen",
+        "peers",
+        "table",
+    )
 
     def __init__(
         self,
@@ -73,11 +86,15 @@
         peer_key: bytes,
         *,
         log_level: str = "INFO",
+        peer_listen: str = "",
+        peers: Mapping[str, str] | None = None,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
         self.listen = listen
         self.table = table
+        self.peer_listen = peer_listen
+        self.peers = dict(peers or {})
         self.peer_key = peer_key
         self.log_level = log_level
 
--- a/hawthornyard/sidecar/fleet/config.py
+++ b/hawthornyard/sidecar/fleet/config.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Decision, Handlers, Message
-from ...frames import ConfigPush
+from ...frames import ConfigPull, ConfigPush
 from ...records import Catalog
 from ..messages import ConfigChanged
 
@@ -18,6 +18,9 @@
         self.handlers: Handlers = {ConfigPush: self._on_push}
 
     def _on_push(self, msg: ConfigPush) -> Iterator[Message]:
+        if self._catalog.misses(msg.after):
+            yield ConfigPull(self._catalog.revision).at(msg.peer)
+            return
         if not self._catalog.apply(msg.revision, msg.entries):
             return
         yield Decision(
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -16,6 +16,7 @@
 )
 from ..frames import (
     Accepted,
+    ConfigPull,
     Ended,
     Failed,
     Heartbeat,
@@ -79,6 +80,7 @@
                     Failed,
                     Heartbeat,
                     Unknown,
+                    ConfigPull,
                 ),
                 EndpointSink(_client(settings), self._inbox),
                 DecisionLog(settings.name),
