--- a/features/environment.py
+++ b/features/environment.py
@@ -15,7 +15,10 @@
 from features import fixtures  # noqa: E402
 from hawthornyard.rim import configure_log  # noqa: E402
 
-_BY_TAG = {"fixture.kingston": fixtures.kingston}
+_BY_TAG = {
+    "fixture.cut_off_gateway": fixtures.cut_off_gateway,
+    "fixture.kingston": fixtures.kingston,
+}
 
 
 def before_all(context: Context) -> None:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from hawthornyard.demo import Client, Deployment
+from hawthornyard.standins import TableStandIn
 
 
 @fixture
@@ -23,3 +24,18 @@
     context.client = Client(deployment.url(0), deployment.key)
     context.other_client = Client(deployment.url(1), deployment.key)
     yield deployment
+
+
+@fixture
+def cut_off_gateway(context: Context) -> Iterator[Deployment]:
+    """Two endpoints and two gateways, the second with its own way to the table."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.005)
+    deployment.add_engine("scribe-2", "half-way-tree", step_s=0.005)
+    context.second_table = TableStandIn(deployment.table.table)
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree", table=context.second_table)
+    deployment.apply(deployment.documents())
+    deployment.wait_ready()
+    context.deployment = deployment
+    yield deployment
--- a/hawthornyard/demo/deployment.py
+++ b/hawthornyard/demo/deployment.py
@@ -23,6 +23,7 @@
 LOOPBACK = "127.0.0.1"
 ANY_PORT = f"{LOOPBACK}:0"
 PEER_KEY = b"demo-peer-key-of-one-process"
+GATEWAY_NAMES = ("gateway-1", "gateway-2", "gateway-3")
 WAIT_STEP_S = 0.02
 WAIT_TIMEOUT_S = 20.0
 
@@ -76,11 +77,20 @@
         key: Key of the team "kiosk".
     """
 
-    __slots__ = ("_key_hash", "_table_url", "gateways", "hosts", "key", "table")
+    __slots__ = (
+        "_key_hash",
+        "_peers",
+        "_table_url",
+        "gateways",
+        "hosts",
+        "key",
+        "table",
+    )
 
     def __init__(self) -> None:
         self.table = TableStandIn(MemoryTable())
-        self._table_url = f"http://{LOOPBACK}:{_serve(self.table.app).port}"
+        self._table_url = _url(_serve(self.table.app))
+        self._peers = {name: f"{LOOPBACK}:{_free_port()}" for name in GATEWAY_NAMES}
         self.hosts: dict[str, EndpointHost] = {}
         self.gateways: list[Gateway] = []
         self.key, self._key_hash = new_key("kiosk")
@@ -101,12 +111,27 @@
         self.hosts[name] = host
         return host
 
-    def add_gateway(self, name: str, failure_domain: str) -> Gateway:
-        """Start a gateway."""
+    def add_gateway(
+        self, name: str, failure_domain: str, *, table: TableStandIn | None = None
+    ) -> Gateway:
+        """Start a gateway.
+
+        Args:
+            name: One of `GATEWAY_NAMES`.
+            failure_domain: Its failure domain.
+            table: Its own way to the table, the common one by default.
+        """
+        url = self._table_url if table is None else _url(_serve(table.app))
         settings = GatewaySettings(
-            name, failure_domain, ANY_PORT, self._table_url, PEER_KEY
+            name,
+            failure_domain,
+            ANY_PORT,
+            url,
+            PEER_KEY,
+            peer_listen=self._peers[name],
+            peers={peer: at for peer, at in self._peers.items() if peer != name},
         )
-        gateway = Gateway(settings, HttpTable(self._table_url))
+        gateway = Gateway(settings, HttpTable(url))
         gateway.start()
         self.gateways.append(gateway)
         return gateway
@@ -203,6 +228,17 @@
     return _document("endpoint", 1, host.name, spec)
 
 
+def _url(server: HttpServer) -> str:
+    return f"http://{LOOPBACK}:{server.port}"
+
+
+def _free_port() -> int:
+    sock = eventlet.listen((LOOPBACK, 0))
+    port: int = sock.getsockname()[1]
+    sock.close()
+    return port
+
+
 def _serve(app: Any) -> HttpServer:
     server = HttpServer((LOOPBACK, 0), app)
     server.start()
