Bound the links and heartbeats of a gateway

Cause: every gateway linked to every sidecar and was sent a heartbeat a second by each, and every request looked at all endpoint records.

Change: a gateway links to 8 sidecars of each model or plain service, by rendezvous and spread over failure domains; at today's sizes that is all. It asks for heartbeats at an interval that keeps them under 20 a second, and its bounds on silence follow the interval. A request looks only at endpoints that were heard of.

Ruled out: a fixed longer interval for all. It would slow today's fleets down for a size that they don't have.

--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -29,6 +29,7 @@
     Refused,
     Replied,
     ServiceCall,
+    Subscribe,
     Tokens,
     Unknown,
 )
@@ -59,6 +60,7 @@
     20: RecordEntry,
     21: Generation,
     22: ServiceCall,
+    23: Subscribe,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -20,6 +20,7 @@
     RecordEntry,
     Refused,
     Replied,
+    Subscribe,
     Tokens,
     Unknown,
 )
@@ -47,6 +48,7 @@
     "Refused",
     "Replied",
     "ServiceCall",
+    "Subscribe",
     "Tokens",
     "Unknown",
     "Work",
--- a/hawthornyard/frames/frame.py
+++ b/hawthornyard/frames/frame.py
@@ -384,3 +384,16 @@
         self.team = team
         self.requests_per_s = requests_per_s
         self.tokens_per_s = tokens_per_s
+
+
+class Subscribe(Frame):
+    """Gateway to sidecar: send heartbeats at this interval.
+
+    Attributes:
+        interval_s: Seconds between heartbeats when nothing changes.
+    """
+
+    __slots__ = ("interval_s",)
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -6,7 +6,15 @@
 from ..policy import RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
-from .fleet import ApplyConfig, Fleet, Greet, Neighbours, ShareLimits, Watch
+from .fleet import (
+    ApplyConfig,
+    Fleet,
+    Greet,
+    Neighbours,
+    ShareLimits,
+    SubscribeHeartbeats,
+    Watch,
+)
 from .inflight import InFlight
 from .reply import Meter, Relay, Settle
 from .request import (
@@ -48,6 +56,7 @@
     return [
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
+        SubscribeHeartbeats(fleet, neighbours),
         ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
         drain,
--- a/hawthornyard/gateway/fleet/__init__.py
+++ b/hawthornyard/gateway/fleet/__init__.py
@@ -1,10 +1,22 @@
 """Follow the fleet: configuration, endpoints, the other gateways."""
 
 from .config import ApplyConfig
-from .fleet import Fleet
+from .fleet import MISSED_HEARTBEATS, Fleet
 from .greet import Greet
+from .links import Subset
 from .neighbours import Neighbours
 from .share import ShareLimits
+from .subscribe import SubscribeHeartbeats
 from .watch import Watch
 
-__all__ = ["ApplyConfig", "Fleet", "Greet", "Neighbours", "ShareLimits", "Watch"]
+__all__ = [
+    "MISSED_HEARTBEATS",
+    "ApplyConfig",
+    "Fleet",
+    "Greet",
+    "Neighbours",
+    "ShareLimits",
+    "SubscribeHeartbeats",
+    "Subset",
+    "Watch",
+]
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -8,7 +8,8 @@
 from ...records import Catalog
 from ..messages import Request
 
-SUSPECT_AFTER_S = 3.0
+MISSED_HEARTBEATS = 3
+DEFAULT_INTERVAL_S = 1.0
 SERVICE_TIME_WEIGHT = 0.1
 
 
@@ -18,15 +19,19 @@
     Args:
         catalog: Records in force.
         clock: Source of time.
+
+    Attributes:
+        heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
     """
 
-    __slots__ = ("_catalog", "_clock", "_heard_at", "_views")
+    __slots__ = ("_catalog", "_clock", "_heard_at", "_views", "heartbeat_interval_s")
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
         self._catalog = catalog
         self._clock = clock
         self._views: dict[str, EndpointView] = {}
         self._heard_at: dict[str, float] = {}
+        self.heartbeat_interval_s = DEFAULT_INTERVAL_S
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
         """Take the state of an endpoint over."""
@@ -97,13 +102,11 @@
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
         model = request.model
-        for endpoint in self._catalog.endpoints():
-            view = self._views.get(endpoint.name)
-            if view is None or not view.accepting:
-                continue
-            if not self._is_live(endpoint.name):
+        for view in self._views.values():
+            if not view.accepting or not self._is_live(view.endpoint):
                 continue
-            if not self._catalog.in_service(endpoint):
+            endpoint = self._catalog.endpoint(view.endpoint)
+            if endpoint is None or not self._catalog.in_service(endpoint):
                 continue
             if endpoint.serves(request.service, model):
                 yield view
@@ -112,4 +115,5 @@
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
             return False
-        return self._clock.now() - heard_at <= SUSPECT_AFTER_S
+        bound_s = MISSED_HEARTBEATS * self.heartbeat_interval_s
+        return self._clock.now() - heard_at <= bound_s
--- a/hawthornyard/gateway/messages.py
+++ b/hawthornyard/gateway/messages.py
@@ -495,3 +495,29 @@
     """An order to the rim: accept no further connection of callers."""
 
     __slots__ = ()
+
+
+class LinkWanted(Message):
+    """An order to the rim: connect to a sidecar outside the subset.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+    """
+
+    __slots__ = ("endpoint",)
+
+    def __init__(self, endpoint: str) -> None:
+        self.endpoint = endpoint
+
+
+class HeartbeatsExpected(Message):
+    """An order to the rim: replace a connection that is silent for longer.
+
+    Attributes:
+        interval_s: Seconds between heartbeats.
+    """
+
+    __slots__ = ("interval_s",)
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -28,6 +28,7 @@
     GatewayBeat,
     Heartbeat,
     Portion,
+    Subscribe,
 )
 from ..front import Application, HttpServer, Replies
 from ..platform import TableStore
@@ -51,13 +52,15 @@
 from ..rim.claims import ClaimWriter
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import Fleet, Neighbours
+from .fleet import MISSED_HEARTBEATS, Fleet, Neighbours, Subset
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
     CallerGone,
     Closed,
     ConfigChanged,
+    HeartbeatsExpected,
+    LinkWanted,
     StopListening,
 )
 from .request import Drain
@@ -79,12 +82,12 @@
 class LinkSink:
     """Point the peer links at the sidecars that the records name."""
 
-    __slots__ = ("_catalog", "_gateways", "_links", "consumers")
+    __slots__ = ("_gateways", "_links", "_subset", "consumers")
 
     def __init__(
         self, catalog: Catalog, links: PeerLinks, settings: GatewaySettings
     ) -> None:
-        self._catalog = catalog
+        self._subset = Subset(settings.name, catalog)
         self._links = links
         self._gateways = {
             name: address
@@ -92,16 +95,26 @@
             # Of two gateways, one connects: the one whose name comes first.
             if settings.name < name
         }
-        self.consumers: Consumers = {ConfigChanged: self._on_changed}
+        self.consumers: Consumers = {
+            ConfigChanged: self._on_changed,
+            LinkWanted: self._on_wanted,
+            HeartbeatsExpected: self._on_interval,
+        }
 
     def refresh(self) -> None:
         """Hold connections to the gateways and sidecars that are known now."""
-        addresses = {item.name: item.sidecar for item in self._catalog.endpoints()}
-        self._links.set_addresses({**addresses, **self._gateways})
+        self._links.set_addresses({**self._subset.addresses(), **self._gateways})
 
     def _on_changed(self, msg: ConfigChanged) -> None:
         self.refresh()
 
+    def _on_wanted(self, msg: LinkWanted) -> None:
+        self._subset.want(msg.endpoint)
+        self.refresh()
+
+    def _on_interval(self, msg: HeartbeatsExpected) -> None:
+        self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
+
 
 _SENT = (
     Dispatch,
@@ -113,6 +126,7 @@
     GatewayBeat,
     Demand,
     Portion,
+    Subscribe,
 )
 
 
--- a/hawthornyard/rim/connection.py
+++ b/hawthornyard/rim/connection.py
@@ -59,6 +59,10 @@
             writer.kill()
             self._sock.close()
 
+    def set_silence(self, seconds: float) -> None:
+        """Give up after so many seconds without a frame."""
+        self._sock.settimeout(seconds)
+
     def close(self) -> None:
         """End the connection; its reader then leaves `run`."""
         self.is_open = False
@@ -101,6 +105,18 @@
             del self._by_peer[conn.peer]
             self._inbox.put(PeerDown(conn.peer))
 
+    def close(self, peer: str) -> None:
+        """End the connection to a peer, if there is one."""
+        conn = self._by_peer.get(peer)
+        if conn is not None:
+            conn.close()
+
+    def set_silence(self, peer: str, seconds: float) -> None:
+        """Replace the connection to a peer after so long without a frame."""
+        conn = self._by_peer.get(peer)
+        if conn is not None:
+            conn.set_silence(seconds)
+
     def send(self, frame: Frame) -> None:
         """Send a frame to its peer; dropped if there is no connection."""
         conn = self._by_peer.get(frame.peer)
--- a/hawthornyard/rim/links.py
+++ b/hawthornyard/rim/links.py
@@ -1,6 +1,7 @@
 """Keep connections to all sidecars that the records name."""
 
 import random
+from collections.abc import Mapping
 
 import eventlet
 from loguru import logger
@@ -11,7 +12,7 @@
 from .connection import Connection, Connections
 from .handshake import HANDSHAKE_TIMEOUT_S, FrameReader, authenticate
 
-SILENCE_S = 2.5
+SILENCE_S = 3.0
 RECONNECT_MIN_S = 0.05
 RECONNECT_MAX_S = 2.0
 
@@ -56,17 +57,28 @@
         self._silence_s = silence_s
         self._addresses: dict[str, str] = {}
 
-    def set_addresses(self, addresses: dict[str, str]) -> None:
+    def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Hold connections to exactly these peers.
 
+        A connection to a peer that is named no longer goes on until it is
+        lost; one to a peer that moved is replaced.
+
         Args:
             addresses: "address:port" by peer name.
         """
         known = self._addresses
         self._addresses = dict(addresses)
-        for peer in addresses:
+        for peer, address in addresses.items():
             if peer not in known:
                 eventlet.spawn_n(self._keep, peer)
+            elif known[peer] != address:
+                self._connections.close(peer)
+
+    def set_silence(self, seconds: float) -> None:
+        """Replace connections that bring no frame for so long from now on."""
+        self._silence_s = seconds
+        for peer in self._addresses:
+            self._connections.set_silence(peer, seconds)
 
     def _keep(self, peer: str) -> None:
         delay_s = RECONNECT_MIN_S
--- a/hawthornyard/sidecar/fleet/beat.py
+++ b/hawthornyard/sidecar/fleet/beat.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Handlers, Message, PeerDown, PeerUp, Tick
-from ...frames import Heartbeat
+from ...frames import Heartbeat, Subscribe
 from ..messages import ConfigChanged, Finished
 from ..state import SidecarState
 
@@ -16,14 +16,14 @@
     Args:
         state: State of the sidecar.
         clock: Source of time.
-        interval_s: Seconds between heartbeats.
+        interval_s: Seconds between heartbeats to a peer that asked for no other.
     """
 
     __slots__ = (
         "_clock",
         "_due_at",
         "_interval_s",
-        "_peers",
+        "_intervals_s",
         "_said",
         "_state",
         "handlers",
@@ -39,46 +39,55 @@
         self._state = state
         self._clock = clock
         self._interval_s = interval_s
-        self._peers: set[str] = set()
-        self._due_at = 0.0
+        self._due_at: dict[str, float] = {}
+        self._intervals_s: dict[str, float] = {}
         self._said = self._summary()
         self.handlers: Handlers = {
             PeerUp: self._on_peer_up,
             PeerDown: self._on_peer_down,
+            Subscribe: self._on_subscribe,
             Tick: self._on_tick,
             ConfigChanged: self._on_change,
             Finished: self._on_change,
         }
 
     def _on_peer_up(self, msg: PeerUp) -> Iterator[Message]:
-        self._peers.add(msg.peer)
-        yield self._beat().at(msg.peer)
+        self._intervals_s[msg.peer] = self._interval_s
+        yield self._beat(msg.peer)
         yield msg
 
     def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
-        self._peers.discard(msg.peer)
+        self._intervals_s.pop(msg.peer, None)
+        self._due_at.pop(msg.peer, None)
         yield msg
 
+    def _on_subscribe(self, msg: Subscribe) -> Iterator[Message]:
+        self._intervals_s[msg.peer] = msg.interval_s
+        yield from ()
+
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
-        if msg.now >= self._due_at or self._summary() != self._said:
-            yield from self._beat_all()
+        yield from self._beat_on_change()
+        for peer, due_at in list(self._due_at.items()):
+            if msg.now >= due_at:
+                yield self._beat(peer)
         yield msg
 
     def _on_change(self, msg: Message) -> Iterator[Message]:
-        if self._summary() != self._said:
-            yield from self._beat_all()
+        yield from self._beat_on_change()
         yield msg
 
-    def _beat_all(self) -> Iterator[Message]:
-        self._due_at = self._clock.now() + self._interval_s
+    def _beat_on_change(self) -> Iterator[Message]:
+        if self._summary() == self._said:
+            return
         self._said = self._summary()
-        for peer in sorted(self._peers):
-            yield self._beat().at(peer)
+        for peer in sorted(self._due_at):
+            yield self._beat(peer)
 
     def _summary(self) -> tuple[bool, int]:
         return self._state.is_accepting, self._state.limit
 
-    def _beat(self) -> Heartbeat:
+    def _beat(self, peer: str) -> Message:
+        self._due_at[peer] = self._clock.now() + self._intervals_s[peer]
         state = self._state
         return Heartbeat(
             state.name,
@@ -89,4 +98,4 @@
             state.n_waiting,
             state.limit,
             state.load,
-        )
+        ).at(peer)
