--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions, wire and memory."""
--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,500 @@
+"""Measure what one more message, record or connection costs.
+
+Run `python -m benchmarks.slopes`. Each figure is a slope: the cost at two
+sizes, less the cost at the smaller one, over the difference. The spread is
+the range over the repeats.
+"""
+
+import gc
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from pathlib import Path
+
+from hawthornyard.codec import MsgpackCodec
+from hawthornyard.core import ManualClock, Message, Pipeline, Tick
+from hawthornyard.frames import (
+    ConfigPush,
+    Demand,
+    Dispatch,
+    Ended,
+    Frame,
+    GatewayBeat,
+    Generation,
+    Heartbeat,
+    Portion,
+    RecordEntry,
+    Tokens,
+)
+from hawthornyard.front.encode import CompletionEncoder, encode_tokens
+from hawthornyard.gateway.budget import TeamBudgets
+from hawthornyard.gateway.chain import gateway_chain
+from hawthornyard.gateway.fleet import Fleet, Neighbours, Subset
+from hawthornyard.gateway.inflight import InFlight
+from hawthornyard.gateway.messages import Call, ReplyTokens
+from hawthornyard.gateway.request import Drain
+from hawthornyard.records import Catalog, hash_secret
+from hawthornyard.sidecar.attempts import Attempts
+from hawthornyard.sidecar.chain import sidecar_chain
+from hawthornyard.sidecar.messages import EndpointEnded, EndpointTokens
+from hawthornyard.sidecar.state import SidecarState
+
+N_REPEATS = 5
+SEED = 20261204
+# Ethernet, IP and TCP headers with timestamps.
+HEADER_BYTES = 66
+N_DOMAINS = 6
+N_MODELS = 12
+MICRO = 1e6
+REPORT = Path("reports/slopes.txt")
+
+
+class Everything(dict[type[Message], Callable[[Message], None]]):
+    """Consumers that count every message that reaches the tail."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.kept: list[Message] = []
+
+    def get(self, key: type[Message], default: object = None) -> Callable[..., None]:
+        """Return the consumer that keeps a message."""
+        return self.kept.append
+
+
+class Bench:
+    """A gateway's chain with a handed-in clock and no rim.
+
+    Args:
+        n_endpoints: Endpoints in the records.
+        n_teams: Teams in the records.
+        n_gateways: Other gateways.
+    """
+
+    def __init__(
+        self, *, n_endpoints: int = 0, n_teams: int = 1, n_gateways: int = 0
+    ) -> None:
+        self.clock = ManualClock(100.0)
+        self.catalog = Catalog()
+        self.inflight = InFlight()
+        self.fleet = Fleet(self.catalog, self.clock)
+        names = [f"gateway-{index:03d}" for index in range(1, n_gateways + 1)]
+        self.neighbours = Neighbours("gateway-000", names, self.clock)
+        chain = gateway_chain(
+            self.catalog,
+            self.inflight,
+            self.fleet,
+            self.neighbours,
+            Drain(self.inflight, self.clock),
+            self.clock,
+            random.Random(SEED),
+            Counter(),
+        )
+        self.tail = Everything()
+        self.pipeline = Pipeline(chain, [])
+        self.pipeline._consumers = self.tail
+        self.push(ConfigPush(0, 1, entries(n_endpoints, n_teams)).at(""))
+
+    def push(self, msg: Message) -> None:
+        """Push a message through the chain."""
+        self.pipeline.push(msg)
+
+
+class Counter:
+    """Make identifiers by counting."""
+
+    def __init__(self) -> None:
+        self._last = 0
+
+    def new(self) -> str:
+        """Return the next identifier."""
+        self._last += 1
+        return f"{self._last:024x}"
+
+
+def entries(n_endpoints: int, n_teams: int, revision: int = 1) -> list[RecordEntry]:
+    """Return record entries of a deployment."""
+    models = [f"model-{index}" for index in range(N_MODELS)]
+    found = [
+        _entry("failure_domain", f"domain-{index}", {"region": "r"}, revision)
+        for index in range(N_DOMAINS)
+    ]
+    found += [
+        _entry("model", name, {"context_tokens": 8192}, revision) for name in models
+    ]
+    spec = {"protocol": "generation", "models": models, "priority": 5}
+    found.append(_entry("service", "summaries", spec, revision))
+    for index in range(n_endpoints):
+        spec = {
+            "failure_domain": f"domain-{index % N_DOMAINS}",
+            "sidecar": f"10.0.{index // 250}.{index % 250}:7000",
+            "protocol": "generation",
+            "models": [models[index % N_MODELS]],
+        }
+        found.append(_entry("endpoint", f"runner-{index:03d}", spec, revision))
+    key_hash = hash_secret("secret", salt=b"0" * 16)
+    for index in range(n_teams):
+        spec = {
+            "key_hash": key_hash,
+            "services": ["summaries"],
+            "requests_per_s": 1e6,
+            "tokens_per_s": 1e9,
+        }
+        found.append(_entry("team", f"team-{index:05d}", spec, revision))
+    return found
+
+
+def _entry(kind: str, name: str, spec: dict[str, object], revision: int) -> RecordEntry:
+    document = {"kind": kind, "schema": 1, "name": name, "spec": spec}
+    return RecordEntry(kind, name, revision, json.dumps(document))
+
+
+def heartbeat(name: str, *, n_running: int = 3) -> Heartbeat:
+    """Return a heartbeat of an endpoint that has room."""
+    return Heartbeat(name, "1" * 24, 1, True, n_running, 0, 32, 0.25)
+
+
+def call(index: int, model: str = "model-0") -> Call:
+    """Return a caller's decoded request."""
+    work = Generation(model, "A prompt of some length. " * 8, 400)
+    return Call(f"call-{index}", f"req-{index}", "hy.team-00000.secret", "", work)
+
+
+def cpu_per_heartbeat(n: int) -> float:
+    """Return seconds to decode and take in `n` heartbeats."""
+    bench = Bench(n_endpoints=96)
+    codec = MsgpackCodec()
+    data = [codec.encode(heartbeat(f"runner-{i % 96:03d}")) for i in range(n)]
+    decoder = codec.decoder()
+
+    def run() -> None:
+        for item in data:
+            for frame in decoder.feed(item):
+                bench.push(frame.at("runner-000"))
+
+    return timed(run)
+
+
+def cpu_per_sent_heartbeat(n: int) -> float:
+    """Return seconds to encode `n` heartbeats."""
+    codec = MsgpackCodec()
+    beat = heartbeat("runner-000")
+
+    def run() -> None:
+        for _ in range(n):
+            codec.encode(beat)
+
+    return timed(run)
+
+
+def cpu_per_request(n: int) -> float:
+    """Return seconds to carry `n` requests of one token through a gateway."""
+    bench = Bench(n_endpoints=96)
+    for index in range(96):
+        bench.push(heartbeat(f"runner-{index:03d}").at(f"runner-{index:03d}"))
+    codec = MsgpackCodec()
+
+    def run() -> None:
+        for index in range(n):
+            bench.tail.kept.clear()
+            bench.push(call(index))
+            sent = [msg for msg in bench.tail.kept if isinstance(msg, Dispatch)]
+            codec.encode(sent[0])
+            attempt_id, peer = sent[0].attempt_id, sent[0].peer
+            bench.push(Tokens(attempt_id, 0, ["x"]).at(peer))
+            bench.push(Ended(attempt_id, 1, "stop").at(peer))
+            for msg in list(bench.tail.kept):
+                if type(msg).__name__ == "Closed":
+                    bench.push(msg)
+
+    return timed(run)
+
+
+def cpu_per_token(n: int) -> float:
+    """Return seconds to carry `n` tokens, one a frame, from frame to event."""
+    bench = Bench(n_endpoints=8)
+    for index in range(8):
+        bench.push(heartbeat(f"runner-{index:03d}").at(f"runner-{index:03d}"))
+    bench.push(call(0))
+    sent = next(msg for msg in bench.tail.kept if isinstance(msg, Dispatch))
+    codec = MsgpackCodec()
+    frames = [codec.encode(Tokens(sent.attempt_id, i, [" word"])) for i in range(n)]
+    decoder = codec.decoder()
+    encoder = CompletionEncoder("id", "model-0", 0)
+
+    def run() -> None:
+        for item in frames:
+            bench.tail.kept.clear()
+            for frame in decoder.feed(item):
+                bench.push(frame.at(sent.peer))
+            for msg in bench.tail.kept:
+                if isinstance(msg, ReplyTokens):
+                    encode_tokens(msg, encoder)
+
+    return timed(run)
+
+
+def cpu_per_sidecar_token(n: int) -> float:
+    """Return seconds to number, keep and encode `n` tokens in a sidecar."""
+    pipeline, tail = sidecar_bench()
+    codec = MsgpackCodec()
+
+    def run() -> None:
+        for _ in range(n):
+            tail.kept.clear()
+            pipeline.push(EndpointTokens("a-0", [" word"]))
+            for msg in tail.kept:
+                if isinstance(msg, Frame):
+                    codec.encode(msg)
+
+    return timed(run)
+
+
+def sidecar_bench() -> tuple[Pipeline, Everything]:
+    """Return a sidecar's chain with one attempt that runs."""
+    clock = ManualClock(100.0)
+    state = SidecarState("runner-000", "domain-0", "1" * 24, Catalog())
+    pipeline = Pipeline(sidecar_chain(state, Attempts(), clock), [])
+    tail = Everything()
+    pipeline._consumers = tail
+    pipeline.push(ConfigPush(0, 1, entries(1, 0)).at("gateway-000"))
+    work = Generation("model-0", "x", 100_000)
+    dispatch = Dispatch("a-0", "r", "team-00000", "summaries", work, True, 1e6)
+    pipeline.push(dispatch.at("gateway-000"))
+    return pipeline, tail
+
+
+def cpu_per_sidecar_request(n: int) -> float:
+    """Return seconds to carry `n` attempts of one token through a sidecar."""
+    pipeline, tail = sidecar_bench()
+    pipeline.push(EndpointEnded("a-0", "stop"))
+    work = Generation("model-0", "x", 400)
+
+    def run() -> None:
+        for index in range(1, n + 1):
+            tail.kept.clear()
+            name = f"a-{index}"
+            dispatch = Dispatch(name, "r", "team-00000", "summaries", work, True, 60.0)
+            pipeline.push(dispatch.at("gateway-000"))
+            pipeline.push(EndpointTokens(name, ["x"]))
+            pipeline.push(EndpointEnded(name, "stop"))
+
+    return timed(run)
+
+
+def cpu_per_tick(n: int) -> float:
+    """Return seconds of one tick with `n` requests in flight."""
+    bench = Bench(n_endpoints=8)
+    for index in range(8):
+        beat = Heartbeat(f"runner-{index:03d}", "1", 1, True, 0, 0, 10_000, 0.0)
+        bench.push(beat.at(f"runner-{index:03d}"))
+    for index in range(n):
+        bench.push(call(index))
+
+    def run() -> None:
+        for _ in range(10):
+            bench.push(Tick(bench.clock.now()))
+
+    return timed(run) / 10
+
+
+def cpu_per_change(n: int) -> float:
+    """Return seconds to bring one changed record into force at `n` sidecars."""
+    bench = Bench(n_endpoints=max(n, 1), n_teams=24_000)
+    for index in range(n):
+        bench.push(heartbeat(f"runner-{index:03d}").at(f"runner-{index:03d}"))
+    codec = MsgpackCodec()
+    spec = {"region": "r", "in_service": False}
+    bench.tail.kept.clear()
+
+    def run() -> None:
+        entry = _entry("failure_domain", "domain-0", spec, 2)
+        bench.push(ConfigPush(1, 2, [entry]).at(""))
+        for msg in bench.tail.kept:
+            if isinstance(msg, Frame):
+                codec.encode(msg)
+
+    return timed(run)
+
+
+def cpu_per_shared_team(n: int) -> float:
+    """Return seconds that `n` active teams cost a gateway once a second."""
+    bench = Bench(n_endpoints=0, n_teams=n, n_gateways=339)
+    for index in range(1, 340):
+        bench.neighbours.on_beat(f"gateway-{index:03d}")
+    budgets: TeamBudgets = bench.pipeline._stages[3][Tick].__self__._budgets
+    for index in range(n):
+        team = bench.catalog.team(f"team-{index:05d}")
+        assert team is not None
+        budgets.admit(team)
+    bench.clock.advance(1.0)
+    return timed(lambda: bench.push(Tick(bench.clock.now())))
+
+
+def cpu_of_subset(n: int) -> float:
+    """Return seconds to choose the sidecars of a gateway among `n`."""
+    bench = Bench(n_endpoints=n)
+    subset = Subset("gateway-000", bench.catalog)
+    return timed(lambda: subset.addresses())
+
+
+def bytes_of_teams(n: int) -> float:
+    """Return bytes of a catalog that holds `n` teams."""
+    found = [
+        (item.kind, item.name, item.revision, item.document) for item in entries(0, n)
+    ]
+
+    def build() -> Catalog:
+        catalog = Catalog()
+        catalog.apply(1, [RecordEntry(*_copies(item)) for item in found])
+        return catalog
+
+    return allocated(build)
+
+
+def _copies(item: tuple[str, str, int, str]) -> tuple[str, str, int, str]:
+    kind, name, revision, document = item
+    # Strings that come off the wire share nothing.
+    return kind, "".join(list(name)), revision, "".join(list(document))
+
+
+def bytes_of_budgets(n: int) -> float:
+    """Return bytes of the budgets of `n` active teams."""
+    bench = Bench(n_teams=n)
+
+    def build() -> TeamBudgets:
+        budgets = TeamBudgets(bench.clock)
+        for index in range(n):
+            team = bench.catalog.team(f"team-{index:05d}")
+            assert team is not None
+            budgets.admit(team)
+        return budgets
+
+    return allocated(build)
+
+
+def bytes_of_requests(n: int) -> float:
+    """Return bytes of a gateway's state with `n` requests in flight."""
+    bench = Bench(n_endpoints=8)
+    for index in range(8):
+        beat = Heartbeat(f"runner-{index:03d}", "1", 1, True, 0, 0, 10_000, 0.0)
+        bench.push(beat.at(f"runner-{index:03d}"))
+
+    def build() -> Bench:
+        for index in range(n):
+            bench.push(call(index))
+            bench.tail.kept.clear()
+        return bench
+
+    return allocated(build)
+
+
+def bytes_of_tokens(n: int) -> float:
+    """Return bytes of a sidecar's state with `n` kept tokens."""
+    pipeline, tail = sidecar_bench()
+
+    def build() -> Pipeline:
+        for index in range(n):
+            pipeline.push(EndpointTokens("a-0", [f" word{index}"]))
+            tail.kept.clear()
+        return pipeline
+
+    return allocated(build)
+
+
+def timed(run: Callable[[], object]) -> float:
+    """Return processor seconds of one run."""
+    gc.collect()
+    gc.disable()
+    before = time.process_time()
+    run()
+    seconds = time.process_time() - before
+    gc.enable()
+    return seconds
+
+
+def allocated(build: Callable[[], object]) -> float:
+    """Return the bytes that are held after `build`."""
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    kept = build()
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    del kept
+    return after - before
+
+
+def slope(measure: Callable[[int], float], small: int, large: int) -> list[float]:
+    """Return the cost of one more, once a repeat, in rising order."""
+    found = [
+        (measure(large) - measure(small)) / (large - small) for _ in range(N_REPEATS)
+    ]
+    return sorted(found)
+
+
+def wire_bytes() -> list[tuple[str, int]]:
+    """Return the bytes of each control frame without headers."""
+    codec = MsgpackCodec()
+    change = _entry("failure_domain", "domain-0", {"region": "north"}, 123_456)
+    frames = [
+        ("heartbeat", heartbeat("runner-000")),
+        ("gateway beat", GatewayBeat(123_456, False)),
+        ("demand", Demand("team-00000", 12.5, 2500.0)),
+        ("portion", Portion("team-00000", 12.5, 2500.0)),
+        ("change of one record", ConfigPush(123_455, 123_456, [change])),
+    ]
+    return [(name, len(codec.encode(frame))) for name, frame in frames]
+
+
+TIMES = (
+    ("gateway, heartbeat taken in", cpu_per_heartbeat, 500, 5000),
+    ("sidecar, heartbeat encoded", cpu_per_sent_heartbeat, 500, 5000),
+    ("gateway, request of one token", cpu_per_request, 100, 1100),
+    ("gateway, token alone in its frame", cpu_per_token, 500, 5000),
+    ("sidecar, attempt of one token", cpu_per_sidecar_request, 100, 1100),
+    ("sidecar, token alone in its frame", cpu_per_sidecar_token, 500, 5000),
+    ("gateway, tick, for each request in flight", cpu_per_tick, 10, 510),
+    ("gateway, change, for each sidecar", cpu_per_change, 6, 96),
+    ("gateway, sharing, for each active team", cpu_per_shared_team, 10, 110),
+    ("gateway, subset, for each endpoint", cpu_of_subset, 60, 600),
+)
+SIZES = (
+    ("gateway, team record", bytes_of_teams, 1000, 11_000),
+    ("gateway, active team's budget", bytes_of_budgets, 100, 2100),
+    ("gateway, request in flight", bytes_of_requests, 100, 1100),
+    ("sidecar, token kept", bytes_of_tokens, 1000, 21_000),
+)
+
+
+def main() -> int:
+    """Print all slopes and write them to the report."""
+    lines = [f"{'processor time':45} {'median us':>10} {'lowest':>8} {'highest':>8}"]
+    for name, measure, small, large in TIMES:
+        print(f"measuring {name} ...", file=sys.stderr, flush=True)
+        found = [value * MICRO for value in slope(measure, small, large)]
+        lines.append(f"{name:45} {found[len(found) // 2]:10.1f}{_range(found)}")
+    lines.append(f"\n{'memory':45} {'median B':>10} {'lowest':>8} {'highest':>8}")
+    for name, measure, small, large in SIZES:
+        print(f"measuring {name} ...", file=sys.stderr, flush=True)
+        found = slope(measure, small, large)
+        lines.append(f"{name:45} {found[len(found) // 2]:10.0f}{_range(found)}")
+    lines.append(f"\n{'on the wire':45} {'payload B':>10} {'with headers':>14}")
+    for name, size in wire_bytes():
+        lines.append(f"{name:45} {size:10d} {size + HEADER_BYTES:14d}")
+    text = "\n".join(lines)
+    print(text)
+    REPORT.parent.mkdir(exist_ok=True)
+    REPORT.write_text(text + "\n")
+    return 0
+
+
+def _range(found: list[float]) -> str:
+    return f" {found[0]:8.1f} {found[-1]:8.1f}"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
