Model a crowded engine step by step

Cause: the stand-in engine gave every sequence a token each step and knew neither memory nor priorities, so no policy could be measured against it. The model now batches continuously, fills its memory while decoding, preempts and recomputes, keeps a bounded prefix cache with late and lossy events, reports load with a lag, and has a cold start. The HTTP surface gains load, cache events and resume; a reader that goes no longer ends its generation at once, so that resume has something to resume. The sidecar polls load.

--- a/hawthornyard/rim/engine.py
+++ b/hawthornyard/rim/engine.py
@@ -4,7 +4,9 @@
 from collections.abc import Iterator
 from typing import Any
 
+import eventlet
 import urllib3
+from loguru import logger
 
 from ..core import Inbox
 from ..frames import Generation
@@ -12,11 +14,15 @@
     Attempt,
     EndpointEnded,
     EndpointFailed,
+    EndpointLoad,
     EndpointTokens,
 )
 
 CONNECT_TIMEOUT_S = 1.0
+LOAD_TIMEOUT_S = 1.0
+LOAD_INTERVAL_S = 0.5
 TOKEN_TIMEOUT_S = 30.0
+MAX_RESUMES = 2
 _TOO_BUSY = 503
 
 
@@ -60,22 +66,72 @@
         except (urllib3.exceptions.HTTPError, OSError):
             return
 
-    def _relay(self, resp: Any, attempt: Attempt, inbox: Inbox) -> None:
+    def load(self) -> EndpointLoad:
+        """Return the engine's load report.
+
+        Raises:
+            urllib3.exceptions.HTTPError: If the engine does not answer.
+            ValueError: If the answer is no load report.
+        """
+        resp = self._pool.request(
+            "GET",
+            self._url + "/v1/load",
+            timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=LOAD_TIMEOUT_S),
+            retries=False,
+            redirect=False,
+        )
+        report = resp.json()
         try:
-            for event in _events(resp):
-                if "token" in event:
-                    inbox.put(EndpointTokens(attempt.attempt_id, [event["token"]]))
-                if event.get("finish_reason"):
-                    reason = event["finish_reason"]
-                    inbox.put(EndpointEnded(attempt.attempt_id, reason))
-                    return
-            detail = "the stream ended without a final event"
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
-            detail = str(exc)
-        finally:
-            resp.close()
+            return EndpointLoad(
+                int(report["n_running"]),
+                int(report["n_waiting"]),
+                float(report["memory_used"]),
+                int(report["n_preempted"]),
+            )
+        except (KeyError, TypeError) as exc:
+            raise ValueError("the engine sent no load report") from exc
+
+    def _relay(self, resp: Any, attempt: Attempt, inbox: Inbox) -> None:
+        n_tokens = 0
+        for _ in range(1 + MAX_RESUMES):
+            try:
+                for event in _events(resp):
+                    if "token" in event:
+                        n_tokens += 1
+                        inbox.put(EndpointTokens(attempt.attempt_id, [event["token"]]))
+                    if event.get("finish_reason"):
+                        reason = event["finish_reason"]
+                        inbox.put(EndpointEnded(attempt.attempt_id, reason))
+                        return
+                detail = "the stream ended without a final event"
+            except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+                detail = str(exc)
+            finally:
+                resp.close()
+            resumed = self._resume(attempt.attempt_id, n_tokens)
+            if resumed is None:
+                break
+            resp = resumed
         inbox.put(EndpointFailed(attempt.attempt_id, True, detail))
 
+    def _resume(self, attempt_id: str, offset: int) -> Any | None:
+        try:
+            resp = self._pool.request(
+                "GET",
+                self._url + "/v1/resume",
+                fields={"id": attempt_id, "offset": str(offset)},
+                timeout=self._timeout,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError):
+            return None
+        if resp.status == 200:
+            return resp
+        resp.release_conn()
+        return None
+
     def _post(self, path: str, body: dict[str, Any]) -> Any:
         return self._pool.request(
             "POST",
@@ -89,6 +145,24 @@
         )
 
 
+def poll_load(
+    client: EngineClient, inbox: Inbox, *, interval_s: float = LOAD_INTERVAL_S
+) -> None:
+    """Put the engine's load reports into the inbox at every interval, for ever.
+
+    Args:
+        client: Speaks to the engine.
+        inbox: Where the reports go.
+        interval_s: Seconds between reports.
+    """
+    while True:
+        try:
+            inbox.put(client.load())
+        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+            logger.bind(detail=str(exc)).debug("load_poll_failed")
+        eventlet.sleep(interval_s)
+
+
 def _order(attempt: Attempt) -> dict[str, Any]:
     work = attempt.work
     assert isinstance(work, Generation)
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -40,7 +40,7 @@
     split_address,
 )
 from ..rim.endpoint import EndpointClient, EndpointSink
-from ..rim.engine import EngineClient
+from ..rim.engine import EngineClient, poll_load
 from ..rim.service import ServiceClient
 from ..settings import SidecarSettings
 from .attempts import Attempts
@@ -66,6 +66,7 @@
             settings.name, settings.failure_domain, incarnation, Catalog()
         )
         connections = Connections(self._inbox)
+        self._client = _client(settings)
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
             [
@@ -80,7 +81,7 @@
                     Heartbeat,
                     Unknown,
                 ),
-                EndpointSink(_client(settings), self._inbox),
+                EndpointSink(self._client, self._inbox),
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
                 self._stop,
@@ -108,6 +109,8 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
+        if isinstance(self._client, EngineClient):
+            eventlet.spawn_n(poll_load, self._client, self._inbox)
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
--- a/hawthornyard/standins/engine.py
+++ b/hawthornyard/standins/engine.py
@@ -8,9 +8,14 @@
 import eventlet
 from eventlet.queue import LightQueue
 
-from .engine_model import EngineModel, Sequence
+from .engine_model import EngineModel
+from .engine_sequence import Sequence
+from .engine_stream import TokenStream
 from .web import WebAnswer, WebApp, WebRequest
 
+ABANDONED_AFTER_S = 30.0
+CHARACTERS_PER_TOKEN = 4
+PREFIX_CHARACTERS = 256
 _WORDS = ("the", "visitor", "signs", "in", "at", "desk", "and", "waits", "for", "badge")
 
 
@@ -19,67 +24,126 @@
 
     Args:
         model: Decides which sequences advance.
+        abandoned_after_s: How long a generation runs and is kept unread.
 
     Attributes:
         ran: Request id and attempt id of every generation that was begun.
     """
 
-    __slots__ = ("_model", "_queues", "app", "ran")
-
-    def __init__(self, model: EngineModel) -> None:
-        self._model = model
-        self._queues: dict[str, LightQueue] = {}
+    __slots__ = (
+        "_abandoned_after_s",
+        "_orders",
+        "_streams",
+        "_work",
+        "app",
+        "model",
+        "ran",
+    )
+
+    def __init__(
+        self, model: EngineModel, *, abandoned_after_s: float = ABANDONED_AFTER_S
+    ) -> None:
+        self.model = model
+        self._abandoned_after_s = abandoned_after_s
+        self._streams: dict[str, TokenStream] = {}
+        self._orders: dict[str, dict[str, Any]] = {}
+        self._work = LightQueue()
         self.ran: list[tuple[str, str]] = []
         self.app = WebApp(
             {
                 "POST /v1/generate": self._generate,
+                "GET /v1/resume": self._resume,
                 "POST /v1/cancel": self._cancel,
+                "GET /v1/load": self._load,
+                "GET /v1/cache/events": self._cache_events,
                 "GET /ran": self._ran,
             }
         )
 
     def run(self) -> None:
-        """Step the model for ever."""
+        """Step the model for ever, and sleep while it is idle."""
         while True:
-            eventlet.sleep(self._model.step_s)
-            for sequence in self._model.step():
-                queue = self._queues.get(sequence.id)
-                if queue is not None:
-                    queue.put(sequence.n_done)
+            if self.model.is_idle:
+                self._work.get()
+                continue
+            step = self.model.step()
+            eventlet.sleep(step.seconds)
+            for sequence in step.advanced:
+                self._advance(sequence)
+
+    def _advance(self, sequence: Sequence) -> None:
+        stream = self._streams.get(sequence.id)
+        if stream is not None and not stream.is_over:
+            stream.add(is_last=stream.n_done + 1 >= sequence.n_output)
 
     def _generate(self, req: WebRequest) -> WebAnswer:
         body = req.json()
-        sequence = Sequence(body["id"], output_length(body))
+        sequence = _sequence(body)
         self.ran.append((body["request_id"], body["id"]))
-        self._queues[sequence.id] = LightQueue()
-        self._model.add(sequence)
         reason = "length" if sequence.n_output == body["max_tokens"] else "stop"
-        events = self._events(sequence, body, reason)
+        self._streams[sequence.id] = TokenStream(reason)
+        self._orders[sequence.id] = body
+        self.model.add(sequence)
+        if self._work.empty():
+            self._work.put(None)
+        return self._stream(sequence.id, 0)
+
+    def _resume(self, req: WebRequest) -> WebAnswer:
+        sequence_id = req.query.get("id", "")
+        if sequence_id not in self._streams:
+            return WebAnswer({"error": "unknown generation"}, status=404)
+        return self._stream(sequence_id, int(req.query.get("offset", "0")))
+
+    def _stream(self, sequence_id: str, offset: int) -> WebAnswer:
+        events = self._events(sequence_id, offset)
         return WebAnswer(events, content_type="text/event-stream")
 
-    def _events(
-        self, sequence: Sequence, body: dict[str, Any], reason: str
-    ) -> Iterator[bytes]:
-        queue = self._queues[sequence.id]
+    def _events(self, sequence_id: str, offset: int) -> Iterator[bytes]:
+        stream = self._streams[sequence_id]
+        order = self._orders[sequence_id]
         try:
-            for _ in range(sequence.n_output):
-                n_done = queue.get()
-                if n_done is None:
-                    return
-                yield _event({"token": token_text(body, n_done - 1)})
-            yield _event({"finish_reason": reason})
+            for index in stream.read(offset):
+                yield _event({"token": token_text(order, index)})
+            if not stream.was_cancelled:
+                yield _event({"finish_reason": stream.reason})
         finally:
-            self._queues.pop(sequence.id, None)
-            self._model.cancel(sequence.id)
+            eventlet.spawn_after(self._abandoned_after_s, self._abandon, sequence_id)
+
+    def _abandon(self, sequence_id: str) -> None:
+        stream = self._streams.get(sequence_id)
+        if stream is None or stream.n_readers:
+            return
+        self.model.cancel(sequence_id)
+        del self._streams[sequence_id]
+        del self._orders[sequence_id]
 
     def _cancel(self, req: WebRequest) -> WebAnswer:
         sequence_id = req.json()["id"]
-        self._model.cancel(sequence_id)
-        queue = self._queues.get(sequence_id)
-        if queue is not None:
-            queue.put(None)
+        self.model.cancel(sequence_id)
+        stream = self._streams.get(sequence_id)
+        if stream is not None:
+            stream.cancel()
         return WebAnswer({})
 
+    def _load(self, req: WebRequest) -> WebAnswer:
+        load = self.model.load()
+        return WebAnswer(
+            {
+                "n_running": load.n_running,
+                "n_waiting": load.n_waiting,
+                "memory_used": load.memory_used,
+                "n_preempted": load.n_preempted,
+            }
+        )
+
+    def _cache_events(self, req: WebRequest) -> WebAnswer:
+        after = int(req.query.get("after", "0"))
+        events = [
+            {"number": event.number, "prefix": event.prefix, "stored": event.is_stored}
+            for event in self.model.events_after(after)
+        ]
+        return WebAnswer({"events": events})
+
     def _ran(self, req: WebRequest) -> WebAnswer:
         return WebAnswer({"ran": self.ran})
 
@@ -97,5 +161,19 @@
     return " " + _WORDS[digest[0] % len(_WORDS)]
 
 
+def _sequence(body: dict[str, Any]) -> Sequence:
+    prompt: str = body["prompt"]
+    prefix = prompt[:PREFIX_CHARACTERS]
+    name = hashlib.sha256(prefix.encode()).hexdigest()[:16]
+    return Sequence(
+        body["id"],
+        output_length(body),
+        n_prompt=1 + len(prompt) // CHARACTERS_PER_TOKEN,
+        priority=int(body.get("priority", 0)),
+        prefix=name,
+        n_prefix=len(prefix) // CHARACTERS_PER_TOKEN,
+    )
+
+
 def _event(body: dict[str, Any]) -> bytes:
     return f"data: {json.dumps(body)}\n\n".encode()
--- /dev/null
+++ b/hawthornyard/standins/engine_load.py
@@ -0,0 +1,64 @@
+"""Report the load of a stand-in engine with a lag."""
+
+from collections import deque
+
+from ..core import Message
+
+SAMPLE_INTERVAL_S = 0.1
+
+
+class Load(Message):
+    """The load of an engine at one time.
+
+    Attributes:
+        at: Monotonic seconds.
+        n_running: Sequences that run.
+        n_waiting: Sequences in the engine's queue.
+        memory_used: Share of the memory in use, 0 to 1.
+        n_preempted: Preemptions since the start.
+    """
+
+    __slots__ = ("at", "n_running", "n_waiting", "memory_used", "n_preempted")
+
+    def __init__(
+        self,
+        at: float = 0.0,
+        n_running: int = 0,
+        n_waiting: int = 0,
+        memory_used: float = 0.0,
+        n_preempted: int = 0,
+    ) -> None:
+        self.at = at
+        self.n_running = n_running
+        self.n_waiting = n_waiting
+        self.memory_used = memory_used
+        self.n_preempted = n_preempted
+
+
+class LaggedLoad:
+    """Keep load samples until they are old enough to be reported.
+
+    Args:
+        lag_s: Age of a report.
+    """
+
+    __slots__ = ("_lag_s", "_reported", "_samples")
+
+    def __init__(self, lag_s: float) -> None:
+        self._lag_s = lag_s
+        self._samples: deque[Load] = deque()
+        self._reported = Load()
+
+    def wants_sample(self, now: float) -> bool:
+        """Return whether the last sample is old enough for another."""
+        return not self._samples or now - self._samples[-1].at >= SAMPLE_INTERVAL_S
+
+    def add(self, load: Load) -> None:
+        """Keep a sample."""
+        self._samples.append(load)
+
+    def report(self, now: float) -> Load:
+        """Return the newest sample that is at least as old as the lag."""
+        while self._samples and self._samples[0].at <= now - self._lag_s:
+            self._reported = self._samples.popleft()
+        return self._reported
--- /dev/null
+++ b/hawthornyard/standins/engine_profile.py
@@ -0,0 +1,72 @@
+"""Describe how fast a stand-in engine is and what it holds."""
+
+from ..core import Message
+
+DEFAULT_STEP_S = 0.02
+
+
+class EngineProfile(Message):
+    """The fixed properties of one engine.
+
+    Attributes:
+        step_s: Seconds of a step with an empty batch.
+        sequence_s: Seconds that each running sequence adds to a step.
+        prefill_token_s: Seconds that each prompt token adds to a step.
+        prefill_chunk: Prompt tokens that one step processes at most.
+        memory_tokens: Tokens of running sequences that fit.
+        max_batch: Sequences that run at once at most.
+        cache_tokens: Tokens of prompt prefixes that are kept.
+        cold_bears: Sequences that a cold engine bears.
+        warm_up_s: Seconds of work until it is warm; 0 for always warm.
+        cold_stretch: Factor of a step in which a cold engine bears too much.
+        load_lag_s: Age of its load reports.
+        event_lag_s: Age of its cache events.
+        event_loss: Share of cache events that are never published.
+    """
+
+    __slots__ = (
+        "step_s",
+        "sequence_s",
+        "prefill_token_s",
+        "prefill_chunk",
+        "memory_tokens",
+        "max_batch",
+        "cache_tokens",
+        "cold_bears",
+        "warm_up_s",
+        "cold_stretch",
+        "load_lag_s",
+        "event_lag_s",
+        "event_loss",
+    )
+
+    def __init__(
+        self,
+        *,
+        step_s: float = DEFAULT_STEP_S,
+        sequence_s: float = 0.0,
+        prefill_token_s: float = 0.0,
+        prefill_chunk: int = 2048,
+        memory_tokens: int = 16384,
+        max_batch: int = 256,
+        cache_tokens: int = 8192,
+        cold_bears: int = 2,
+        warm_up_s: float = 0.0,
+        cold_stretch: float = 8.0,
+        load_lag_s: float = 0.5,
+        event_lag_s: float = 1.0,
+        event_loss: float = 0.05,
+    ) -> None:
+        self.step_s = step_s
+        self.sequence_s = sequence_s
+        self.prefill_token_s = prefill_token_s
+        self.prefill_chunk = prefill_chunk
+        self.memory_tokens = memory_tokens
+        self.max_batch = max_batch
+        self.cache_tokens = cache_tokens
+        self.cold_bears = cold_bears
+        self.warm_up_s = warm_up_s
+        self.cold_stretch = cold_stretch
+        self.load_lag_s = load_lag_s
+        self.event_lag_s = event_lag_s
+        self.event_loss = event_loss
--- /dev/null
+++ b/hawthornyard/standins/engine_stream.py
@@ -0,0 +1,72 @@
+"""Hold the output of one generation for its readers."""
+
+from collections.abc import Iterator
+
+from eventlet.queue import LightQueue
+
+
+class TokenStream:
+    """The tokens of a generation, readable from any offset.
+
+    Args:
+        reason: Finish reason that the last token carries.
+
+    Attributes:
+        reason: Finish reason.
+        n_done: Tokens that were generated.
+        is_over: Whether no further token follows.
+        was_cancelled: Whether it ended before its last token.
+    """
+
+    __slots__ = (
+        "_readers",
+        "is_over",
+        "n_done",
+        "reason",
+        "was_cancelled",
+    )
+
+    def __init__(self, reason: str) -> None:
+        self.reason = reason
+        self.n_done = 0
+        self.is_over = False
+        self.was_cancelled = False
+        self._readers: list[LightQueue] = []
+
+    @property
+    def n_readers(self) -> int:
+        """Return the number of connections that read it."""
+        return len(self._readers)
+
+    def add(self, *, is_last: bool) -> None:
+        """Add one token."""
+        self.n_done += 1
+        self.is_over = is_last
+        self._wake()
+
+    def cancel(self) -> None:
+        """End it before its last token."""
+        if not self.is_over:
+            self.is_over = True
+            self.was_cancelled = True
+            self._wake()
+
+    def read(self, offset: int) -> Iterator[int]:
+        """Yield the number of each token from an offset on, as they come."""
+        news = LightQueue()
+        self._readers.append(news)
+        try:
+            while True:
+                while offset < self.n_done:
+                    yield offset
+                    offset += 1
+                if self.is_over:
+                    return
+                news.get()
+        finally:
+            self._readers.remove(news)
+
+    def _wake(self) -> None:
+        for news in self._readers:
+            if news.empty():
+                news.put(None)
