Decide admission by expected memory and order by work done

Cause: admission counted attempts only, so memory could fill without bound; the fair queue sorted all waiting work at each pop, charged every request alike, and let a priority step move the virtual time of all teams.

Lengths are predicted by decayed histograms per team, service and model, each backed by the next; expected memory with an adaptive margin bounds admission; the queue charges work and looks at one head per priority.

Not measured yet.

--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import RetryBudget, TwoChoices
+from ..policy import PrefixAffinity, RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
 from .fleet import ApplyConfig, Fleet, Watch
@@ -53,7 +53,7 @@
         Retry(RetryBudget(), clock),
         WaitForRoom(fleet, clock),
         Claim(inflight),
-        Route(fleet, TwoChoices(chance)),
+        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -10,6 +10,7 @@
 
 SUSPECT_AFTER_S = 3.0
 SERVICE_TIME_WEIGHT = 0.1
+TOKEN_TIME_MEMORY = 5000
 
 
 class Fleet:
@@ -62,13 +63,16 @@
         if view is not None:
             view.n_unreported -= 1
 
-    def on_finished(self, endpoint: str, seconds: float) -> None:
-        """Learn how long an attempt took at an endpoint."""
+    def on_finished(self, endpoint: str, seconds: float, n_tokens: int = 0) -> None:
+        """Learn how long an attempt and its tokens took at an endpoint."""
         view = self._views.get(endpoint)
         if view is None:
             return
         weight = SERVICE_TIME_WEIGHT if view.service_s else 1.0
         view.service_s += weight * (seconds - view.service_s)
+        if n_tokens:
+            weight = min(1.0, n_tokens / TOKEN_TIME_MEMORY) if view.token_s else 1.0
+            view.token_s += weight * (seconds / n_tokens - view.token_s)
 
     def incarnation(self, endpoint: str) -> str:
         """Return the last known incarnation of an endpoint's sidecar."""
--- a/hawthornyard/gateway/reply/settle.py
+++ b/hawthornyard/gateway/reply/settle.py
@@ -51,6 +51,6 @@
             self._fleet.on_ended(request.endpoint)
             if kind is None:
                 seconds = self._clock.now() - request.sent_at
-                self._fleet.on_finished(request.endpoint, seconds)
+                self._fleet.on_finished(request.endpoint, seconds, request.n_delivered)
         self._inflight.remove(request)
         yield Closed(request, kind, outcome)
--- a/hawthornyard/gateway/request/route.py
+++ b/hawthornyard/gateway/request/route.py
@@ -1,12 +1,16 @@
 """Choose the endpoint of the next attempt."""
 
+import hashlib
 from collections.abc import Iterator
 
 from ...core import Decision, Handlers, Message
 from ...errors import ErrorKind
+from ...frames import Generation
 from ...policy import RoutingPolicy
 from ..fleet import Fleet
-from ..messages import AttemptFailed, Claimed, Routed
+from ..messages import AttemptFailed, Claimed, Request, Routed
+
+PREFIX_CHARACTERS = 256
 
 
 class Route:
@@ -23,7 +27,7 @@
         request = msg.request
         views = self._fleet.candidates(request)
         with_room = [view for view in views if view.n_free]
-        choice = self._policy.choose(with_room or views)
+        choice = self._policy.choose(with_room or views, prefix=_prefix(request))
         if choice is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
             return
@@ -38,3 +42,11 @@
             service=request.service.name,
         )
         yield Routed(request, choice.endpoint)
+
+
+def _prefix(request: Request) -> str:
+    work = request.work
+    if not isinstance(work, Generation) or len(work.prompt) < PREFIX_CHARACTERS:
+        return ""
+    prefix = work.prompt[:PREFIX_CHARACTERS].encode()
+    return work.model + "/" + hashlib.blake2b(prefix, digest_size=8).hexdigest()
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -1,21 +1,45 @@
 """Decide on routing, limits, order and retries, without any I/O."""
 
+from .affinity import PrefixAffinity
 from .bucket import TokenBucket
+from .calibration import Calibration
 from .fairqueue import FairQueue, Queue
+from .lengths import (
+    BackoffPredictor,
+    LengthHistogram,
+    LengthPredictor,
+    LengthSource,
+    prompt_tokens,
+    quantile,
+)
+from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .retry import RetryBudget
 from .routing import Choice, RoutingPolicy, TwoChoices
 from .slowstart import ConcurrencyLimit, SlowStart
+from .subset import rendezvous_subset
 from .view import EndpointView
 
 __all__ = [
+    "BackoffPredictor",
+    "Calibration",
     "Choice",
     "ConcurrencyLimit",
     "EndpointView",
+    "ExpectedMemory",
     "FairQueue",
+    "LengthHistogram",
+    "LengthPredictor",
+    "LengthSource",
+    "MemoryLimit",
+    "Occupant",
+    "PrefixAffinity",
     "Queue",
     "RetryBudget",
     "RoutingPolicy",
     "SlowStart",
     "TokenBucket",
     "TwoChoices",
+    "prompt_tokens",
+    "quantile",
+    "rendezvous_subset",
 ]
--- /dev/null
+++ b/hawthornyard/policy/affinity.py
@@ -0,0 +1,34 @@
+"""Remember which endpoints have likely cached a prompt prefix."""
+
+from collections import OrderedDict
+
+MAX_PREFIXES = 4096
+MAX_ENDPOINTS = 3
+
+
+class PrefixAffinity:
+    """The endpoints to which a prefix was sent last.
+
+    Args:
+        max_prefixes: Prefixes that are remembered.
+    """
+
+    __slots__ = ("_endpoints", "_max_prefixes")
+
+    def __init__(self, *, max_prefixes: int = MAX_PREFIXES) -> None:
+        self._max_prefixes = max_prefixes
+        self._endpoints: OrderedDict[str, list[str]] = OrderedDict()
+
+    def holders(self, prefix: str) -> list[str]:
+        """Return the endpoints that have likely cached a prefix, latest first."""
+        return self._endpoints.get(prefix, [])
+
+    def on_sent(self, prefix: str, endpoint: str) -> None:
+        """Note that a prompt with this prefix goes to an endpoint."""
+        if not prefix:
+            return
+        earlier = [name for name in self.holders(prefix) if name != endpoint]
+        self._endpoints[prefix] = [endpoint, *earlier][:MAX_ENDPOINTS]
+        self._endpoints.move_to_end(prefix)
+        if len(self._endpoints) > self._max_prefixes:
+            self._endpoints.popitem(last=False)
--- /dev/null
+++ b/hawthornyard/policy/memory.py
@@ -0,0 +1,144 @@
+"""Admit work as far as the endpoint's memory is expected to hold it."""
+
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+from ..core import Message
+from .lengths import LengthPredictor, LengthSource
+
+# Steps ahead at which the expected memory must fit.
+HORIZONS_TOKENS = (0, 32, 128, 512, 2048)
+INITIAL_SAFETY = 1.0
+MIN_SAFETY = 0.5
+MAX_SAFETY = 4.0
+SAFETY_STEP = 0.5
+SAFETY_DECAY_PER_S = 0.02
+
+
+class Occupant(Message):
+    """A generation that holds or would hold memory.
+
+    Attributes:
+        source: Where it comes from.
+        n_prompt: Tokens of its prompt.
+        n_done: Tokens that it has generated.
+    """
+
+    __slots__ = ("source", "n_prompt", "n_done")
+
+    def __init__(self, source: LengthSource, n_prompt: int, n_done: int) -> None:
+        self.source = source
+        self.n_prompt = n_prompt
+        self.n_done = n_done
+
+
+class MemoryLimit(Protocol):
+    """Bound the memory that admitted work is expected to need."""
+
+    @property
+    def load(self) -> float:
+        """Return the expected share of the memory in use."""
+        ...
+
+    def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
+        """Take the work that runs now."""
+        ...
+
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether one more generation is expected to fit."""
+        ...
+
+    def add(self, occupant: Occupant) -> None:
+        """Count a generation that was admitted since the last `reset`."""
+        ...
+
+    def on_report(self, n_preempted: int, elapsed_s: float) -> None:
+        """Take preemptions since the last report as evidence."""
+        ...
+
+
+class ExpectedMemory:
+    """Sum the expected memory at several horizons with a margin.
+
+    At each horizon a generation holds its prompt, its tokens so far and those
+    up to the horizon, with the probability that it still runs. The margin is a
+    multiple of the standard deviation, which grows on preemptions and shrinks
+    slowly without.
+
+    Args:
+        predictor: Predicts lengths.
+        safety: Initial margin in standard deviations.
+        adapts: Whether preemptions move the margin.
+    """
+
+    __slots__ = (
+        "_adapts",
+        "_means",
+        "_memory_tokens",
+        "_predictor",
+        "_variances",
+        "safety",
+    )
+
+    def __init__(
+        self,
+        predictor: LengthPredictor,
+        *,
+        safety: float = INITIAL_SAFETY,
+        adapts: bool = True,
+    ) -> None:
+        self._predictor = predictor
+        self._adapts = adapts
+        self._memory_tokens = 1
+        self._means = [0.0] * len(HORIZONS_TOKENS)
+        self._variances = [0.0] * len(HORIZONS_TOKENS)
+        self.safety = safety
+
+    @property
+    def load(self) -> float:
+        """Return the expected share of the memory in use, margin included."""
+        return self._demand(self._means, self._variances) / self._memory_tokens
+
+    def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
+        """Take the work that runs now."""
+        self._memory_tokens = max(1, memory_tokens)
+        self._means = [0.0] * len(HORIZONS_TOKENS)
+        self._variances = [0.0] * len(HORIZONS_TOKENS)
+        for occupant in running:
+            self.add(occupant)
+
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether one more generation is expected to fit."""
+        means, variances = self._with(occupant)
+        return self._demand(means, variances) <= self._memory_tokens
+
+    def add(self, occupant: Occupant) -> None:
+        """Count a generation that was admitted since the last `reset`."""
+        self._means, self._variances = self._with(occupant)
+
+    def on_report(self, n_preempted: int, elapsed_s: float) -> None:
+        """Widen the margin on preemptions, narrow it slowly without."""
+        if not self._adapts:
+            return
+        change = SAFETY_STEP if n_preempted else -SAFETY_DECAY_PER_S * elapsed_s
+        self.safety = min(MAX_SAFETY, max(MIN_SAFETY, self.safety + change))
+
+    def _with(self, occupant: Occupant) -> tuple[list[float], list[float]]:
+        chances = self._predictor.survival(
+            occupant.source, occupant.n_done, HORIZONS_TOKENS
+        )
+        held = occupant.n_prompt + occupant.n_done
+        means, variances = [], []
+        for index, chance in enumerate(chances):
+            size = held + HORIZONS_TOKENS[index]
+            means.append(self._means[index] + chance * size)
+            spread = chance * (1.0 - chance) * size * size
+            variances.append(self._variances[index] + spread)
+        return means, variances
+
+    def _demand(self, means: list[float], variances: list[float]) -> float:
+        return max(
+            mean + self.safety * math.sqrt(variance)
+            for mean, variance in zip(means, variances, strict=True)
+        )
--- a/hawthornyard/policy/routing.py
+++ b/hawthornyard/policy/routing.py
@@ -4,10 +4,13 @@
 from typing import Protocol
 
 from ..core import Chance, Message
+from .affinity import PrefixAffinity
 from .view import EndpointView
 
 N_CHOICES = 2
-UNKNOWN_SERVICE_S = 1.0
+AFFINITY_BONUS = 0.8
+# Above this share of its room an endpoint is about to queue.
+AFFINITY_MAX_CROWDING = 0.8
 
 
 class Choice(Message):
@@ -38,36 +41,77 @@
 class RoutingPolicy(Protocol):
     """Choose among endpoints that fit."""
 
-    def choose(self, views: Sequence[EndpointView]) -> Choice | None:
-        """Return the choice, or None if no endpoint is given."""
+    def choose(
+        self, views: Sequence[EndpointView], *, prefix: str = ""
+    ) -> Choice | None:
+        """Return the choice, or None if no endpoint is given.
+
+        Args:
+            views: Endpoints that fit.
+            prefix: Name of the prompt's prefix, empty for none.
+        """
         ...
 
 
 class TwoChoices:
-    """Compare two random endpoints by expected wait.
+    """Compare two random endpoints, and one that likely cached the prefix.
+
+    The score is the measured speed of the endpoint, worse the more of its
+    room is taken. A cached prefix improves it by a fixed factor, and only
+    while the endpoint is not about to queue.
 
     Args:
         chance: Source of randomness.
+        n_choices: Random endpoints that are compared.
+        affinity: Knows the likely holders of prefixes; None for no affinity.
     """
 
-    __slots__ = ("_chance",)
+    __slots__ = ("_affinity", "_chance", "_n_choices")
 
-    def __init__(self, chance: Chance) -> None:
+    def __init__(
+        self,
+        chance: Chance,
+        *,
+        n_choices: int = N_CHOICES,
+        affinity: PrefixAffinity | None = None,
+    ) -> None:
         self._chance = chance
+        self._n_choices = n_choices
+        self._affinity = affinity
 
-    def choose(self, views: Sequence[EndpointView]) -> Choice | None:
-        """Return the one of two endpoints that is expected to begin sooner."""
+    def choose(
+        self, views: Sequence[EndpointView], *, prefix: str = ""
+    ) -> Choice | None:
+        """Return the candidate with the lowest score."""
         if not views:
             return None
-        drawn = self._chance.sample(views, min(N_CHOICES, len(views)))
-        scores = [expected_wait_s(view) for view in drawn]
+        holders = self._affinity.holders(prefix) if self._affinity else []
+        drawn = self._chance.sample(views, min(self._n_choices, len(views)))
+        drawn += [view for view in views if view.endpoint in holders[:1]]
+        usual_s = _usual_token_s(views)
+        scores = [_score(view, usual_s, view.endpoint in holders) for view in drawn]
         best = scores.index(min(scores))
         names = [view.endpoint for view in drawn]
-        reason = "only candidate" if len(drawn) == 1 else "shorter expected wait"
-        return Choice(names[best], names, scores, reason)
+        if self._affinity:
+            self._affinity.on_sent(prefix, names[best])
+        return Choice(names[best], names, scores, _reason(drawn, best, holders))
+
+
+def _score(view: EndpointView, usual_s: float, is_holder: bool) -> float:
+    score = (view.token_s or usual_s) * (1.0 + view.crowding)
+    if is_holder and view.crowding < AFFINITY_MAX_CROWDING:
+        return score * AFFINITY_BONUS
+    return score
+
+
+def _usual_token_s(views: Sequence[EndpointView]) -> float:
+    known = [view.token_s for view in views if view.token_s]
+    return sum(known) / len(known) if known else 1.0
 
 
-def expected_wait_s(view: EndpointView) -> float:
-    """Return the seconds until an endpoint could begin one more attempt."""
-    service_s = view.service_s or UNKNOWN_SERVICE_S
-    return service_s * view.n_expected / max(1, view.limit)
+def _reason(drawn: Sequence[EndpointView], best: int, holders: Sequence[str]) -> str:
+    if len(drawn) == 1:
+        return "only candidate"
+    if drawn[best].endpoint in holders:
+        return "lowest score, prefix likely cached"
+    return "lowest score"
--- a/hawthornyard/policy/slowstart.py
+++ b/hawthornyard/policy/slowstart.py
@@ -2,10 +2,10 @@
 
 from typing import Protocol
 
-GROWTH_STEP = 1
+GROWTH_SHARE = 0.25
 COLD_RATIO = 4.0
 BASELINE_WEIGHT = 0.05
-MIN_SAMPLES = 8
+MIN_SAMPLES = 4
 
 
 class ConcurrencyLimit(Protocol):
@@ -16,12 +16,12 @@
         """Return the bound that holds now."""
         ...
 
-    def on_finished(self, latency_s: float, n_running: int) -> bool:
-        """Take the latency of a finished attempt as evidence.
+    def on_sample(self, latency_s: float, n_running: int) -> bool:
+        """Take a latency as evidence.
 
         Args:
-            latency_s: Time to first token, or of the whole call.
-            n_running: Attempts that ran when it finished.
+            latency_s: Time between tokens, or of a whole call.
+            n_running: Attempts that ran meanwhile.
 
         Returns:
             Whether the endpoint is now suspected to have turned cold.
@@ -34,7 +34,7 @@
 
 
 class SlowStart:
-    """Grow the limit on completed work and fall back on a latency jump.
+    """Grow the limit on good latencies and fall back on a jump.
 
     Args:
         initial: Limit of a cold endpoint.
@@ -55,14 +55,15 @@
         """Return the bound that holds now."""
         return self._limit
 
-    def on_finished(self, latency_s: float, n_running: int) -> bool:
-        """Grow by a step if the limit was in use, or reset on a jump."""
+    def on_sample(self, latency_s: float, n_running: int) -> bool:
+        """Grow by a share if the limit was in use, or reset on a jump."""
         if self._is_jump(latency_s):
             self.reset()
             return True
         self._learn(latency_s)
-        if n_running + 1 >= self._limit:
-            self._limit = min(self._maximum, self._limit + GROWTH_STEP)
+        if n_running >= self._limit:
+            growth = max(1, int(GROWTH_SHARE * self._limit))
+            self._limit = min(self._maximum, self._limit + growth)
         return False
 
     def reset(self) -> None:
--- a/hawthornyard/policy/view.py
+++ b/hawthornyard/policy/view.py
@@ -2,6 +2,9 @@
 
 from ..core import Message
 
+# Attempts that may wait at a full endpoint, to begin there between reports.
+QUEUE_AHEAD = 2
+
 
 class EndpointView(Message):
     """One endpoint as its last heartbeat showed it.
@@ -17,6 +20,7 @@
         load: Expected share of memory in use, 0 to 1.
         n_unreported: Own dispatches less own ended attempts since that heartbeat.
         service_s: Smoothed seconds that an attempt takes there, 0 if unknown.
+        token_s: Smoothed seconds that a token takes there, 0 if unknown.
     """
 
     __slots__ = (
@@ -30,6 +34,7 @@
         "load",
         "n_unreported",
         "service_s",
+        "token_s",
     )
 
     def __init__(self, endpoint: str, failure_domain: str) -> None:
@@ -43,6 +48,7 @@
         self.load = 0.0
         self.n_unreported = 0
         self.service_s = 0.0
+        self.token_s = 0.0
 
     @property
     def n_expected(self) -> int:
@@ -51,5 +57,18 @@
 
     @property
     def n_free(self) -> int:
-        """Return how many more attempts the endpoint can begin at once."""
-        return max(0, self.limit - self.n_expected)
+        """Return how many more attempts may be sent there now."""
+        room = min(self.limit, self.n_fitting) - self.n_expected
+        return max(0, room + QUEUE_AHEAD)
+
+    @property
+    def n_fitting(self) -> int:
+        """Return how many attempts of the usual size the memory holds."""
+        if not self.n_running or self.load <= 0.0:
+            return self.limit
+        return int(self.n_running / self.load)
+
+    @property
+    def crowding(self) -> float:
+        """Return the share of what the endpoint can hold that is expected there."""
+        return self.n_expected / max(1, min(self.limit, self.n_fitting))
--- a/hawthornyard/rim/endpoint.py
+++ b/hawthornyard/rim/endpoint.py
@@ -19,6 +19,10 @@
         """Tell the endpoint to stop an attempt."""
         ...
 
+    def watch(self, inbox: Inbox) -> None:
+        """Put load reports into the inbox for as long as the endpoint gives any."""
+        ...
+
 
 class EndpointSink:
     """Run each attempt in a green thread of its own.
--- a/hawthornyard/rim/engine.py
+++ b/hawthornyard/rim/engine.py
@@ -66,6 +66,15 @@
         except (urllib3.exceptions.HTTPError, OSError):
             return
 
+    def watch(self, inbox: Inbox) -> None:
+        """Poll the engine's load for ever; see `EndpointClient.watch`."""
+        while True:
+            try:
+                inbox.put(self.load())
+            except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
+                logger.bind(detail=str(exc)).debug("load_poll_failed")
+            eventlet.sleep(LOAD_INTERVAL_S)
+
     def load(self) -> EndpointLoad:
         """Return the engine's load report.
 
@@ -145,24 +154,6 @@
         )
 
 
-def poll_load(
-    client: EngineClient, inbox: Inbox, *, interval_s: float = LOAD_INTERVAL_S
-) -> None:
-    """Put the engine's load reports into the inbox at every interval, for ever.
-
-    Args:
-        client: Speaks to the engine.
-        inbox: Where the reports go.
-        interval_s: Seconds between reports.
-    """
-    while True:
-        try:
-            inbox.put(client.load())
-        except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
-            logger.bind(detail=str(exc)).debug("load_poll_failed")
-        eventlet.sleep(interval_s)
-
-
 def _order(attempt: Attempt) -> dict[str, Any]:
     work = attempt.work
     assert isinstance(work, Generation)
--- a/hawthornyard/rim/service.py
+++ b/hawthornyard/rim/service.py
@@ -57,6 +57,9 @@
     def cancel(self, attempt_id: str) -> None:
         """Do nothing; a plain service knows no cancel."""
 
+    def watch(self, inbox: Inbox) -> None:
+        """Do nothing; a plain service is judged by the calls alone."""
+
 
 def _headers(attempt: Attempt, work: ServiceCall) -> dict[str, str]:
     headers = {name: value for name, value in work.headers}
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Clock, Filter
+from ..policy import BackoffPredictor
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
 from .reply import AttachPeers, NumberOutput
@@ -26,7 +27,7 @@
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
         Gate(state, attempts),
-        Admit(state, attempts, clock),
+        Admit(state, attempts, clock, BackoffPredictor()),
         Begin(clock),
         Beat(state, clock),
     ]
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -40,7 +40,7 @@
     split_address,
 )
 from ..rim.endpoint import EndpointClient, EndpointSink
-from ..rim.engine import EngineClient, poll_load
+from ..rim.engine import EngineClient
 from ..rim.service import ServiceClient
 from ..settings import SidecarSettings
 from .attempts import Attempts
@@ -109,8 +109,7 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
-        if isinstance(self._client, EngineClient):
-            eventlet.spawn_n(poll_load, self._client, self._inbox)
+        eventlet.spawn_n(self._client.watch, self._inbox)
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -5,7 +5,14 @@
 from ...core import Clock, Decision, Handlers, Message, Tick
 from ...errors import ErrorKind
 from ...frames import Refused
-from ...policy import ConcurrencyLimit, FairQueue, SlowStart
+from ...policy import (
+    ConcurrencyLimit,
+    ExpectedMemory,
+    FairQueue,
+    LengthPredictor,
+    MemoryLimit,
+    SlowStart,
+)
 from ..attempts import Attempts
 from ..messages import (
     Admitted,
@@ -16,36 +23,69 @@
     Permitted,
 )
 from ..state import SidecarState
+from .outside import OutsideLoad
+from .pace import Pace
+from .size import expected_tokens, length_source, occupant
 
 MAX_WAITING = 32
+MAX_WAIT_S = 3.0
+ORPHAN_WAIT_S = 1.0
 
 
 class Admit:
-    """Hold attempts in a short queue until the endpoint's limit allows them.
+    """Hold attempts in a short queue until the endpoint can bear them.
 
     Args:
         state: State of the sidecar.
         attempts: Attempts that are known.
         clock: Source of time.
+        predictor: Predicts output lengths.
+        memory: Bounds the expected memory; made from `predictor` by default.
+        max_wait_s: Longest wait in the queue before an attempt goes back.
     """
 
     __slots__ = (
         "_attempts",
         "_clock",
         "_limit",
+        "_max_wait_s",
+        "_memory",
+        "_n_preempted",
         "_outside",
+        "_pace",
+        "_predictor",
         "_queue",
+        "_reported_at",
+        "_running",
+        "_since",
         "_state",
         "handlers",
     )
 
-    def __init__(self, state: SidecarState, attempts: Attempts, clock: Clock) -> None:
+    def __init__(
+        self,
+        state: SidecarState,
+        attempts: Attempts,
+        clock: Clock,
+        predictor: LengthPredictor,
+        *,
+        memory: MemoryLimit | None = None,
+        max_wait_s: float = MAX_WAIT_S,
+    ) -> None:
         self._state = state
         self._attempts = attempts
         self._clock = clock
+        self._predictor = predictor
+        self._memory = memory or ExpectedMemory(predictor)
+        self._max_wait_s = max_wait_s
         self._limit: ConcurrencyLimit = SlowStart(1, 1)
-        self._outside = 0
-        self._queue: FairQueue[Attempt] = FairQueue()
+        self._pace = Pace()
+        self._outside = OutsideLoad()
+        self._queue: FairQueue[Attempt] = FairQueue(clock)
+        self._since: dict[str, float] = {}
+        self._running: dict[str, Attempt] = {}
+        self._n_preempted = 0
+        self._reported_at = clock.now()
         self.handlers: Handlers = {
             Permitted: self._on_permitted,
             Finished: self._on_finished,
@@ -57,39 +97,56 @@
     def _on_permitted(self, msg: Permitted) -> Iterator[Message]:
         attempt = msg.attempt
         if len(self._queue) >= MAX_WAITING:
-            yield self._refuse(attempt, ErrorKind.OVERLOADED)
+            yield from self._refuse(attempt, ErrorKind.OVERLOADED, "queue is full")
             return
         service = self._state.catalog.service(attempt.service)
         priority = service.priority if service else 0
-        self._queue.push(attempt, attempt.team, priority=priority)
+        cost = expected_tokens(self._predictor, attempt)
+        self._queue.push(attempt, attempt.team, priority=priority, cost=cost)
+        self._since[attempt.attempt_id] = self._clock.now()
         yield from self._admit()
 
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
-        self._state.n_running -= 1
         attempt = msg.attempt
-        if msg.kind is None and attempt.begun_at is not None:
-            yield from self._learn(attempt, attempt.begun_at)
+        if self._running.pop(attempt.attempt_id, None) is not None:
+            self._state.n_running = len(self._running)
+            if msg.kind is None:
+                yield from self._learn(attempt)
         yield from self._admit()
         yield msg
 
-    def _learn(self, attempt: Attempt, begun_at: float) -> Iterator[Message]:
-        first = attempt.first_token_at or attempt.ended_at
+    def _learn(self, attempt: Attempt) -> Iterator[Message]:
+        source = length_source(attempt)
+        if source is not None:
+            n_tokens = len(attempt.texts)
+            self._predictor.observe(source, n_tokens)
+            error = n_tokens - expected_tokens(self._predictor, attempt)
+            self._queue.charge(attempt.team, error)
+        elif attempt.begun_at is not None:
+            latency_s = attempt.ended_at - attempt.begun_at
+            yield from self._sample(latency_s, self._state.n_running + 1)
+
+    def _sample(self, latency_s: float, n_running: int) -> Iterator[Message]:
         before = self._limit.limit
-        cold = self._limit.on_finished(first - begun_at, self._state.n_running)
+        is_cold = self._limit.on_sample(latency_s, n_running)
         self._state.limit = self._limit.limit
         if before == self._limit.limit:
             return
         yield Decision(
             "limit",
-            request_id=attempt.request_id,
-            reason="suspected cold" if cold else "evidence of completed work",
+            reason="suspected cold" if is_cold else "latency within bounds",
             before=before,
             after=self._limit.limit,
+            latency_s=round(latency_s, 4),
         )
 
     def _on_load(self, msg: EndpointLoad) -> Iterator[Message]:
-        self._state.load = msg.memory_used
-        self._outside = max(0, msg.n_running - self._state.n_running)
+        now = self._clock.now()
+        self._outside.on_report(msg.n_running + msg.n_waiting)
+        n_preempted = max(0, msg.n_preempted - self._n_preempted)
+        self._memory.on_report(n_preempted, now - self._reported_at)
+        self._n_preempted = msg.n_preempted
+        self._reported_at = now
         yield from self._admit()
 
     def _on_config(self, msg: ConfigChanged) -> Iterator[Message]:
@@ -100,27 +157,69 @@
         yield msg
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        for attempt in self._queue.discard(self._is_orphan):
+            yield from self._refuse(attempt, ErrorKind.CANCELLED, "no gateway")
         for attempt in self._queue.discard(lambda item: msg.now >= item.deadline):
-            yield self._refuse(attempt, ErrorKind.DEADLINE_EXCEEDED)
+            yield from self._refuse(attempt, ErrorKind.DEADLINE_EXCEEDED, "")
+        for attempt in self._queue.discard(self._is_late):
+            yield from self._refuse(attempt, ErrorKind.OVERLOADED, "waited too long")
+        gap_s = self._pace.sample(self._running.values(), msg.now)
+        if gap_s is not None:
+            yield from self._sample(gap_s, self._state.n_running)
+        yield from self._admit()
         yield msg
 
+    def _is_orphan(self, attempt: Attempt) -> bool:
+        orphaned_at = attempt.orphaned_at
+        if orphaned_at is None:
+            return False
+        return self._clock.now() - orphaned_at >= ORPHAN_WAIT_S
+
+    def _is_late(self, attempt: Attempt) -> bool:
+        waited_s = self._clock.now() - self._since[attempt.attempt_id]
+        return waited_s > self._max_wait_s
+
     def _admit(self) -> Iterator[Message]:
-        while self._state.n_running + self._outside < self._state.limit:
-            attempt = self._queue.pop(lambda _: True)
+        self._measure()
+        while self._state.n_running + self._outside.n_running < self._state.limit:
+            attempt = self._queue.pop(self._fits)
             if attempt is None:
                 break
-            self._state.n_running += 1
-            yield Decision(
-                "admit",
-                request_id=attempt.request_id,
-                reason="within limit",
-                n_running=self._state.n_running,
-                limit=self._state.limit,
-            )
-            yield Admitted(attempt)
+            yield from self._begin(attempt)
         self._state.n_waiting = len(self._queue)
+        self._state.load = self._memory.load
+
+    def _measure(self) -> None:
+        record = self._state.record
+        memory_tokens = record.memory_tokens if record else 1
+        occupants = [occupant(attempt) for attempt in self._running.values()]
+        self._memory.reset(memory_tokens, occupants)
+
+    def _fits(self, attempt: Attempt) -> bool:
+        # A generation larger than the memory must not wait for ever.
+        return not self._running or self._memory.fits(occupant(attempt))
+
+    def _begin(self, attempt: Attempt) -> Iterator[Message]:
+        self._since.pop(attempt.attempt_id, None)
+        self._memory.add(occupant(attempt))
+        self._running[attempt.attempt_id] = attempt
+        self._state.n_running = len(self._running)
+        self._outside.on_own(self._state.n_running, self._clock.now())
+        yield Decision(
+            "admit",
+            request_id=attempt.request_id,
+            reason="within limit and expected memory",
+            n_running=self._state.n_running,
+            limit=self._state.limit,
+            load=round(self._memory.load, 3),
+        )
+        yield Admitted(attempt)
 
-    def _refuse(self, attempt: Attempt, kind: ErrorKind) -> Message:
+    def _refuse(
+        self, attempt: Attempt, kind: ErrorKind, detail: str
+    ) -> Iterator[Message]:
+        self._since.pop(attempt.attempt_id, None)
         self._attempts.refuse(attempt.attempt_id)
         self._state.n_waiting = len(self._queue)
-        return Refused(attempt.attempt_id, kind.value, "").at(attempt.peer)
+        if attempt.peer:
+            yield Refused(attempt.attempt_id, kind.value, detail).at(attempt.peer)
