--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of decisions and of the programs."""
--- /dev/null
+++ b/benchmarks/policy/members.py
@@ -0,0 +1,244 @@
+"""Put the real chains of a gateway and a sidecar between taps."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from hawthornyard.core import (
+    Clock,
+    Consumers,
+    Decision,
+    Filter,
+    Identifiers,
+    Message,
+    PeerDown,
+    PeerUp,
+    Pipeline,
+    Tick,
+)
+from hawthornyard.frames import (
+    Accepted,
+    Ack,
+    Attach,
+    Cancel,
+    ConfigPush,
+    Dispatch,
+    Ended,
+    Failed,
+    Frame,
+    Heartbeat,
+    Refused,
+    Replied,
+    Tokens,
+    Unknown,
+)
+from hawthornyard.gateway.fleet import ApplyConfig, Fleet, Watch
+from hawthornyard.gateway.inflight import InFlight
+from hawthornyard.gateway.messages import (
+    AttemptFailed,
+    Closed,
+    ConfigChanged,
+    ReplyEnded,
+    ReplyFailed,
+    ReplyStarted,
+    ReplyTokens,
+)
+from hawthornyard.gateway.reply import Relay, Settle
+from hawthornyard.gateway.request import Claim, Retry, Route, SendAttempt, WaitForRoom
+from hawthornyard.policy import (
+    LengthPredictor,
+    MemoryLimit,
+    RetryBudget,
+    RoutingPolicy,
+)
+from hawthornyard.records import Catalog
+from hawthornyard.sidecar.attempts import Attempts
+from hawthornyard.sidecar.chain import sidecar_chain
+from hawthornyard.sidecar.messages import (
+    CallEndpoint,
+    CancelEndpoint,
+    EndpointEnded,
+    EndpointTokens,
+    Finished,
+)
+from hawthornyard.sidecar.messages import ConfigChanged as SidecarConfigChanged
+from hawthornyard.sidecar.state import SidecarState
+
+from .runner import Runner
+
+
+class Bus(Protocol):
+    """Carry messages between gateways and sidecars."""
+
+    def put(self, member: "Member", msg: Message) -> None:
+        """Push a message into a member once all earlier ones are through."""
+        ...
+
+    def deliver(self, sender: str, frame: Frame) -> None:
+        """Hand a frame to the member that it names."""
+        ...
+
+    def on_call(self, sidecar: "SidecarMember", msg: CallEndpoint) -> None:
+        """Run an attempt at the sidecar's runner."""
+        ...
+
+    def on_cancel(self, sidecar: "SidecarMember", msg: CancelEndpoint) -> None:
+        """Stop an attempt at the sidecar's runner."""
+        ...
+
+    def on_reply_ended(self, msg: ReplyEnded) -> None:
+        """Note a whole answer."""
+        ...
+
+    def on_reply_failed(self, msg: ReplyFailed) -> None:
+        """Note a refusal or a lost generation."""
+        ...
+
+
+class Member(Protocol):
+    """A gateway or a sidecar of the bench."""
+
+    @property
+    def name(self) -> str:
+        """Return its name."""
+        ...
+
+    @property
+    def pipeline(self) -> Pipeline:
+        """Return its chain."""
+        ...
+
+
+class Taps:
+    """Call functions for messages at the tail of a pipeline."""
+
+    __slots__ = ("consumers",)
+
+    def __init__(self, consumers: Consumers) -> None:
+        self.consumers = consumers
+
+
+class GatewayMember:
+    """A real gateway chain from behind the team limits on.
+
+    Attributes:
+        name: Name of the gateway.
+        inflight: Requests that are not answered yet.
+        pipeline: The chain.
+    """
+
+    __slots__ = ("inflight", "name", "pipeline")
+
+    def __init__(
+        self,
+        name: str,
+        bus: Bus,
+        clock: Clock,
+        identifiers: Identifiers,
+        predictor: LengthPredictor,
+        routing: RoutingPolicy,
+    ) -> None:
+        self.name = name
+        self.inflight = InFlight()
+        catalog = Catalog()
+        fleet = Fleet(catalog, clock)
+        chain: list[Filter] = [
+            ApplyConfig(catalog),
+            Watch(fleet),
+            Retry(RetryBudget(), clock),
+            WaitForRoom(fleet, clock, predictor=predictor),
+            Claim(self.inflight),
+            Route(fleet, routing),
+            SendAttempt(self.inflight, fleet, clock, identifiers),
+            Relay(self.inflight, fleet, clock),
+            Settle(self.inflight, fleet, clock),
+        ]
+        frames = _tap(
+            lambda frame: bus.deliver(name, frame),
+            (Dispatch, Attach, Cancel, Ack, ConfigPush),
+        )
+        feedback = _tap(lambda msg: bus.put(self, msg), (AttemptFailed, Closed))
+        replies = Taps(
+            {ReplyEnded: bus.on_reply_ended, ReplyFailed: bus.on_reply_failed}
+        )
+        dropped = _tap(
+            _drop,
+            (
+                ReplyStarted,
+                ReplyTokens,
+                ConfigChanged,
+                Decision,
+                Heartbeat,
+                Tick,
+                PeerUp,
+                PeerDown,
+            ),
+        )
+        self.pipeline = Pipeline(chain, [frames, feedback, replies, dropped])
+
+
+class SidecarMember:
+    """A real sidecar chain beside one runner.
+
+    Attributes:
+        name: Name of the endpoint.
+        runner: The runner.
+        attempts: Attempts that the chain knows.
+        predictor: Its length predictor.
+        pipeline: The chain.
+    """
+
+    __slots__ = ("_bus", "attempts", "name", "pipeline", "predictor", "runner")
+
+    def __init__(
+        self,
+        runner: Runner,
+        incarnation: str,
+        bus: Bus,
+        clock: Clock,
+        predictor: LengthPredictor,
+        memory: MemoryLimit,
+    ) -> None:
+        self.name = runner.spec.name
+        self.runner = runner
+        self.predictor = predictor
+        self.attempts = Attempts()
+        self._bus = bus
+        state = SidecarState(self.name, runner.spec.domain, incarnation, Catalog())
+        chain = sidecar_chain(
+            state, self.attempts, clock, predictor=predictor, memory=memory
+        )
+        frames = _tap(
+            lambda frame: bus.deliver(self.name, frame),
+            (Accepted, Refused, Tokens, Ended, Replied, Failed, Heartbeat, Unknown),
+        )
+        calls = Taps(
+            {
+                CallEndpoint: lambda msg: bus.on_call(self, msg),
+                CancelEndpoint: lambda msg: bus.on_cancel(self, msg),
+            }
+        )
+        dropped = _tap(
+            _drop, (Decision, Tick, PeerUp, PeerDown, Finished, SidecarConfigChanged)
+        )
+        self.pipeline = Pipeline(chain, [frames, calls, dropped])
+
+    def flush(self, attempt_id: str, n_done: int) -> None:
+        """Pass on the tokens that have left the runner for an attempt."""
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None or attempt.end is not None:
+            return
+        n_new = n_done - len(attempt.texts)
+        if n_new > 0:
+            self._bus.put(self, EndpointTokens(attempt_id, [""] * n_new))
+
+    def finish(self, attempt_id: str) -> None:
+        """Pass on the end of an attempt's output."""
+        self._bus.put(self, EndpointEnded(attempt_id, "stop"))
+
+
+def _tap(take: Callable[[Any], None], types: Iterable[type[Message]]) -> Taps:
+    return Taps(dict.fromkeys(types, take))
+
+
+def _drop(msg: Message) -> None:
+    """Drop a message."""
--- /dev/null
+++ b/benchmarks/policy/score.py
@@ -0,0 +1,176 @@
+"""Measure what callers saw in one run."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from hawthornyard.core import Message
+
+from .workload import Job
+
+FIRST_TOKEN_BOUND_S = 1.2
+GAP_BOUND_S = 0.053
+GAP_BIN_S = 0.0005
+
+
+class Record(Message):
+    """What became of one job.
+
+    Attributes:
+        job: The job.
+        first_token_at: Seconds from the start, None before.
+        last_token_at: Seconds from the start, None before.
+        ended_at: When it was answered in whole, None if it was not.
+        refused_at: When it was refused, None if it was not.
+        lost: Whether it broke off after its first token.
+        gap_stall_s: Sum of what gaps between its tokens exceeded the bound by.
+    """
+
+    __slots__ = (
+        "job",
+        "first_token_at",
+        "last_token_at",
+        "ended_at",
+        "refused_at",
+        "lost",
+        "gap_stall_s",
+    )
+
+    def __init__(self, job: Job) -> None:
+        self.job = job
+        self.first_token_at: float | None = None
+        self.last_token_at: float | None = None
+        self.ended_at: float | None = None
+        self.refused_at: float | None = None
+        self.lost = False
+        self.gap_stall_s = 0.0
+
+    def on_gap(self, now: float) -> None:
+        """Take a token that does not follow directly on the step before."""
+        if self.first_token_at is None:
+            self.first_token_at = now
+        elif self.last_token_at is not None:
+            self.gap_stall_s += max(0.0, now - self.last_token_at - GAP_BOUND_S)
+
+    def first_wait_s(self, end: float) -> float:
+        """Return the seconds until the first token, or until the caller left."""
+        job = self.job
+        if self.first_token_at is not None:
+            return self.first_token_at - job.arrives_at
+        left_at = min(end, job.deadline)
+        if self.refused_at is not None:
+            left_at = min(left_at, self.refused_at)
+        return left_at - job.arrives_at
+
+    def stall_s(self, end: float) -> float:
+        """Return the seconds that the caller waited beyond the bounds."""
+        wait_s = self.first_wait_s(end) - FIRST_TOKEN_BOUND_S
+        return max(0.0, wait_s) + self.gap_stall_s
+
+    @property
+    def is_good(self) -> bool:
+        """Return whether it was answered in whole within its deadline."""
+        return self.ended_at is not None and self.ended_at <= self.job.deadline
+
+
+class Gaps:
+    """A histogram of the times between tokens."""
+
+    __slots__ = ("_counts",)
+
+    def __init__(self) -> None:
+        self._counts: Counter[int] = Counter()
+
+    def add(self, gap_s: float, count: int = 1) -> None:
+        """Add a gap that `count` tokens saw."""
+        self._counts[int(gap_s / GAP_BIN_S)] += count
+
+    def percentile(self, share: float) -> float:
+        """Return the gap that a share of the tokens stays within, in seconds."""
+        wanted = share * sum(self._counts.values())
+        seen = 0
+        for index in sorted(self._counts):
+            seen += self._counts[index]
+            if seen >= wanted:
+                return (index + 1) * GAP_BIN_S
+        return 0.0
+
+
+class Score(Message):
+    """The figures of one run.
+
+    Attributes:
+        stall_s: Seconds that callers waited beyond the bounds, all together.
+        stall_p99_s: The same for one request, 99th percentile.
+        preemptions: Preemptions of all runners.
+        gap_p95_s: Time between tokens, 95th percentile.
+        gap_p99_s: Time between tokens, 99th percentile.
+        first_p95_s: Time to first token, 95th percentile.
+        short_first_p95_s: The same for short calls.
+        goodput: Requests a second that were answered within their deadline.
+        n_refused: Requests that were refused.
+        n_lost: Requests that broke off after their first token.
+        n_overborne: Steps in which a cold runner had too much to bear.
+        small_team_goodput: Least share of requests answered within their
+            deadline among the teams that ask for less than an equal share.
+        large_team_goodput: The same for all requests of the other teams.
+    """
+
+    __slots__ = (
+        "stall_s",
+        "stall_p99_s",
+        "preemptions",
+        "gap_p95_s",
+        "gap_p99_s",
+        "first_p95_s",
+        "short_first_p95_s",
+        "goodput",
+        "n_refused",
+        "n_lost",
+        "n_overborne",
+        "small_team_goodput",
+        "large_team_goodput",
+    )
+
+    def __init__(
+        self,
+        records: Sequence[Record],
+        gaps: Gaps,
+        *,
+        preemptions: int,
+        n_overborne: int,
+        seconds: float,
+        end: float,
+    ) -> None:
+        stalls = sorted(record.stall_s(end) for record in records)
+        self.stall_s = sum(stalls)
+        self.stall_p99_s = percentile(stalls, 0.99)
+        self.preemptions = float(preemptions)
+        self.gap_p95_s = gaps.percentile(0.95)
+        self.gap_p99_s = gaps.percentile(0.99)
+        waits = [record.first_wait_s(end) for record in records]
+        self.first_p95_s = percentile(sorted(waits), 0.95)
+        short = [r.first_wait_s(end) for r in records if r.job.priority > 5]
+        self.short_first_p95_s = percentile(sorted(short), 0.95)
+        self.goodput = sum(record.is_good for record in records) / seconds
+        self.n_refused = float(sum(r.refused_at is not None for r in records))
+        self.n_lost = float(sum(record.lost for record in records))
+        self.n_overborne = float(n_overborne)
+        by_team = _shares_by_team(records)
+        self.small_team_goodput = min(by_team[3:], default=1.0)
+        self.large_team_goodput = min(by_team[:3], default=1.0)
+
+
+def percentile(ordered: Sequence[float], share: float) -> float:
+    """Return the value that a share of an ordered sequence stays within."""
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _shares_by_team(records: Iterable[Record]) -> list[float]:
+    asked: Counter[str] = Counter()
+    good: Counter[str] = Counter()
+    for record in records:
+        asked[record.job.team] += 1
+        good[record.job.team] += record.is_good
+    return [good[team] / asked[team] for team in sorted(asked)]
--- /dev/null
+++ b/benchmarks/policy/workload.py
@@ -0,0 +1,180 @@
+"""Make the requests of a run from a seed."""
+
+import math
+import random
+from collections.abc import Sequence
+
+from hawthornyard.core import Message
+
+from .deployment import DeploymentSpec, RunnerSpec
+
+SHORT = "short"
+DRAFT = "draft"
+MODEL = "scribe"
+TEAM_SHARES = (0.30, 0.20, 0.15, 0.10, 0.08, 0.05, 0.04, 0.03, 0.03, 0.02)
+PREFIX_TOKENS = 256
+N_PREFIXES_PER_TEAM = 3
+BURST_PERIOD_S = 40.0
+BURST_S = 8.0
+BURST_FACTOR = 1.6
+MIN_TOKENS = 8
+MAX_TOKENS = 20000
+N_CAPACITY_SAMPLES = 4000
+# Tokens that a generation begun at the start of a run can reach within it.
+REACHABLE_TOKENS = 4000
+_CALM_FACTOR = (BURST_PERIOD_S - BURST_S * BURST_FACTOR) / (BURST_PERIOD_S - BURST_S)
+
+
+class Job(Message):
+    """One request of the load.
+
+    Attributes:
+        id: Unique identifier.
+        team: Team that asks.
+        service: Service it belongs to.
+        priority: Larger goes earlier.
+        n_prompt: Tokens of its prompt.
+        n_output: Tokens it will generate, unknown to the system.
+        prefix: Name of the shared prefix.
+        arrives_at: Seconds from the start.
+        deadline: Seconds from the start.
+    """
+
+    __slots__ = (
+        "id",
+        "team",
+        "service",
+        "priority",
+        "n_prompt",
+        "n_output",
+        "prefix",
+        "arrives_at",
+        "deadline",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        team: str,
+        service: str,
+        priority: int,
+        n_prompt: int,
+        n_output: int,
+        prefix: str,
+        arrives_at: float,
+        deadline: float,
+    ) -> None:
+        self.id = id
+        self.team = team
+        self.service = service
+        self.priority = priority
+        self.n_prompt = n_prompt
+        self.n_output = n_output
+        self.prefix = prefix
+        self.arrives_at = arrives_at
+        self.deadline = deadline
+
+
+class Mix(Message):
+    """What the requests of one service look like.
+
+    Attributes:
+        service: Name of the service.
+        priority: Larger goes earlier.
+        timeout_s: Seconds to the deadline.
+        prompt: Least and most tokens of a prompt.
+    """
+
+    __slots__ = ("service", "priority", "timeout_s", "prompt")
+
+    def __init__(
+        self, service: str, priority: int, timeout_s: float, prompt: Sequence[int]
+    ) -> None:
+        self.service = service
+        self.priority = priority
+        self.timeout_s = timeout_s
+        self.prompt = prompt
+
+
+MIXES = {
+    SHORT: Mix(SHORT, 9, 20.0, (PREFIX_TOKENS + 20, 600)),
+    DRAFT: Mix(DRAFT, 3, 300.0, (PREFIX_TOKENS + 50, 1500)),
+}
+
+
+def make_jobs(
+    spec: DeploymentSpec, load: float, seed: int, seconds: float
+) -> list[Job]:
+    """Return the requests of a run in order of arrival.
+
+    Args:
+        spec: The deployment.
+        load: Share of what its runners can bear.
+        seed: Seed of all chance.
+        seconds: Length of the load.
+    """
+    chance = random.Random(f"{spec.name}/{seed}")
+    rate = load * sum(capacity(runner, spec) for runner in spec.runners)
+    jobs: list[Job] = []
+    now = 0.0
+    while True:
+        now += chance.expovariate(rate * BURST_FACTOR)
+        if now >= seconds:
+            return jobs
+        # Thinning turns the rate of bursts into that of the calm between them.
+        if chance.random() < _rate_factor(now) / BURST_FACTOR:
+            jobs.append(_job(chance, spec, f"job-{len(jobs)}", now))
+
+
+def capacity(runner: RunnerSpec, spec: DeploymentSpec) -> float:
+    """Return the requests a second that a runner bears when full.
+
+    The batch is what the memory or the limit holds on average, weighted by
+    the steps for which a generation stays. An output counts as far as a run
+    can reach it from a random arrival on.
+    """
+    chance = random.Random(0)
+    jobs = [_job(chance, spec, "", 0.0) for _ in range(N_CAPACITY_SAMPLES)]
+    for job in jobs:
+        job.n_output = min(job.n_output, int(chance.random() * REACHABLE_TOKENS))
+    n_output = sum(job.n_output for job in jobs)
+    held = sum(job.n_output * (job.n_prompt + job.n_output / 2) for job in jobs)
+    profile = runner.profile
+    batch = min(runner.max_limit, profile.memory_tokens * n_output / held)
+    step_s = profile.step_s + profile.sequence_s * batch
+    n_prefill = sum(job.n_prompt - PREFIX_TOKENS for job in jobs)
+    seconds = n_output * step_s / batch + n_prefill * profile.prefill_token_s
+    return len(jobs) / seconds
+
+
+def _rate_factor(now: float) -> float:
+    return BURST_FACTOR if now % BURST_PERIOD_S < BURST_S else _CALM_FACTOR
+
+
+def _job(chance: random.Random, spec: DeploymentSpec, id: str, now: float) -> Job:
+    is_draft = chance.random() < spec.draft_share
+    mix = MIXES[DRAFT if is_draft else SHORT]
+    index = chance.choices(range(len(TEAM_SHARES)), TEAM_SHARES)[0]
+    prefix = f"{mix.service}-{index}-{chance.randrange(N_PREFIXES_PER_TEAM)}"
+    low, high = mix.prompt
+    return Job(
+        id,
+        f"team-{index}",
+        mix.service,
+        mix.priority,
+        chance.randint(low, high),
+        _n_output(chance, index, is_draft),
+        prefix,
+        now,
+        now + mix.timeout_s,
+    )
+
+
+def _n_output(chance: random.Random, team: int, is_draft: bool) -> int:
+    # Teams differ: each has its own median.
+    scale = 0.6 + 0.1 * team
+    if is_draft:
+        drawn = 200 * scale * chance.paretovariate(1.5)
+    else:
+        drawn = chance.lognormvariate(math.log(60 * scale), 0.8)
+    return max(MIN_TOKENS, min(MAX_TOKENS, int(drawn)))
--- a/hawthornyard/policy/lengths.py
+++ b/hawthornyard/policy/lengths.py
@@ -13,25 +13,26 @@
 BACKOFF_WEIGHT = 8.0
 PRIOR_SCALE_TOKENS = 256.0
 MAX_WEIGHT = 1e9
+QUANTILE_GRID = tuple(round(2 ** (step / 2)) for step in range(2, 35))
 
 
 class LengthSource(Message):
     """Where a generation comes from, as far as its length depends on it.
 
     Attributes:
-        attempt_id: The attempt.
+        request_id: The request.
         service: Service it belongs to.
         team: Team that asked for it.
         model: Model that runs it.
         max_tokens: Bound that the caller set.
     """
 
-    __slots__ = ("attempt_id", "service", "team", "model", "max_tokens")
+    __slots__ = ("request_id", "service", "team", "model", "max_tokens")
 
     def __init__(
-        self, attempt_id: str, service: str, team: str, model: str, max_tokens: int
+        self, request_id: str, service: str, team: str, model: str, max_tokens: int
     ) -> None:
-        self.attempt_id = attempt_id
+        self.request_id = request_id
         self.service = service
         self.team = team
         self.model = model
@@ -76,22 +77,28 @@
     def add(self, n_tokens: int) -> None:
         """Add an observation; all earlier ones fade a little."""
         self._unit *= self._growth
-        index = min(N_BUCKETS - 1, int(_position(n_tokens)))
+        index = int(bucket_position(n_tokens))
         self._weights[index] += self._unit
         self._tails = None
         if self._unit > MAX_WEIGHT:
             self._weights = [weight / self._unit for weight in self._weights]
             self._unit = 1.0
 
-    def tail(self, n_tokens: int) -> float:
-        """Return the weight of the observations above a length."""
-        if self._tails is None:
-            self._tails = self._sum_tails()
-        position = min(N_BUCKETS - 1.0, _position(n_tokens))
-        index = int(position)
-        share = position - index
-        here, above = self._tails[index], self._tails[index + 1]
-        return here + share * (above - here)
+    def tails(self, positions: Sequence[float]) -> list[float]:
+        """Return the weight of the observations above each position.
+
+        Args:
+            positions: Lengths in buckets; see `bucket_position`.
+        """
+        tails = self._tails
+        if tails is None:
+            tails = self._tails = self._sum_tails()
+        result = []
+        for position in positions:
+            index = int(position)
+            here = tails[index]
+            result.append(here + (position - index) * (tails[index + 1] - here))
+        return result
 
     def _sum_tails(self) -> list[float]:
         tails = [0.0] * (N_BUCKETS + 1)
@@ -129,15 +136,18 @@
         """Return the probability of each further number of tokens."""
         scale = PRIOR_SCALE_TOKENS + n_done
         result = [scale / (scale + n_tokens) for n_tokens in ahead]
+        positions = [bucket_position(n_done)]
+        positions += [bucket_position(n_done + n_tokens) for n_tokens in ahead]
         backing = self._backoff_weight
         for key in _keys(source):
             histogram = self._histograms.get(key)
             if histogram is None:
                 continue
-            above = histogram.tail(n_done) + backing
+            here, *beyond = histogram.tails(positions)
+            total = here + backing
             result = [
-                (histogram.tail(n_done + n_tokens) + backing * wider) / above
-                for n_tokens, wider in zip(ahead, result, strict=True)
+                (tail + backing * wider) / total
+                for tail, wider in zip(beyond, result, strict=True)
             ]
         n_left = source.max_tokens - n_done
         return [
@@ -165,14 +175,20 @@
     predictor: LengthPredictor, source: LengthSource, n_done: int, share: float
 ) -> int:
     """Return the further tokens that a share of such generations stays within."""
-    low, high = 0, max(1, source.max_tokens - n_done)
-    while low < high:
-        middle = (low + high) // 2
-        if predictor.survival(source, n_done, [middle])[0] > 1.0 - share:
-            low = middle + 1
-        else:
-            high = middle
-    return low
+    chances = predictor.survival(source, n_done, QUANTILE_GRID)
+    wanted = 1.0 - share
+    before_tokens, before = 0, 1.0
+    for n_tokens, chance in zip(QUANTILE_GRID, chances, strict=True):
+        if chance <= wanted:
+            part = (before - wanted) / (before - chance)
+            return math.ceil(before_tokens + part * (n_tokens - before_tokens))
+        before_tokens, before = n_tokens, chance
+    return source.max_tokens - n_done
+
+
+def bucket_position(n_tokens: int) -> float:
+    """Return the place of a length in the buckets, which grow with the length."""
+    return min(N_BUCKETS - 1.0, BUCKETS_PER_OCTAVE * math.log2(1.0 + n_tokens))
 
 
 def _keys(source: LengthSource) -> list[str]:
@@ -181,7 +197,3 @@
         f"service/{source.service}",
         f"team/{source.service}/{source.team}",
     ]
-
-
-def _position(n_tokens: int) -> float:
-    return BUCKETS_PER_OCTAVE * math.log2(1.0 + n_tokens)
--- a/hawthornyard/policy/memory.py
+++ b/hawthornyard/policy/memory.py
@@ -14,6 +14,9 @@
 MAX_SAFETY = 4.0
 SAFETY_STEP = 0.5
 SAFETY_DECAY_PER_S = 0.02
+# A prediction is made again once this share of the tokens is new.
+STALE_SHARE = 0.125
+STALE_TOKENS = 8
 
 
 class Occupant(Message):
@@ -58,6 +61,18 @@
         ...
 
 
+class _Prediction:
+    __slots__ = ("chances", "n_done")
+
+    def __init__(self, n_done: int, chances: list[float]) -> None:
+        self.n_done = n_done
+        self.chances = chances
+
+    def is_stale(self, n_done: int) -> bool:
+        n_new = n_done - self.n_done
+        return n_new > STALE_TOKENS + STALE_SHARE * self.n_done
+
+
 class ExpectedMemory:
     """Sum the expected memory at several horizons with a margin.
 
@@ -76,6 +91,7 @@
         "_adapts",
         "_means",
         "_memory_tokens",
+        "_predictions",
         "_predictor",
         "_variances",
         "safety",
@@ -91,6 +107,7 @@
         self._predictor = predictor
         self._adapts = adapts
         self._memory_tokens = 1
+        self._predictions: dict[str, _Prediction] = {}
         self._means = [0.0] * len(HORIZONS_TOKENS)
         self._variances = [0.0] * len(HORIZONS_TOKENS)
         self.safety = safety
@@ -105,7 +122,12 @@
         self._memory_tokens = max(1, memory_tokens)
         self._means = [0.0] * len(HORIZONS_TOKENS)
         self._variances = [0.0] * len(HORIZONS_TOKENS)
+        before = self._predictions
+        self._predictions = {}
         for occupant in running:
+            request_id = occupant.source.request_id
+            if request_id in before:
+                self._predictions[request_id] = before[request_id]
             self.add(occupant)
 
     def fits(self, occupant: Occupant) -> bool:
@@ -125,9 +147,7 @@
         self.safety = min(MAX_SAFETY, max(MIN_SAFETY, self.safety + change))
 
     def _with(self, occupant: Occupant) -> tuple[list[float], list[float]]:
-        chances = self._predictor.survival(
-            occupant.source, occupant.n_done, HORIZONS_TOKENS
-        )
+        chances = self._chances(occupant)
         held = occupant.n_prompt + occupant.n_done
         means, variances = [], []
         for index, chance in enumerate(chances):
@@ -137,6 +157,14 @@
             variances.append(self._variances[index] + spread)
         return means, variances
 
+    def _chances(self, occupant: Occupant) -> list[float]:
+        request_id, n_done = occupant.source.request_id, occupant.n_done
+        known = self._predictions.get(request_id)
+        if known is None or known.is_stale(n_done):
+            chances = self._predictor.survival(occupant.source, n_done, HORIZONS_TOKENS)
+            known = self._predictions[request_id] = _Prediction(n_done, chances)
+        return known.chances
+
     def _demand(self, means: list[float], variances: list[float]) -> float:
         return max(
             mean + self.safety * math.sqrt(variance)
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Clock, Filter
-from ..policy import BackoffPredictor
+from ..policy import BackoffPredictor, LengthPredictor, MemoryLimit
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
 from .reply import AttachPeers, NumberOutput
@@ -12,7 +12,12 @@
 
 
 def sidecar_chain(
-    state: SidecarState, attempts: Attempts, clock: Clock
+    state: SidecarState,
+    attempts: Attempts,
+    clock: Clock,
+    *,
+    predictor: LengthPredictor | None = None,
+    memory: MemoryLimit | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a sidecar, head first.
 
@@ -20,14 +25,17 @@
         state: State of the sidecar.
         attempts: Attempts that are known.
         clock: Source of time.
+        predictor: Predicts output lengths.
+        memory: Bounds the expected memory.
     """
+    predictor = predictor or BackoffPredictor()
     return [
         TakeConfig(state.catalog),
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
         Gate(state, attempts),
-        Admit(state, attempts, clock, BackoffPredictor()),
+        Admit(state, attempts, clock, predictor, memory=memory),
         Begin(clock),
         Beat(state, clock),
     ]
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -47,6 +47,7 @@
     __slots__ = (
         "_attempts",
         "_clock",
+        "_costs",
         "_limit",
         "_max_wait_s",
         "_memory",
@@ -83,6 +84,7 @@
         self._outside = OutsideLoad()
         self._queue: FairQueue[Attempt] = FairQueue(clock)
         self._since: dict[str, float] = {}
+        self._costs: dict[str, float] = {}
         self._running: dict[str, Attempt] = {}
         self._n_preempted = 0
         self._reported_at = clock.now()
@@ -104,12 +106,15 @@
         cost = expected_tokens(self._predictor, attempt)
         self._queue.push(attempt, attempt.team, priority=priority, cost=cost)
         self._since[attempt.attempt_id] = self._clock.now()
+        self._costs[attempt.attempt_id] = cost
         yield from self._admit()
 
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
         attempt = msg.attempt
+        expected = self._costs.pop(attempt.attempt_id, 0.0)
         if self._running.pop(attempt.attempt_id, None) is not None:
             self._state.n_running = len(self._running)
+            self._queue.charge(attempt.team, len(attempt.texts) - expected)
             if msg.kind is None:
                 yield from self._learn(attempt)
         yield from self._admit()
@@ -118,10 +123,7 @@
     def _learn(self, attempt: Attempt) -> Iterator[Message]:
         source = length_source(attempt)
         if source is not None:
-            n_tokens = len(attempt.texts)
-            self._predictor.observe(source, n_tokens)
-            error = n_tokens - expected_tokens(self._predictor, attempt)
-            self._queue.charge(attempt.team, error)
+            self._predictor.observe(source, len(attempt.texts))
         elif attempt.begun_at is not None:
             latency_s = attempt.ended_at - attempt.begun_at
             yield from self._sample(latency_s, self._state.n_running + 1)
@@ -219,6 +221,7 @@
         self, attempt: Attempt, kind: ErrorKind, detail: str
     ) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
+        self._costs.pop(attempt.attempt_id, None)
         self._attempts.refuse(attempt.attempt_id)
         self._state.n_waiting = len(self._queue)
         if attempt.peer:
--- a/hawthornyard/sidecar/request/size.py
+++ b/hawthornyard/sidecar/request/size.py
@@ -14,7 +14,7 @@
     if not isinstance(work, Generation):
         return None
     return LengthSource(
-        attempt.attempt_id, attempt.service, attempt.team, work.model, work.max_tokens
+        attempt.request_id, attempt.service, attempt.team, work.model, work.max_tokens
     )
 
 
@@ -23,7 +23,7 @@
     work = attempt.work
     source = length_source(attempt)
     if source is None or not isinstance(work, Generation):
-        return Occupant(LengthSource(attempt.attempt_id, "", "", "", 0), 0, 0)
+        return Occupant(LengthSource(attempt.request_id, "", "", "", 0), 0, 0)
     return Occupant(source, prompt_tokens(work.prompt), len(attempt.texts))
 
 
--- a/hawthornyard/standins/engine_model.py
+++ b/hawthornyard/standins/engine_model.py
@@ -137,6 +137,10 @@
         self._warmth.turn_cold()
         self._cache.clear(self._clock.now())
 
+    def warm_up(self) -> None:
+        """Become warm at once."""
+        self._warmth.warm_up()
+
     def load(self) -> Load:
         """Return the load as it was some time ago."""
         self._sample()
--- a/hawthornyard/standins/engine_warmth.py
+++ b/hawthornyard/standins/engine_warmth.py
@@ -32,6 +32,10 @@
         """Warm up by a time of work within what the engine bears."""
         self._worked_s += seconds
 
+    def warm_up(self) -> None:
+        """Become warm at once."""
+        self._worked_s = self._warm_up_s
+
     def turn_cold(self) -> None:
         """Forget all work."""
         self._worked_s = 0.0
