Check records with their place, and accept changes in one transaction

Cause: records and settings were checked without file and line, YAML's own traps (a field twice, aliases, infinite numbers) passed, names of missing records passed, and a change left no trace and depended on no head.

Decided: the table keeps a record in the schema it was accepted in; each process upgrades on reading and keeps the last form it understands of a record that is too new. Ruled out: storing the newest form, because one newer command line would then change records under processes that can't read them. Ruled out too: retrying for the operator after a conflict, since what the operator decided on is no longer there.

A lost reply is resolved by the change's own row; where it is absent the same transaction is sent again, which the head's revision lets take effect only once.

New contract: records and plans are decided on apart from their encoding.

Before: settings error "settings: 'x' is a required property" without line; after: file, line, field, given, allowed.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,7 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 	$(BIN)/python tools/error_table.py --check
+	$(BIN)/python tools/configuration_tables.py --check
 
 bench: $(VENV)/.dev
 	$(BIN)/python -m benchmarks
--- a/features/environment.py
+++ b/features/environment.py
@@ -16,6 +16,8 @@
 from hawthornyard.rim import configure_log  # noqa: E402
 
 _BY_TAG = {"fixture.kingston": fixtures.kingston}
+# Made anew for each scenario of a feature with the tag.
+_BY_SCENARIO_TAG = {"fixture.operator": fixtures.operator}
 
 
 def before_all(context: Context) -> None:
@@ -29,3 +31,6 @@
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.answers = []
+    for tag in scenario.effective_tags:
+        if tag in _BY_SCENARIO_TAG:
+            use_fixture(_BY_SCENARIO_TAG[tag], context)
--- /dev/null
+++ b/hawthornyard/cli/output.py
@@ -0,0 +1,114 @@
+"""Show results as plain tables for people or as JSON for programs."""
+
+import json
+import sys
+from collections.abc import Sequence
+from typing import Any, Literal, Protocol
+
+import rich.box
+import rich.console
+import rich.table
+
+from ..core import Message
+
+Output = Literal["text", "json"]
+
+# Wide enough for a whole row where no terminal sets a width.
+PIPE_WIDTH_CHARS = 200
+
+
+class Result(Message):
+    """What a command has to show.
+
+    Attributes:
+        body: The whole result, for programs.
+        columns: Headings of the table, none for no table.
+        rows: Cells of the table.
+        notes: Lines below the table.
+    """
+
+    __slots__ = ("body", "columns", "rows", "notes")
+
+    def __init__(
+        self,
+        body: Any,
+        *,
+        columns: Sequence[str] = (),
+        rows: Sequence[Sequence[object]] = (),
+        notes: Sequence[str] = (),
+    ) -> None:
+        self.body = body
+        self.columns = columns
+        self.rows = rows
+        self.notes = notes
+
+
+class Printer(Protocol):
+    """Show results to one kind of reader."""
+
+    def show(self, result: Result) -> None:
+        """Write a result to standard output."""
+        ...
+
+
+class TextPrinter:
+    """Show tables and notes to people."""
+
+    __slots__ = ()
+
+    def show(self, result: Result) -> None:
+        """Write a result to standard output."""
+        console = make_console()
+        if result.rows:
+            console.print(_table(result))
+        for note in result.notes:
+            console.print(note, soft_wrap=True)
+
+
+class JsonPrinter:
+    """Show one JSON value to programs."""
+
+    __slots__ = ()
+
+    def show(self, result: Result) -> None:
+        """Write a result to standard output."""
+        print(json.dumps(result.body, indent=2))
+
+
+_PRINTERS: dict[Output, Printer] = {"text": TextPrinter(), "json": JsonPrinter()}
+
+
+def show(result: Result, output: Output) -> None:
+    """Write a result to standard output.
+
+    Args:
+        result: What to show.
+        output: Who reads it.
+    """
+    _PRINTERS[output].show(result)
+
+
+def make_console(*, to_stderr: bool = False) -> rich.console.Console:
+    """Return a console that shows text as it is, without markup."""
+    stream = sys.stderr if to_stderr else sys.stdout
+    width = None if stream.isatty() else PIPE_WIDTH_CHARS
+    return rich.console.Console(
+        file=stream, width=width, markup=False, highlight=False, emoji=False
+    )
+
+
+def _table(result: Result) -> rich.table.Table:
+    table = rich.table.Table(box=rich.box.SIMPLE_HEAD, pad_edge=False)
+    for column in result.columns:
+        table.add_column(column, overflow="fold")
+    for row in result.rows:
+        table.add_row(*(_cell(value) for value in row))
+    return table
+
+
+def _cell(value: object) -> str:
+    if isinstance(value, str):
+        return value
+    if value is None:
+        return ""
+    return json.dumps(value)
--- /dev/null
+++ b/hawthornyard/cli/recordview.py
@@ -0,0 +1,156 @@
+"""Lay out records and changes for showing."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from ..documents import Problem
+from ..operator import Accepted, Change, Plan, RecordFiles, Step
+from .output import Result
+
+MAX_NAMES = 4
+
+_FORCE_NOTES = {
+    True: "In force at all gateways and sidecars that were asked.",
+    False: "Accepted, but not in force everywhere yet.",
+}
+
+
+def problems_result(files: RecordFiles, problems: Sequence[Problem]) -> Result:
+    """Return the outcome of a check; its problems only for programs."""
+    body = {
+        "n_records": len(files.drafts),
+        "problems": [
+            {name: getattr(problem, name) for name in Problem.fields()}
+            for problem in problems
+        ],
+    }
+    notes = [] if problems else [f"{len(files.drafts)} records are valid."]
+    return Result(body, notes=notes)
+
+
+def plan_result(plan: Plan) -> Result:
+    """Return what a plan would change."""
+    body = {
+        "base": plan.base,
+        "n_unchanged": plan.n_unchanged,
+        "steps": [_step_body(step) for step in plan.steps],
+    }
+    notes = [
+        f"{len(plan.steps)} records to write, {plan.n_unchanged} unchanged; "
+        f"base revision {plan.base}."
+    ]
+    return Result(
+        body,
+        columns=("action", "record", "field", "before", "after"),
+        rows=[row for step in plan.steps for row in _step_rows(step)],
+        notes=notes,
+    )
+
+
+def accepted_result(accepted: Accepted, kinds: Sequence[str]) -> Result:
+    """Return the accepted records of some kinds."""
+    records = [item for item in accepted.live() if item.kind in kinds]
+    body = {
+        "revision": accepted.revision,
+        "records": [
+            {"revision": item.revision, "document": item.document} for item in records
+        ],
+    }
+    rows = [
+        (item.kind, item.name, (item.document or {}).get("schema"), item.revision)
+        for item in records
+    ]
+    notes = [f"{len(records)} records at revision {accepted.revision}."]
+    return Result(
+        body, columns=("kind", "name", "schema", "revision"), rows=rows, notes=notes
+    )
+
+
+def change_result(change: Change, *, is_in_force: bool | None = None) -> Result:
+    """Return one accepted change with all its records."""
+    note = change.note
+    rows = [
+        (record.action, str(record), record.before or "", change.revision)
+        for record in change.records
+    ]
+    notes = [
+        f"Accepted as revision {change.revision}: change {note.change_id} "
+        f"by {note.author} at {note.time}."
+    ]
+    if note.message:
+        notes.append(note.message)
+    if is_in_force is not None:
+        notes.append(_FORCE_NOTES[is_in_force])
+    body = {
+        "revision": change.revision,
+        "change": _change_body(change),
+        "in_force": is_in_force,
+    }
+    columns = ("action", "record", "before", "after")
+    return Result(body, columns=columns, rows=rows, notes=notes)
+
+
+def history_result(changes: Sequence[Change]) -> Result:
+    """Return accepted changes in the order given."""
+    rows = [
+        (
+            change.revision,
+            change.note.time,
+            change.note.author,
+            change.note.change_id,
+            ", ".join(f"{rec.action} {rec}" for rec in change.records[:MAX_NAMES])
+            + _more(len(change.records) - MAX_NAMES),
+            change.note.message,
+        )
+        for change in changes
+    ]
+    columns = ("revision", "time", "author", "change", "records", "message")
+    body = [_change_body(change) for change in changes]
+    notes = [] if changes else ["No change was accepted."]
+    return Result(body, columns=columns, rows=rows, notes=notes)
+
+
+def _more(n_more: int) -> str:
+    return f" and {n_more} more" if n_more > 0 else ""
+
+
+def _step_body(step: Step) -> dict[str, Any]:
+    return {
+        "action": step.action.value,
+        "kind": step.name.kind,
+        "name": step.name.name,
+        "before_revision": step.before_revision,
+        "differences": [
+            {"field": item.field, "before": item.before, "after": item.after}
+            for item in step.differences
+        ],
+    }
+
+
+def _step_rows(step: Step) -> list[tuple[object, ...]]:
+    head = (step.action.value, str(step.name))
+    return [
+        (*head, item.field, item.before, item.after) for item in step.differences
+    ] or [(*head, "", "", "")]
+
+
+def _change_body(change: Change) -> dict[str, Any]:
+    note = change.note
+    return {
+        "id": note.change_id,
+        "author": note.author,
+        "time": note.time,
+        "message": note.message,
+        "base": change.base,
+        "revision": change.revision,
+        "records": [
+            {
+                "kind": record.kind,
+                "name": record.name,
+                "action": record.action,
+                "before": record.before,
+                "after": change.revision,
+            }
+            for record in change.records
+        ],
+    }
--- /dev/null
+++ b/hawthornyard/cli/wait.py
@@ -0,0 +1,46 @@
+"""Wait, with progress, until a revision is in force."""
+
+from collections.abc import Sequence
+
+import eventlet
+from rich.progress import Progress
+
+from ..operator import InForce, fetch_status, wait_in_force
+from ..rim import MonotonicClock
+from .output import make_console
+
+MAX_NAMES = 5
+
+
+def wait_for_revision(
+    urls: Sequence[str], revision: int, *, timeout_s: float
+) -> InForce:
+    """Wait until gateways and their sidecars have a revision in force.
+
+    Args:
+        urls: Gateways to ask.
+        revision: The revision.
+        timeout_s: Seconds after which to give up.
+    """
+    console = make_console(to_stderr=True)
+    # Without auto_refresh no thread is started.
+    with Progress(console=console, auto_refresh=False, transient=True) as progress:
+        task = progress.add_task(f"revision {revision} in force", total=None)
+
+        def show_state(state: InForce) -> None:
+            n_done = state.n_processes - len(state.lagging)
+            progress.update(task, total=state.n_processes, completed=n_done)
+            progress.refresh()
+
+        state = wait_in_force(
+            lambda: [fetch_status(url) for url in urls],
+            revision,
+            timeout_s=timeout_s,
+            clock=MonotonicClock(),
+            pause=eventlet.sleep,
+            on_progress=show_state,
+        )
+    if state.lagging:
+        named = ", ".join(state.lagging[:MAX_NAMES])
+        console.print(f"not in force at {len(state.lagging)}: {named}")
+    return state
--- /dev/null
+++ b/hawthornyard/documents/check.py
@@ -0,0 +1,145 @@
+"""Check parsed values against a JSON Schema, in terms that people can act on."""
+
+import difflib
+import json
+import math
+from collections.abc import Callable, Iterator, Mapping, Sequence
+from typing import Any
+
+import jsonschema
+
+from .violation import FieldPath, Violation
+
+# The library's own type leaves every attribute possibly unset.
+SchemaError = Any
+
+_TYPE_NAMES = {
+    "string": "text",
+    "integer": "a whole number",
+    "number": "a number",
+    "boolean": "true or false",
+    "array": "a list",
+    "object": "a mapping",
+}
+
+
+def check_value(value: Any, schema: Mapping[str, Any]) -> Iterator[Violation]:
+    """Yield what is wrong with a value.
+
+    Args:
+        value: Any parsed YAML or JSON value.
+        schema: JSON Schema that the value must match.
+    """
+    yield from _non_finite(value, ())
+    validator = jsonschema.Draft202012Validator(schema)
+    for error in sorted(validator.iter_errors(value), key=_order):
+        explain = _EXPLAIN.get(error.validator, _other)
+        yield from explain(error)
+
+
+def suggest(given: object, known: Sequence[str]) -> str:
+    """Return the known name closest to a mistyped one, empty for none."""
+    close = difflib.get_close_matches(str(given), known, n=1)
+    return close[0] if close else ""
+
+
+def _order(error: SchemaError) -> list[str]:
+    return [str(part) for part in error.absolute_path]
+
+
+def _non_finite(value: Any, path: FieldPath) -> Iterator[Violation]:
+    if isinstance(value, dict):
+        for key, item in value.items():
+            yield from _non_finite(item, (*path, key))
+    if isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _non_finite(item, (*path, index))
+    if isinstance(value, float) and not math.isfinite(value):
+        yield Violation(path, value, "a finite number")
+
+
+def _path(error: SchemaError) -> FieldPath:
+    return tuple(error.absolute_path)
+
+
+def _unknown_fields(error: SchemaError) -> Iterator[Violation]:
+    known = sorted(error.schema["properties"])
+    for key in error.instance:
+        if key in known:
+            continue
+        close = suggest(key, known)
+        hint = f"; did you mean {close}?" if close else ""
+        allowed = f"one of the fields {', '.join(known)}{hint}"
+        yield Violation((*_path(error), str(key)), key, allowed)
+
+
+def _missing_fields(error: SchemaError) -> Iterator[Violation]:
+    # One error comes for each missing field; its message begins with the name.
+    for key in error.validator_value:
+        if key not in error.instance and error.message.startswith(f"{key!r} "):
+            yield Violation((*_path(error), key), None, _required(error, key))
+
+
+def _required(error: SchemaError, key: str) -> str:
+    schema = error.schema["properties"].get(key, {})
+    meaning = schema.get("description", "")
+    return f"the field is required{': ' + meaning if meaning else ''}"
+
+
+def _choice(error: SchemaError) -> Iterator[Violation]:
+    known = [str(item) for item in error.validator_value]
+    close = suggest(error.instance, known)
+    hint = f"; did you mean {close}?" if close else ""
+    allowed = f"one of {', '.join(known)}{hint}"
+    yield Violation(_path(error), error.instance, allowed)
+
+
+def _constant(error: SchemaError) -> Iterator[Violation]:
+    yield Violation(_path(error), error.instance, json.dumps(error.validator_value))
+
+
+def _type(error: SchemaError) -> Iterator[Violation]:
+    name = _TYPE_NAMES.get(error.validator_value, str(error.validator_value))
+    yield Violation(_path(error), error.instance, name + _meaning(error))
+
+
+def _pattern(error: SchemaError) -> Iterator[Violation]:
+    meaning = error.schema.get("description")
+    allowed = meaning or f"text that matches {error.validator_value}"
+    yield Violation(_path(error), error.instance, allowed)
+
+
+def _bound(text: str) -> Callable[[SchemaError], Iterator[Violation]]:
+    def explain(error: SchemaError) -> Iterator[Violation]:
+        allowed = f"{text} {error.validator_value}{_meaning(error)}"
+        yield Violation(_path(error), error.instance, allowed)
+
+    return explain
+
+
+def _unique(error: SchemaError) -> Iterator[Violation]:
+    yield Violation(_path(error), error.instance, "a list without repeated items")
+
+
+def _other(error: SchemaError) -> Iterator[Violation]:
+    yield Violation(_path(error), error.instance, error.message)
+
+
+def _meaning(error: SchemaError) -> str:
+    meaning = error.schema.get("description", "")
+    return f" ({meaning})" if meaning else ""
+
+
+_EXPLAIN: dict[Any, Callable[[SchemaError], Iterator[Violation]]] = {
+    "additionalProperties": _unknown_fields,
+    "required": _missing_fields,
+    "enum": _choice,
+    "const": _constant,
+    "type": _type,
+    "pattern": _pattern,
+    "minimum": _bound("at least"),
+    "exclusiveMinimum": _bound("more than"),
+    "maximum": _bound("at most"),
+    "exclusiveMaximum": _bound("less than"),
+    "uniqueItems": _unique,
+}
--- a/hawthornyard/frames/frame.py
+++ b/hawthornyard/frames/frame.py
@@ -115,7 +115,7 @@
         kind: Record kind.
         name: Record name.
         revision: Table revision that wrote it.
-        document: The record in its newest schema as JSON text; empty if retired.
+        document: The record as it was accepted, as JSON text; empty if retired.
     """
 
     __slots__ = ("kind", "name", "revision", "document")
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -181,11 +181,13 @@
         return {
             "name": self._settings.name,
             "revision": self.catalog.revision,
+            "not_understood": sorted(self.catalog.not_understood),
             "n_in_flight": len(self.inflight),
             "endpoints": [
                 {
                     "name": view.endpoint,
                     "failure_domain": view.failure_domain,
+                    "revision": view.revision,
                     "accepting": view.accepting,
                     "n_running": view.n_running,
                     "n_waiting": view.n_waiting,
--- /dev/null
+++ b/hawthornyard/operator/explain.py
@@ -0,0 +1,116 @@
+"""Tell from decision log lines why a request went where it went."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+from ..core import Message
+
+ROUTE = "route"
+
+
+class LogLine(Message):
+    """One decision of a process.
+
+    Attributes:
+        time: When it was logged, ISO 8601.
+        process: Process that decided.
+        event: Name of the decision.
+        reason: Why, in a few words.
+        details: Further fields of the line.
+    """
+
+    __slots__ = ("time", "process", "event", "reason", "details")
+
+    def __init__(
+        self,
+        time: str,
+        process: str,
+        event: str,
+        reason: str,
+        details: Mapping[str, object],
+    ) -> None:
+        self.time = time
+        self.process = process
+        self.event = event
+        self.reason = reason
+        self.details = details
+
+
+class Explanation(Message):
+    """The way of one request.
+
+    Attributes:
+        endpoints: Endpoints that it was sent to, in order.
+        sentences: One sentence for each line, in order.
+    """
+
+    __slots__ = ("endpoints", "sentences")
+
+    def __init__(self, endpoints: Sequence[str], sentences: Sequence[str]) -> None:
+        self.endpoints = endpoints
+        self.sentences = sentences
+
+
+def explain(lines: Sequence[LogLine]) -> Explanation:
+    """Return why a request went where it went.
+
+    Args:
+        lines: Its log lines, oldest first.
+    """
+    endpoints = [
+        str(line.details.get("endpoint", "")) for line in lines if line.event == ROUTE
+    ]
+    sentences = [_TELLERS.get(line.event, _tell_other)(line) for line in lines]
+    return Explanation(endpoints, sentences)
+
+
+def _tell_route(line: LogLine) -> str:
+    details = line.details
+    scores = _scores(details.get("candidates"), details.get("scores"))
+    among = f" among {scores}" if scores else ""
+    return f"routed to {details.get('endpoint')}{among}: {line.reason}"
+
+
+def _scores(candidates: object, scores: object) -> str:
+    if not isinstance(candidates, list) or not isinstance(scores, list):
+        return ""
+    pairs = zip(candidates, scores, strict=False)
+    return ", ".join(f"{candidate} ({score})" for candidate, score in pairs)
+
+
+def _tell_claim(line: LogLine) -> str:
+    if line.details.get("replayed"):
+        return "answered with the recorded outcome of its idempotency key"
+    return f"idempotency key: {line.reason}"
+
+
+def _tell_retry(line: LogLine) -> str:
+    n_attempts = line.details.get("n_attempts")
+    if line.details.get("retried"):
+        return f"attempt {n_attempts} failed ({line.reason}); tried again"
+    return f"given up after {n_attempts} attempts: {line.reason}"
+
+
+def _tell_admit(line: LogLine) -> str:
+    details = line.details
+    running, limit = details.get("n_running"), details.get("limit")
+    return f"admitted by {line.process} as {running} of {limit}: {line.reason}"
+
+
+def _tell_limit(line: LogLine) -> str:
+    before, after = line.details.get("before"), line.details.get("after")
+    return f"its end moved the limit of {line.process} from {before} to {after}"
+
+
+def _tell_other(line: LogLine) -> str:
+    details = ", ".join(f"{key}={value}" for key, value in line.details.items())
+    reason = f": {line.reason}" if line.reason else ""
+    return f"{line.event}{reason}{' (' + details + ')' if details else ''}"
+
+
+_TELLERS: dict[str, Callable[[LogLine], str]] = {
+    ROUTE: _tell_route,
+    "claim": _tell_claim,
+    "retry": _tell_retry,
+    "admit": _tell_admit,
+    "limit": _tell_limit,
+}
--- /dev/null
+++ b/hawthornyard/operator/plan.py
@@ -0,0 +1,227 @@
+"""Decide what a change would do, and whether it may be done."""
+
+import enum
+from collections.abc import Iterator, Sequence
+
+from ..core import Message
+from ..documents.problem import Problem
+from ..documents.violation import Violation
+from ..records.build import build_record
+from ..records.contradiction import contradictions
+from ..records.record import Document, Record
+from ..records.reference import Reference, references
+from ..records.upgrade import is_known, upgrade
+from .accepted import Accepted, RecordName
+from .draft import Draft
+
+MAX_NAMES_SHOWN = 12
+
+
+class Action(enum.Enum):
+    """What a change does to a record."""
+
+    CREATE = "create"
+    UPDATE = "update"
+    RETIRE = "retire"
+
+
+class Difference(Message):
+    """One field that a change alters.
+
+    Attributes:
+        field: Dotted path of the field.
+        before: Value before, None if there was none.
+        after: Value after, None if there is none.
+    """
+
+    __slots__ = ("field", "before", "after")
+
+    def __init__(self, field: str, before: object, after: object) -> None:
+        self.field = field
+        self.before = before
+        self.after = after
+
+
+class Step(Message):
+    """What a change does to one record.
+
+    Attributes:
+        name: The record.
+        action: What is done.
+        before_revision: Revision of its row that the operator saw, 0 for none.
+        document: Its new document, None to retire it.
+        differences: Fields that are altered.
+    """
+
+    __slots__ = ("name", "action", "before_revision", "document", "differences")
+
+    def __init__(
+        self,
+        name: RecordName,
+        action: Action,
+        before_revision: int,
+        document: Document | None,
+        differences: Sequence[Difference],
+    ) -> None:
+        self.name = name
+        self.action = action
+        self.before_revision = before_revision
+        self.document = document
+        self.differences = differences
+
+
+class Plan:
+    """What a change would do.
+
+    Attributes:
+        base: Revision of the configuration that it starts from.
+        steps: Records that it would write.
+        n_unchanged: Drafts that are accepted already.
+        problems: Why it may not be done.
+    """
+
+    __slots__ = ("base", "n_unchanged", "problems", "steps")
+
+    def __init__(
+        self,
+        base: int,
+        steps: Sequence[Step],
+        n_unchanged: int,
+        problems: Sequence[Problem],
+    ) -> None:
+        self.base = base
+        self.steps = steps
+        self.n_unchanged = n_unchanged
+        self.problems = problems
+
+
+def plan_apply(accepted: Accepted, drafts: Sequence[Draft]) -> Plan:
+    """Plan to accept drafts.
+
+    Args:
+        accepted: The records as the operator saw them.
+        drafts: Records to create or update.
+    """
+    steps = [_step_of_draft(accepted, draft) for draft in drafts]
+    changing = [step for step in steps if step is not None]
+    problems = [*_repeated(drafts), *_contradictory(drafts)]
+    problems += _dangling(accepted, drafts)
+    n_unchanged = len(steps) - len(changing)
+    return Plan(accepted.revision, changing, n_unchanged, problems)
+
+
+def plan_retire(accepted: Accepted, names: Sequence[RecordName]) -> Plan:
+    """Plan to retire records.
+
+    Args:
+        accepted: The records as the operator saw them.
+        names: Records to retire.
+    """
+    unique = list({str(name): name for name in names}.values())
+    problems = [*_missing(accepted, unique), *_still_referenced(accepted, unique)]
+    steps = [
+        Step(name, Action.RETIRE, accepted.row_revision(name), None, ())
+        for name in unique
+    ]
+    return Plan(accepted.revision, steps, 0, problems)
+
+
+def differences(before: Document, after: Document) -> list[Difference]:
+    """Return the fields in which two forms of a record differ.
+
+    Forms of different schema versions are compared in their newest one.
+    """
+    old, new = _fields(_newest(before)), _fields(_newest(after))
+    old["schema"], new["schema"] = before["schema"], after["schema"]
+    return [
+        Difference(field, old.get(field), new.get(field))
+        for field in sorted(old.keys() | new.keys())
+        if old.get(field) != new.get(field)
+    ]
+
+
+def _step_of_draft(accepted: Accepted, draft: Draft) -> Step | None:
+    record = accepted.find(draft.name)
+    row_revision = accepted.row_revision(draft.name)
+    document = draft.document
+    if record is None or record.document is None:
+        changed = differences({**document, "spec": {}}, document)
+        return Step(draft.name, Action.CREATE, row_revision, document, changed)
+    if record.document == document:
+        return None
+    changed = differences(record.document, document)
+    return Step(draft.name, Action.UPDATE, row_revision, document, changed)
+
+
+def _newest(document: Document) -> Document:
+    return upgrade(document) if is_known(document) else document
+
+
+def _fields(document: Document) -> dict[str, object]:
+    return {
+        f"spec.{key}": value
+        for key, value in document["spec"].items()
+        if value is not None
+    }
+
+
+def _repeated(drafts: Sequence[Draft]) -> Iterator[Problem]:
+    first: dict[str, Draft] = {}
+    for draft in drafts:
+        earlier = first.setdefault(str(draft.name), draft)
+        if earlier is not draft:
+            allowed = f"{draft.name} once in a change; it is also at "
+            allowed += earlier.place.where
+            yield draft.place.problem(Violation(("name",), draft.name.name, allowed))
+
+
+def _contradictory(drafts: Sequence[Draft]) -> Iterator[Problem]:
+    for draft in drafts:
+        for violation in contradictions(_record(draft.document)):
+            yield draft.place.problem(violation)
+
+
+def _dangling(accepted: Accepted, drafts: Sequence[Draft]) -> Iterator[Problem]:
+    known = {(item.kind, item.name) for item in accepted.live()}
+    known |= {(draft.name.kind, draft.name.name) for draft in drafts}
+    for draft in drafts:
+        for reference in references(_record(draft.document)):
+            if (reference.kind, reference.name) not in known:
+                yield draft.place.problem(_dangling_at(reference, known))
+
+
+def _dangling_at(reference: Reference, known: set[tuple[str, str]]) -> Violation:
+    names = sorted(name for kind, name in known if kind == reference.kind)
+    allowed = f"the name of a {reference.kind} record; there are: "
+    allowed += ", ".join(names[:MAX_NAMES_SHOWN]) or "none"
+    if len(names) > MAX_NAMES_SHOWN:
+        allowed += f" and {len(names) - MAX_NAMES_SHOWN} more"
+    return Violation(reference.path, reference.name, allowed)
+
+
+def _missing(accepted: Accepted, names: Sequence[RecordName]) -> Iterator[Problem]:
+    for name in names:
+        if accepted.find(name) is None:
+            yield Problem(str(name), 0, "", "", "a record that is accepted now")
+
+
+def _still_referenced(
+    accepted: Accepted, names: Sequence[RecordName]
+) -> Iterator[Problem]:
+    retired = {(name.kind, name.name) for name in names}
+    for item in accepted.live():
+        if (item.kind, item.name) in retired or item.document is None:
+            continue
+        if not is_known(item.document):
+            continue
+        for reference in references(_record(item.document)):
+            if (reference.kind, reference.name) in retired:
+                allowed = "a record that no other one names; "
+                allowed += f"{item.kind}/{item.name} names it in "
+                allowed += ".".join(str(part) for part in reference.path)
+                label = f"{reference.kind}/{reference.name}"
+                yield Problem(label, 0, "", "", allowed)
+
+
+def _record(document: Document) -> Record:
+    return build_record(upgrade(document))
--- /dev/null
+++ b/hawthornyard/operator/rows.py
@@ -0,0 +1,84 @@
+"""Encode records and changes as rows of the table."""
+
+import json
+from typing import Any
+
+from ..platform import Condition, Put, Row
+from ..records import Document
+from .accepted import AcceptedRecord, RecordName
+from .change import Change, ChangedRecord, ChangeNote
+from .plan import Plan, Step
+
+RECORD_PREFIX = "record/"
+CHANGE_PREFIX = "change/"
+HEAD_KEY = "head/records"
+
+
+def record_key(kind: str, name: str) -> str:
+    """Return the key of a record's row."""
+    return f"{RECORD_PREFIX}{kind}/{name}"
+
+
+def change_key(change_id: str) -> str:
+    """Return the key of a change's row."""
+    return f"{CHANGE_PREFIX}{change_id}"
+
+
+def conditions_of(plan: Plan) -> list[Condition]:
+    """Return the revisions that the operator saw, the head's first."""
+    conditions = [Condition(HEAD_KEY, plan.base)]
+    for step in plan.steps:
+        conditions.append(Condition(_key(step.name), step.before_revision))
+    return conditions
+
+
+def puts_of(plan: Plan, note: ChangeNote) -> list[Put]:
+    """Return the rows of a change: records, the change itself, the head."""
+    puts = [Put(_key(step.name), _encode_step(step)) for step in plan.steps]
+    puts.append(Put(change_key(note.change_id), _encode_change(plan, note)))
+    puts.append(Put(HEAD_KEY, json.dumps({"change": note.change_id})))
+    return puts
+
+
+def decode_record(row: Row) -> AcceptedRecord:
+    """Return the record in a row below `RECORD_PREFIX`."""
+    _, kind, name = row.key.split("/", 2)
+    document: Document = json.loads(row.value) if row.value else {"retired": True}
+    is_retired = bool(document.get("retired"))
+    return AcceptedRecord(kind, name, row.revision, None if is_retired else document)
+
+
+def decode_change(row: Row) -> Change:
+    """Return the change in a row below `CHANGE_PREFIX`."""
+    body: dict[str, Any] = json.loads(row.value)
+    note = ChangeNote(body["id"], body["author"], body["time"], message=body["message"])
+    records = [ChangedRecord(*item) for item in body["records"]]
+    return Change(note, body["base"], row.revision, records)
+
+
+def _key(name: RecordName) -> str:
+    return record_key(name.kind, name.name)
+
+
+def _encode_step(step: Step) -> str:
+    if step.document is not None:
+        return json.dumps(step.document)
+    name = step.name
+    return json.dumps({"kind": name.kind, "name": name.name, "retired": True})
+
+
+def _encode_change(plan: Plan, note: ChangeNote) -> str:
+    records = [
+        [step.name.kind, step.name.name, step.action.value, step.before_revision]
+        for step in plan.steps
+    ]
+    return json.dumps(
+        {
+            "id": note.change_id,
+            "author": note.author,
+            "time": note.time,
+            "message": note.message,
+            "base": plan.base,
+            "records": records,
+        }
+    )
--- /dev/null
+++ b/hawthornyard/operator/status.py
@@ -0,0 +1,140 @@
+"""Ask gateways what they see and which configuration is in force."""
+
+import json
+from collections.abc import Sequence
+from typing import Any
+
+import urllib3
+
+from ..core import Message
+from ..errors import PlatformError
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 2.0
+
+
+class EndpointStatus(Message):
+    """An endpoint as one gateway sees it.
+
+    Attributes:
+        name: Name of the endpoint.
+        failure_domain: Its failure domain.
+        revision: Configuration revision in force in its sidecar.
+        accepting: Whether it takes new work.
+        n_running: Requests at the endpoint.
+        n_waiting: Requests in the sidecar's queue.
+        limit: Requests that it may run now.
+        load: Expected share of its memory in use, 0 to 1.
+    """
+
+    __slots__ = (
+        "name",
+        "failure_domain",
+        "revision",
+        "accepting",
+        "n_running",
+        "n_waiting",
+        "limit",
+        "load",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        revision: int,
+        accepting: bool,
+        n_running: int,
+        n_waiting: int,
+        limit: int,
+        load: float,
+    ) -> None:
+        self.name = name
+        self.failure_domain = failure_domain
+        self.revision = revision
+        self.accepting = accepting
+        self.n_running = n_running
+        self.n_waiting = n_waiting
+        self.limit = limit
+        self.load = load
+
+
+class GatewayStatus(Message):
+    """What one gateway answers.
+
+    Attributes:
+        url: URL that was asked.
+        name: Name of the gateway, empty if it did not answer.
+        revision: Configuration revision in force there.
+        n_in_flight: Requests that are not answered yet.
+        not_understood: Records whose form is too new for it.
+        endpoints: Endpoints that it hears.
+        problem: Why there is no answer, empty if there is one.
+    """
+
+    __slots__ = (
+        "url",
+        "name",
+        "revision",
+        "n_in_flight",
+        "not_understood",
+        "endpoints",
+        "problem",
+    )
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        name: str = "",
+        revision: int = 0,
+        n_in_flight: int = 0,
+        not_understood: Sequence[str] = (),
+        endpoints: Sequence[EndpointStatus] = (),
+        problem: str = "",
+    ) -> None:
+        self.url = url
+        self.name = name
+        self.revision = revision
+        self.n_in_flight = n_in_flight
+        self.not_understood = not_understood
+        self.endpoints = endpoints
+        self.problem = problem
+
+
+def fetch_status(url: str) -> GatewayStatus:
+    """Return the status of one gateway, with a problem if it does not answer."""
+    try:
+        return _decode(url, _get(f"{url.rstrip('/')}/v1/status"))
+    except (PlatformError, urllib3.exceptions.HTTPError, OSError) as exc:
+        return GatewayStatus(url, problem=str(exc))
+    except (ValueError, KeyError, TypeError) as exc:
+        return GatewayStatus(url, problem=f"not a status: {exc!r}")
+
+
+def _get(url: str) -> Any:
+    resp = urllib3.PoolManager().request(
+        "GET",
+        url,
+        timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
+        retries=False,
+        redirect=False,
+    )
+    if resp.status != 200:
+        raise PlatformError(f"answered {resp.status}")
+    return json.loads(resp.data)
+
+
+def _decode(url: str, body: dict[str, Any]) -> GatewayStatus:
+    fields = EndpointStatus.fields()
+    return GatewayStatus(
+        url,
+        name=body["name"],
+        revision=body["revision"],
+        n_in_flight=body["n_in_flight"],
+        not_understood=body.get("not_understood", ()),
+        endpoints=[
+            EndpointStatus(*(item[field] for field in fields))
+            for item in body["endpoints"]
+        ],
+    )
--- a/hawthornyard/policy/view.py
+++ b/hawthornyard/policy/view.py
@@ -10,6 +10,7 @@
         endpoint: Name of the endpoint.
         failure_domain: Its failure domain.
         incarnation: Sidecar process that sent the heartbeat.
+        revision: Configuration revision in force there.
         accepting: Whether it takes new work.
         n_running: Attempts at the endpoint.
         n_waiting: Attempts in the sidecar's queue.
@@ -23,6 +24,7 @@
         "endpoint",
         "failure_domain",
         "incarnation",
+        "revision",
         "accepting",
         "n_running",
         "n_waiting",
@@ -36,6 +38,7 @@
         self.endpoint = endpoint
         self.failure_domain = failure_domain
         self.incarnation = ""
+        self.revision = 0
         self.accepting = False
         self.n_running = 0
         self.n_waiting = 0
--- a/hawthornyard/records/__init__.py
+++ b/hawthornyard/records/__init__.py
@@ -16,8 +16,9 @@
     Service,
     Team,
 )
-from .schema import Violation, schema_of, violations
-from .upgrade import NEWEST_SCHEMA, upgrade
+from .reference import Reference, references
+from .schema import schema_of, violations
+from .upgrade import NEWEST_SCHEMA, is_known, upgrade
 
 __all__ = [
     "GENERATION",
@@ -32,13 +33,15 @@
     "OpeningHours",
     "Operation",
     "Record",
+    "Reference",
     "Service",
     "Team",
-    "Violation",
     "build_record",
     "hash_secret",
+    "is_known",
     "key_matches",
     "new_key",
+    "references",
     "schema_of",
     "team_of_key",
     "upgrade",
--- a/hawthornyard/records/catalog.py
+++ b/hawthornyard/records/catalog.py
@@ -6,6 +6,7 @@
 from ..frames import RecordEntry
 from .build import build_record
 from .record import Endpoint, FailureDomain, Model, Record, Service, Team
+from .upgrade import is_known, upgrade
 
 KINDS = ("service", "failure_domain", "endpoint", "model", "team")
 
@@ -15,12 +16,15 @@
 
     Attributes:
         revision: Highest table revision that is in force.
+        not_understood: Records, as "kind/name", whose accepted form is newer than
+            this program; their last known form stays in force.
     """
 
-    __slots__ = ("revision", "_records", "_entries")
+    __slots__ = ("revision", "not_understood", "_records", "_entries")
 
     def __init__(self) -> None:
         self.revision = 0
+        self.not_understood: set[str] = set()
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
         self._entries: dict[tuple[str, str], RecordEntry] = {}
 
@@ -98,8 +102,13 @@
 
     def _put(self, entry: RecordEntry) -> None:
         self._entries[entry.kind, entry.name] = entry
-        records = self._records[entry.kind]
-        if not entry.document:
-            records.pop(entry.name, None)
+        label = f"{entry.kind}/{entry.name}"
+        self.not_understood.discard(label)
+        document = json.loads(entry.document) if entry.document else None
+        if document is None:
+            self._records.get(entry.kind, {}).pop(entry.name, None)
             return
-        records[entry.name] = build_record(json.loads(entry.document))
+        if not is_known(document):
+            self.not_understood.add(label)
+            return
+        self._records[entry.kind][entry.name] = build_record(upgrade(document))
--- /dev/null
+++ b/hawthornyard/records/reference.py
@@ -0,0 +1,61 @@
+"""Find the records that a record names."""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from ..core import Message
+from .record import Endpoint, FailureDomain, Model, Record, Service, Team
+
+
+class Reference(Message):
+    """A place in a record that names another record.
+
+    Attributes:
+        path: Keys and indexes of the place in the record's document.
+        kind: Kind of the record that is named.
+        name: Its name.
+    """
+
+    __slots__ = ("path", "kind", "name")
+
+    def __init__(self, path: tuple[str | int, ...], kind: str, name: str) -> None:
+        self.path = path
+        self.kind = kind
+        self.name = name
+
+
+def references(record: Record) -> Iterator[Reference]:
+    """Yield every place where the record names another one."""
+    yield from _FINDERS[type(record)](record)
+
+
+def _of_service(record: Service) -> Iterator[Reference]:
+    for index, name in enumerate(record.models):
+        yield Reference(("spec", "models", index), "model", name)
+
+
+def _of_endpoint(record: Endpoint) -> Iterator[Reference]:
+    domain = record.failure_domain
+    yield Reference(("spec", "failure_domain"), "failure_domain", domain)
+    for index, name in enumerate(record.models):
+        yield Reference(("spec", "models", index), "model", name)
+    for index, name in enumerate(record.services):
+        yield Reference(("spec", "services", index), "service", name)
+
+
+def _of_team(record: Team) -> Iterator[Reference]:
+    for index, name in enumerate(record.services):
+        yield Reference(("spec", "services", index), "service", name)
+
+
+def _of_none(record: Record) -> Iterator[Reference]:
+    yield from ()
+
+
+_FINDERS: dict[type, Callable[[Any], Iterator[Reference]]] = {
+    Service: _of_service,
+    Endpoint: _of_endpoint,
+    Team: _of_team,
+    FailureDomain: _of_none,
+    Model: _of_none,
+}
--- a/hawthornyard/records/schema.py
+++ b/hawthornyard/records/schema.py
@@ -6,33 +6,10 @@
 from importlib import resources
 from typing import Any
 
-import jsonschema
-
-from .record import Document
+from ..documents import Violation, check_value, suggest
 from .upgrade import NEWEST_SCHEMA
 
 
-class Violation:
-    """One place where a document departs from its schema.
-
-    Attributes:
-        path: Keys and indexes from the document's root to the place.
-        given: The value that stands there.
-        allowed: What the schema allows, for people.
-    """
-
-    __slots__ = ("allowed", "given", "path")
-
-    def __init__(self, path: tuple[str | int, ...], given: Any, allowed: str) -> None:
-        self.path = path
-        self.given = given
-        self.allowed = allowed
-
-    def __str__(self) -> str:
-        field = ".".join(str(part) for part in self.path) or "document"
-        return f"{field}: {self.allowed}"
-
-
 @functools.cache
 def schema_of(kind: str, version: int) -> dict[str, Any]:
     """Return the shipped JSON Schema of a kind and version."""
@@ -49,23 +26,22 @@
         document: Any parsed YAML or JSON value.
     """
     if not isinstance(document, dict):
-        yield Violation((), document, "must be a mapping with kind, schema, name, spec")
+        yield Violation((), document, "a mapping with kind, schema, name, spec")
         return
     kind = document.get("kind")
-    if kind not in NEWEST_SCHEMA:
-        yield Violation(("kind",), kind, f"must be one of {', '.join(NEWEST_SCHEMA)}")
+    if not isinstance(kind, str) or kind not in NEWEST_SCHEMA:
+        yield Violation(("kind",), kind, _known_kinds(kind))
         return
     version = document.get("schema")
     newest = NEWEST_SCHEMA[kind]
-    if version not in range(1, newest + 1) or isinstance(version, bool):
-        yield Violation(("schema",), version, f"must be from 1 to {newest} for {kind}")
+    if type(version) is not int or version not in range(1, newest + 1):
+        allowed = f"a schema from 1 to {newest} for {kind}"
+        yield Violation(("schema",), version, allowed)
         return
-    yield from _schema_violations(document, schema_of(kind, version))
+    yield from check_value(document, schema_of(kind, version))
 
 
-def _schema_violations(
-    document: Document, schema: dict[str, Any]
-) -> Iterator[Violation]:
-    validator = jsonschema.Draft202012Validator(schema)
-    for error in sorted(validator.iter_errors(document), key=str):
-        yield Violation(tuple(error.absolute_path), error.instance, error.message)
+def _known_kinds(given: object) -> str:
+    close = suggest(given, list(NEWEST_SCHEMA))
+    hint = f"; did you mean {close}?" if close else ""
+    return f"one of {', '.join(NEWEST_SCHEMA)}{hint}"
--- a/hawthornyard/records/upgrade.py
+++ b/hawthornyard/records/upgrade.py
@@ -17,6 +17,12 @@
 _PRIORITY_OF_CLASS = {"visitor": 9, "check": 6, "draft": 2}
 
 
+def is_known(document: Document) -> bool:
+    """Return whether this program understands the document's kind and schema."""
+    newest = NEWEST_SCHEMA.get(document["kind"], 0)
+    return 1 <= int(document["schema"]) <= newest
+
+
 def upgrade(document: Document) -> Document:
     """Return the document in its kind's newest schema version.
 
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -1,33 +1,61 @@
 """Read and check the YAML settings of the programs."""
 
 import os
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
-import jsonschema
-import yaml
-
+from .documents import (
+    Problem,
+    SourceDocument,
+    Violation,
+    check_value,
+    read_documents,
+    report,
+)
 from .errors import SettingsError
 
 PEER_KEY_VARIABLE = "HAWTHORNYARD_PEER_KEY"
 MIN_PEER_KEY_CHARS = 16
 
-_ADDRESS = {"type": "string", "pattern": r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"}
-_NAME = {"type": "string", "pattern": "^[a-z0-9][a-z0-9-]{0,62}$"}
-_URL = {"type": "string", "pattern": "^http://"}
-_LEVEL = {"enum": ["DEBUG", "INFO", "WARNING", "ERROR"]}
+_ADDRESS = {
+    "type": "string",
+    "pattern": r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$",
+    "description": "address:port, the address an IP number",
+}
+_NAME = {
+    "type": "string",
+    "pattern": "^[a-z0-9][a-z0-9-]{0,62}$",
+    "description": "lower-case letters, digits and hyphens, at most 63",
+}
+_URL = {
+    "type": "string",
+    "pattern": "^http://",
+    "description": "URL that begins with http://",
+}
+_LEVEL = {
+    "enum": ["DEBUG", "INFO", "WARNING", "ERROR"],
+    "description": "least severe level that is logged",
+    "default": "INFO",
+}
+
+
+def _about(form: dict[str, Any], meaning: str) -> dict[str, Any]:
+    return {**form, "description": f"{meaning}; {form['description']}"}
+
+
+_DOMAIN = _about(_NAME, "failure domain of the host")
 
 GATEWAY_SCHEMA: dict[str, Any] = {
     "type": "object",
     "additionalProperties": False,
     "required": ["program", "name", "failure_domain", "listen", "table"],
     "properties": {
-        "program": {"const": "gateway"},
-        "name": _NAME,
-        "failure_domain": _NAME,
-        "listen": _ADDRESS,
-        "table": _URL,
+        "program": {"const": "gateway", "description": "which program it is"},
+        "name": _about(_NAME, "name of the process, unique in the fleet"),
+        "failure_domain": _DOMAIN,
+        "listen": _about(_ADDRESS, "where callers connect"),
+        "table": _about(_URL, "the platform's table service"),
         "log_level": _LEVEL,
     },
 }
@@ -37,17 +65,21 @@
     "additionalProperties": False,
     "required": ["program", "name", "failure_domain", "listen", "endpoint", "protocol"],
     "properties": {
-        "program": {"const": "sidecar"},
-        "name": _NAME,
-        "failure_domain": _NAME,
-        "listen": _ADDRESS,
-        "endpoint": _URL,
-        "protocol": {"enum": ["generation", "http"]},
+        "program": {"const": "sidecar", "description": "which program it is"},
+        "name": _about(_NAME, "name of the endpoint record that it stands beside"),
+        "failure_domain": _DOMAIN,
+        "listen": _about(_ADDRESS, "where gateways connect"),
+        "endpoint": _about(_URL, "the endpoint"),
+        "protocol": {
+            "enum": ["generation", "http"],
+            "description": "generation for a model engine, http for a plain service",
+        },
         "log_level": _LEVEL,
     },
 }
 
-_SCHEMAS = {"gateway": GATEWAY_SCHEMA, "sidecar": SIDECAR_SCHEMA}
+SETTINGS_SCHEMAS = {"gateway": GATEWAY_SCHEMA, "sidecar": SIDECAR_SCHEMA}
+"""JSON Schema of the settings of each program."""
 
 
 class GatewaySettings:
@@ -135,15 +167,16 @@
         environ: Holds the secret HAWTHORNYARD_PEER_KEY.
 
     Raises:
-        SettingsError: If the file or the secret is not valid; names the field.
+        SettingsError: If the file or the secret is not valid; names file, line
+            and field, what was given and what is allowed.
     """
-    document = _read(path)
-    program = document.get("program")
-    if program not in _SCHEMAS:
-        raise SettingsError(f"{path}: program: must be gateway or sidecar")
-    _check(path, document, _SCHEMAS[program])
-    fields = {key: value for key, value in document.items() if key != "program"}
-    fields["peer_key"] = _peer_key(environ)
+    document, problems = _read(path)
+    problems += secret_problems(environ)
+    if problems:
+        raise SettingsError(report(problems))
+    fields = dict(document)
+    program = fields.pop("program")
+    fields["peer_key"] = environ[PEER_KEY_VARIABLE].encode()
     if program == "gateway":
         return GatewaySettings(**fields)
     return SidecarSettings(**fields)
@@ -153,7 +186,7 @@
     """Return gateway settings; see `load_settings`."""
     settings = load_settings(path)
     if not isinstance(settings, GatewaySettings):
-        raise SettingsError(f"{path}: program: must be gateway")
+        raise SettingsError(_wrong_program(path, "sidecar", "gateway"))
     return settings
 
 
@@ -161,38 +194,46 @@
     """Return sidecar settings; see `load_settings`."""
     settings = load_settings(path)
     if not isinstance(settings, SidecarSettings):
-        raise SettingsError(f"{path}: program: must be sidecar")
+        raise SettingsError(_wrong_program(path, "gateway", "sidecar"))
     return settings
 
 
-def _read(path: Path) -> dict[str, Any]:
-    try:
-        document = yaml.safe_load(path.read_text())
-    except OSError as exc:
-        raise SettingsError(f"{path}: {exc.strerror}") from exc
-    except (yaml.YAMLError, UnicodeDecodeError) as exc:
-        raise SettingsError(f"{path}: not YAML: {exc}") from exc
+def settings_problems(path: Path) -> Sequence[Problem]:
+    """Return what is wrong with a settings file, nothing if it is valid."""
+    return _read(path)[1]
+
+
+def secret_problems(environ: Mapping[str, str] = os.environ) -> list[Problem]:
+    """Return what is wrong with the secrets, which come from the environment."""
+    n_chars = len(environ.get(PEER_KEY_VARIABLE, ""))
+    if n_chars >= MIN_PEER_KEY_CHARS:
+        return []
+    allowed = f"an environment variable of at least {MIN_PEER_KEY_CHARS} characters"
+    return [Problem(PEER_KEY_VARIABLE, 0, "", f"{n_chars} characters", allowed)]
+
+
+def _read(path: Path) -> tuple[dict[str, Any], list[Problem]]:
+    reading = read_documents(path)
+    problems = list(reading.problems)
+    if problems:
+        return {}, problems
+    if len(reading.documents) != 1:
+        given = f"{len(reading.documents)} documents"
+        return {}, [Problem(str(path), 0, "", given, "one YAML document")]
+    (source,) = reading.documents
+    return source.value, source.problems(_violations(source))
+
+
+def _violations(source: SourceDocument) -> list[Violation]:
+    document = source.value
     if not isinstance(document, dict):
-        raise SettingsError(f"{path}: must be a mapping")
-    return document
-
-
-def _check(path: Path, document: dict[str, Any], schema: dict[str, Any]) -> None:
-    validator = jsonschema.Draft202012Validator(schema)
-    errors = sorted(validator.iter_errors(document), key=str)
-    if not errors:
-        return
-    lines = []
-    for error in errors:
-        field = ".".join(str(part) for part in error.absolute_path) or "settings"
-        lines.append(f"{path}: {field}: {error.message}")
-    raise SettingsError("\n".join(lines))
-
-
-def _peer_key(environ: Mapping[str, str]) -> bytes:
-    key = environ.get(PEER_KEY_VARIABLE, "")
-    if len(key) < MIN_PEER_KEY_CHARS:
-        raise SettingsError(
-            f"{PEER_KEY_VARIABLE}: must hold at least {MIN_PEER_KEY_CHARS} characters"
-        )
-    return key.encode()
+        return [Violation((), document, "a mapping of settings")]
+    program = document.get("program")
+    if not isinstance(program, str) or program not in SETTINGS_SCHEMAS:
+        allowed = f"one of {', '.join(SETTINGS_SCHEMAS)}"
+        return [Violation(("program",), program, allowed)]
+    return list(check_value(document, SETTINGS_SCHEMAS[program]))
+
+
+def _wrong_program(path: Path, given: str, allowed: str) -> str:
+    return str(Problem(str(path), 0, "program", given, allowed))
