Keep one connection to a peer that is dropped and named again

Cause: each time a peer reappeared in the records a second green thread kept a link to it, and the two replaced each other's connection for ever: 32 connections in half a second. A link that had served for long also kept the last back-off, and a replaced connection could still deliver frames it had buffered, so that a restarted sidecar's old heartbeat came last.

Change: one keeper a peer; the back-off starts anew after a connection that served; a connection that was closed delivers nothing more; a socket whose handshake failed is closed at once.

Ruled out: the listener's side. It replaces by name and was right.

--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -6,13 +6,20 @@
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
+import eventlet
 from behave import fixture
 from behave.runner import Context
 
 from hawthornyard.cli import run_app
+from hawthornyard.codec import MsgpackCodec
+from hawthornyard.core import Message
 from hawthornyard.demo import Client, Deployment
+from hawthornyard.errors import PeerError
 from hawthornyard.front import HttpServer
+from hawthornyard.rim import Connections, PeerLinks
+from hawthornyard.rim.handshake import FrameReader, authenticate
 from hawthornyard.standins import MemoryTable, TableStandIn
 
 
@@ -83,3 +90,51 @@
         os.environ["HAWTHORNYARD_TABLE"] = context.operator.table_url
         yield context.operator
         del os.environ["HAWTHORNYARD_TABLE"]
+
+
+PEER_NAME = "scribe-1"
+
+
+class PeerPair:
+    """A listening peer and what a link to it puts into its inbox."""
+
+    def __init__(self) -> None:
+        self.key = b"the key of the deployment"
+        self.kept: list[Message] = []
+        self.n_accepted = 0
+        self.n_closed = 0
+        self._sock = eventlet.listen(("127.0.0.1", 0))
+        self.addresses = {PEER_NAME: f"127.0.0.1:{self._sock.getsockname()[1]}"}
+        eventlet.spawn_n(self._accept)
+
+    def put(self, msg: Message) -> None:
+        """Keep a message, as an inbox does."""
+        self.kept.append(msg)
+
+    def links(self, key: bytes) -> PeerLinks:
+        """Return links that use a key."""
+        connections = Connections(self)
+        return PeerLinks("gateway-1", key, MsgpackCodec(), connections, self)
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self._sock.accept()
+            self.n_accepted += 1
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock: Any) -> None:
+        codec = MsgpackCodec()
+        reader = FrameReader(sock, codec)
+        with contextlib.suppress(PeerError):
+            authenticate(sock, reader, codec, PEER_NAME, self.key, "server")
+        with contextlib.suppress(OSError):
+            while sock.recv(4096):
+                pass
+        self.n_closed += 1
+
+
+@fixture
+def peer_pair(context: Context) -> Iterator[PeerPair]:
+    """A listening peer."""
+    context.pair = PeerPair()
+    yield context.pair
--- a/hawthornyard/rim/connection.py
+++ b/hawthornyard/rim/connection.py
@@ -53,6 +53,8 @@
         inbox.put(PeerUp(self.peer))
         try:
             for frame in reader:
+                if not self.is_open:
+                    break
                 inbox.put(frame.at(self.peer))
         finally:
             self.is_open = False
--- a/hawthornyard/rim/links.py
+++ b/hawthornyard/rim/links.py
@@ -2,13 +2,14 @@
 
 import random
 from collections.abc import Mapping
+from typing import Any
 
 import eventlet
 from loguru import logger
 
 from ..codec import Codec
 from ..core import Inbox
-from ..errors import HawthornyardError
+from ..errors import HawthornyardError, PeerError
 from .connection import Connection, Connections
 from .handshake import HANDSHAKE_TIMEOUT_S, FrameReader, authenticate
 
@@ -34,6 +35,7 @@
         "_codec",
         "_connections",
         "_inbox",
+        "_kept",
         "_key",
         "_name",
         "_silence_s",
@@ -56,6 +58,7 @@
         self._inbox = inbox
         self._silence_s = silence_s
         self._addresses: dict[str, str] = {}
+        self._kept: set[str] = set()
 
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Hold connections to exactly these peers.
@@ -69,9 +72,10 @@
         known = self._addresses
         self._addresses = dict(addresses)
         for peer, address in addresses.items():
-            if peer not in known:
+            if peer not in self._kept:
+                self._kept.add(peer)
                 eventlet.spawn_n(self._keep, peer)
-            elif known[peer] != address:
+            elif known.get(peer, address) != address:
                 self._connections.close(peer)
 
     def replace(self, peer: str) -> None:
@@ -87,31 +91,44 @@
     def _keep(self, peer: str) -> None:
         delay_s = RECONNECT_MIN_S
         while peer in self._addresses:
-            try:
-                self._connect(peer)
+            if self._connect_once(peer):
                 delay_s = RECONNECT_MIN_S
-            except (HawthornyardError, OSError) as exc:
-                logger.bind(peer=peer, detail=str(exc)).debug("peer_lost")
             eventlet.sleep(delay_s * (0.5 + random.random()))
             delay_s = min(RECONNECT_MAX_S, delay_s * 2)
+        self._kept.discard(peer)
 
-    def _connect(self, peer: str) -> None:
-        address = split_address(self._addresses[peer])
-        with eventlet.Timeout(HANDSHAKE_TIMEOUT_S, OSError("connect timed out")):
-            sock = eventlet.connect(address)
-            reader = FrameReader(sock, self._codec)
-            said = authenticate(
-                sock, reader, self._codec, self._name, self._key, "client"
-            )
-        if said != peer:
-            sock.close()
-            raise OSError(f"expected {peer}, found {said}")
+    def _connect_once(self, peer: str) -> bool:
+        try:
+            sock, reader = self._connect(peer)
+        except (HawthornyardError, OSError) as exc:
+            logger.bind(peer=peer, detail=str(exc)).debug("peer_unreachable")
+            return False
         conn = Connection(sock, peer, self._codec)
         self._connections.add(conn)
         try:
             conn.run(reader, self._inbox, silence_s=self._silence_s)
+        except (HawthornyardError, OSError) as exc:
+            logger.bind(peer=peer, detail=str(exc)).debug("peer_lost")
         finally:
             self._connections.remove(conn)
+        return True
+
+    def _connect(self, peer: str) -> tuple[Any, FrameReader]:
+        address = split_address(self._addresses[peer])
+        with eventlet.Timeout(HANDSHAKE_TIMEOUT_S, OSError("connect timed out")):
+            sock = eventlet.connect(address)
+            try:
+                return sock, self._authenticate(sock, peer)
+            except BaseException:
+                sock.close()
+                raise
+
+    def _authenticate(self, sock: Any, peer: str) -> FrameReader:
+        reader = FrameReader(sock, self._codec)
+        said = authenticate(sock, reader, self._codec, self._name, self._key, "client")
+        if said != peer:
+            raise PeerError(f"expected {peer}, found {said}")
+        return reader
 
 
 def split_address(text: str) -> tuple[str, int]:
