Remember a team's debt of tokens while it pauses

Cause: a gateway forgot the budget of a team that asked for nothing, its debt included, so a pause of some 20 seconds wiped out any overdraft.

Change: a budget is forgotten only once nothing is owed.

Measured: features/limits.feature, "A debt of tokens outlasts a pause" failed before (admitted with 400 tokens owed), 9 scenarios pass after.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -34,3 +34,10 @@
     And the limit becomes 30 requests a second after 10 seconds
     When callers send 40, 40 and 40 requests a second to them
     Then the team gets between 0.95 and 1.05 of its limit
+
+  Scenario: A debt of tokens outlasts a pause
+    Given 3 gateways that share the limit of 60 requests a second of a team
+    And the team may use 100 tokens a second
+    When one gateway delivers 3000 tokens to it and then nothing for 25 seconds
+    Then its next request there is refused
+    And after 40 more seconds a request there is admitted
--- a/features/steps/limits.py
+++ b/features/steps/limits.py
@@ -27,6 +27,7 @@
     """The limit filters of one gateway, with what they let through."""
 
     __slots__ = (
+        "budgets",
         "catalog",
         "is_alive",
         "n_admitted",
@@ -44,9 +45,9 @@
         self.n_admitted = 0
         self.n_refused = 0
         self.outbox: list[Message] = []
-        budgets = TeamBudgets(clock)
-        share = ShareLimits(self.catalog, budgets, self.neighbours, clock)
-        self.pipeline = Pipeline([share, TeamLimit(budgets)], [self])
+        self.budgets = TeamBudgets(clock)
+        share = ShareLimits(self.catalog, self.budgets, self.neighbours, clock)
+        self.pipeline = Pipeline([share, TeamLimit(self.budgets)], [self])
 
     @property
     def consumers(self) -> dict[type[Message], Callable[[Message], None]]:
@@ -125,13 +126,19 @@
     assert share * 100 <= percent, share
 
 
-def _set_limit(context: Context, limit: int, revision: int) -> None:
+def _set_limit(
+    context: Context, limit: int, revision: int, *, tokens_per_s: float = 1e9
+) -> None:
     context.limit = limit
     document = {
         "kind": "team",
         "schema": 1,
         "name": TEAM,
-        "spec": {"key_hash": "x", "requests_per_s": limit, "tokens_per_s": 1e9},
+        "spec": {
+            "key_hash": "x",
+            "requests_per_s": limit,
+            "tokens_per_s": tokens_per_s,
+        },
     }
     entry = RecordEntry("team", TEAM, revision, json.dumps(document))
     for gateway in context.gateways.values():
@@ -171,18 +178,65 @@
     gateway = context.gateways[name]
     if not gateway.is_alive:
         return
-    team = gateway.catalog.team(TEAM)
-    service = Service("summaries", GENERATION)
     for _ in range(rate):
         if rng.random() < STEP_S:
-            work = Generation("scribe", "x", 1)
-            request = Request(
-                "c", "r", work, team, service, idempotent=True, deadline=1e9
-            )
-            gateway.pipeline.push(Resolved(request))
+            _send_once(context, gateway)
+
+
+def _send_once(context: Context, gateway: LimitGateway) -> None:
+    request = Request(
+        "c",
+        "r",
+        Generation("scribe", "x", 1),
+        gateway.catalog.team(TEAM),
+        Service("summaries", GENERATION),
+        idempotent=True,
+        deadline=1e9,
+    )
+    gateway.pipeline.push(Resolved(request))
 
 
 def _reset_counts(context: Context) -> None:
     for gateway in context.gateways.values():
         gateway.n_admitted = 0
         gateway.n_refused = 0
+
+
+@given("the team may use {tokens_per_s:d} tokens a second")
+def set_tokens(context: Context, tokens_per_s: int) -> None:
+    _set_limit(context, context.limit, 2, tokens_per_s=tokens_per_s)
+
+
+@when(
+    "one gateway delivers {n_tokens:d} tokens to it and then nothing"
+    " for {seconds:d} seconds"
+)
+def deliver(context: Context, n_tokens: int, seconds: int) -> None:
+    gateway = context.gateways[NAMES[0]]
+    team = gateway.catalog.team(TEAM)
+    _send_once(context, gateway)
+    gateway.budgets.charge_tokens(team, n_tokens)
+    _pause(context, seconds)
+
+
+@then("its next request there is refused")
+def check_refused_once(context: Context) -> None:
+    gateway = context.gateways[NAMES[0]]
+    _reset_counts(context)
+    _send_once(context, gateway)
+    assert (gateway.n_admitted, gateway.n_refused) == (0, 1)
+
+
+@then("after {seconds:d} more seconds a request there is admitted")
+def check_admitted_later(context: Context, seconds: int) -> None:
+    gateway = context.gateways[NAMES[0]]
+    _pause(context, seconds)
+    _reset_counts(context)
+    _send_once(context, gateway)
+    assert (gateway.n_admitted, gateway.n_refused) == (1, 0)
+
+
+def _pause(context: Context, seconds: int) -> None:
+    for _ in range(round(seconds / STEP_S)):
+        context.clock.advance(STEP_S)
+        _exchange(context)
--- a/hawthornyard/gateway/budget.py
+++ b/hawthornyard/gateway/budget.py
@@ -79,8 +79,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether the team asks for nothing here any longer."""
-        return max(self.requests_demand, self.tokens_demand) < MIN_DEMAND
+        """Return whether the team asks for nothing here and owes nothing."""
+        demand = max(self.requests_demand, self.tokens_demand)
+        return demand < MIN_DEMAND and self.tokens.is_positive()
 
     def set_portion(
         self, requests_per_s: float, tokens_per_s: float, now: float
