--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -107,10 +107,11 @@
     sharing = n_active * (slopes.wire["demand"] + slopes.wire["portion"])
     pushes = changes * n_links * slopes.wire["change of one record"]
     polls = POLLS_PER_S * POLL_BYTES
+    mesh = 2 * (N_GATEWAYS - 1) * slopes.wire["gateway beat"]
     memory = N_TEAMS * slopes.memory["gateway, team record"]
     memory += n_in_flight * slopes.memory["gateway, request in flight"]
     memory += n_active * slopes.memory["gateway, active team's budget"]
-    total = beats + sharing + pushes + polls
+    total = beats + sharing + pushes + polls + mesh
     return [
         Line("requests", n_requests, "1/s"),
         Line("tokens", n_tokens, "1/s"),
@@ -123,6 +124,7 @@
         Line("bytes, polls of the table", polls, "B/s"),
         Line("bytes, changes pushed", pushes, "B/s"),
         Line("bytes, team limits", sharing, "B/s"),
+        Line("bytes, beats of the mesh of gateways", mesh, "B/s"),
         Line("bytes, control in all", total, "B/s", BYTES_BUDGET),
         Line("memory, state alone", memory / MEGABYTE, "MB", MEMORY_BUDGET_MB),
     ]
