--- a/features/environment.py
+++ b/features/environment.py
@@ -15,7 +15,11 @@
 from features import fixtures  # noqa: E402
 from hawthornyard.rim import configure_log  # noqa: E402
 
-_BY_TAG = {"fixture.kingston": fixtures.kingston}
+_BY_TAG = {
+    "fixture.kingston": fixtures.kingston,
+    "fixture.callers": fixtures.callers,
+    "fixture.silent_engine": fixtures.silent_engine,
+}
 
 
 def before_all(context: Context) -> None:
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -5,7 +5,10 @@
 from behave import fixture
 from behave.runner import Context
 
+from features.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
 from hawthornyard.demo import Client, Deployment
+from hawthornyard.demo.deployment import EndpointHost
+from hawthornyard.records import Document, new_key
 
 
 @fixture
@@ -23,3 +26,48 @@
     context.client = Client(deployment.url(0), deployment.key)
     context.other_client = Client(deployment.url(1), deployment.key)
     yield deployment
+
+
+@fixture
+def callers(context: Context) -> Iterator[Deployment]:
+    """Two gateways, an engine and an odd plain service; a second team."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.02)
+    service = OddService()
+    host = EndpointHost("frontdesk-1", "new-kingston", "http", service)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    context.odd_service = service
+    yield deployment
+
+
+@fixture
+def silent_engine(context: Context) -> Iterator[Deployment]:
+    """Two gateways before an engine that stops generating."""
+    deployment = Deployment()
+    context.engine = SilentEngine(N_TOKENS_BEFORE_SILENCE)
+    host = EndpointHost("scribe-1", "new-kingston", "generation", context.engine)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    yield deployment
+
+
+def _finish(context: Context, deployment: Deployment) -> None:
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree")
+    deployment.apply([*deployment.documents(), _portal_team(context)])
+    deployment.wait_ready()
+    context.deployment = deployment
+    context.client = Client(deployment.url(0), deployment.key)
+    context.other_client = Client(deployment.url(1), deployment.key)
+
+
+def _portal_team(context: Context) -> Document:
+    context.portal_key, key_hash = new_key("portal")
+    spec = {
+        "key_hash": key_hash,
+        "services": ["summaries", "frontdesk"],
+        "requests_per_s": 1000,
+        "tokens_per_s": 100000,
+    }
+    return {"kind": "team", "schema": 1, "name": "portal", "spec": spec}
--- /dev/null
+++ b/features/peers.feature
@@ -0,0 +1,79 @@
+@fixture.callers
+Feature: Only processes that know the key are peers, and broken ones do no harm
+
+  Scenario Outline: A stranger is cut off and nothing is run
+    When a stranger connects to a sidecar and <act>
+    Then the sidecar cuts the connection off
+    And no gateway's connection suffers
+    And the deployment still serves
+
+    Examples:
+      | act                                        |
+      | proves with a wrong key                    |
+      | reflects the sidecar's own proof           |
+      | replays the proof of an earlier connection |
+      | speaks another protocol version            |
+      | says nothing                               |
+      | sends garbage                              |
+      | sends frames nested 400 deep               |
+      | sends one byte at a time                   |
+      | sends a megabyte before its proof          |
+      | sends a dispatch in place of a greeting    |
+      | sends a dispatch in place of its proof     |
+      | greets with an empty name                  |
+      | greets with a short nonce                  |
+      | greets with a name that is a number        |
+
+  Scenario Outline: A peer that breaks the protocol is cut off
+    When an authenticated peer sends a sidecar <frame>
+    Then the sidecar cuts the connection off
+    And no gateway's connection suffers
+    And the deployment still serves
+
+    Examples:
+      | frame                            |
+      | a frame over the size bound      |
+      | garbage                          |
+      | a number in place of a frame     |
+      | an unknown tag                   |
+      | a frame with no list of fields   |
+      | a frame with too few fields      |
+      | a frame with too many fields     |
+      | text in place of a number        |
+      | a number in place of text        |
+      | true in place of a number        |
+      | an offset that is no number      |
+      | a list with a wrong item         |
+      | work of an unknown type          |
+      | a record in place of work        |
+      | a deadline that is not finite    |
+      | frames nested 1000 deep          |
+
+  Scenario: A frame that goes the wrong way is dropped
+    When an authenticated peer sends a sidecar a frame for gateways
+    Then the peer still gets heartbeats
+    And the deployment still serves
+
+  Scenario: A trailing field that has a default may be missing
+    When a dispatch without temperature and priority is decoded
+    Then its work has the defaults
+
+  Scenario Outline: A gateway refuses a sidecar that does not know the key
+    When a gateway's handshake meets a server that <act>
+    Then the handshake fails
+
+    Examples:
+      | act                      |
+      | proves with a wrong key  |
+      | reflects its proof       |
+      | closes at once           |
+
+  Scenario Outline: Frames keep their content through the codec
+    When frames are encoded and fed in pieces of <n_bytes> bytes
+    Then the same frames come out
+
+    Examples:
+      | n_bytes |
+      | 1       |
+      | 7       |
+      | 100000  |
--- /dev/null
+++ b/hawthornyard/codec/fields.py
@@ -0,0 +1,72 @@
+"""Check that decoded fields have the types that a message declares."""
+
+import math
+import types
+import typing
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from ..core import Message
+from ..errors import FrameError
+
+Check = Callable[[Any], bool]
+
+
+class FieldChecker:
+    """Check the fields of one message type before it is built.
+
+    The checks are derived once from the constructor's annotations. Trailing
+    fields that have defaults may be missing, so that an older peer may send
+    a message without them.
+
+    Args:
+        cls: The message type.
+    """
+
+    __slots__ = ("_checks", "_name", "_n_required")
+
+    def __init__(self, cls: type[Message]) -> None:
+        hints = typing.get_type_hints(cls.__init__)
+        hints.pop("return", None)
+        self._name = cls.__name__
+        self._checks = [_check_of(hint) for hint in hints.values()]
+        n_defaults = len(getattr(cls.__init__, "__defaults__", None) or ())
+        self._n_required = len(self._checks) - n_defaults
+
+    def check(self, values: Any) -> None:
+        """Raise unless the values fit the fields.
+
+        Raises:
+            FrameError: If their number or the type of one is wrong.
+        """
+        if type(values) is not list:
+            raise FrameError(f"{self._name} is no list of fields")
+        if not self._n_required <= len(values) <= len(self._checks):
+            raise FrameError(f"{self._name} has {len(values)} fields")
+        for index, (check, value) in enumerate(zip(self._checks, values, strict=False)):
+            if not check(value):
+                raise FrameError(f"field {index} of {self._name} has a wrong type")
+
+
+def _check_of(hint: Any) -> Check:
+    if hint is float:
+        return _is_finite
+    if isinstance(hint, types.UnionType):
+        return _is_one_of(*typing.get_args(hint))
+    if typing.get_origin(hint) is Sequence:
+        (item,) = typing.get_args(hint)
+        return _is_list_of(_check_of(item))
+    return _is_one_of(hint)
+
+
+def _is_one_of(*wanted: type) -> Check:
+    # Exact types: a bool is no int here.
+    return lambda value: type(value) in wanted
+
+
+def _is_list_of(check: Check) -> Check:
+    return lambda value: type(value) is list and all(map(check, value))
+
+
+def _is_finite(value: Any) -> bool:
+    return type(value) in (float, int) and math.isfinite(value)
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -28,6 +28,7 @@
     Tokens,
     Unknown,
 )
+from .fields import FieldChecker
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
@@ -53,6 +54,7 @@
     22: ServiceCall,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
+_CHECKERS = {tag: FieldChecker(cls) for tag, cls in _TYPES.items()}
 
 
 class MsgpackDecoder:
@@ -66,7 +68,7 @@
 
     def __init__(self, *, max_frame_bytes: int = MAX_FRAME_BYTES) -> None:
         self._unpacker = msgpack.Unpacker(
-            ext_hook=_decode_ext, max_buffer_size=max_frame_bytes
+            ext_hook=_decode_frame, max_buffer_size=max_frame_bytes
         )
 
     def feed(self, data: bytes) -> Iterator[Frame]:
@@ -114,11 +116,25 @@
     return msgpack.ExtType(_TAGS[type(value)], body)
 
 
-def _decode_ext(tag: int, data: bytes) -> Message:
+def _decode_frame(tag: int, data: bytes) -> Message:
+    return _build(tag, msgpack.unpackb(data, ext_hook=_decode_part))
+
+
+def _decode_part(tag: int, data: bytes) -> Message:
+    # Each level of nesting takes stack; no part of a frame has parts itself.
+    return _build(tag, msgpack.unpackb(data, ext_hook=_refuse_part))
+
+
+def _refuse_part(tag: int, data: bytes) -> Message:
+    raise FrameError("a part of a frame has parts itself")
+
+
+def _build(tag: int, values: Any) -> Message:
     cls = _TYPES.get(tag)
     if cls is None:
         raise FrameError(f"unknown frame tag {tag}")
-    return cls(*msgpack.unpackb(data, ext_hook=_decode_ext))
+    _CHECKERS[tag].check(values)
+    return cls(*values)
 
 
 def _checked(frame: Any) -> Frame:
--- a/hawthornyard/front/__init__.py
+++ b/hawthornyard/front/__init__.py
@@ -1,6 +1,7 @@
 """Speak HTTP with callers."""
 
-from .app import Application, Probe
+from .app import Application
+from .probe import Probe
 from .replies import Replies
 from .server import HttpServer
 
--- /dev/null
+++ b/hawthornyard/front/body.py
@@ -0,0 +1,89 @@
+"""Read request bodies within bounds."""
+
+import json
+from typing import Any, NoReturn
+
+import eventlet
+
+from ..errors import ErrorKind, RequestError
+from .exchange import Environ
+
+MAX_BODY_BYTES = 1024 * 1024
+BODY_TIMEOUT_S = 30.0
+MAX_LENGTH_DIGITS = 12
+
+
+def read_body(
+    environ: Environ,
+    *,
+    max_bytes: int = MAX_BODY_BYTES,
+    timeout_s: float = BODY_TIMEOUT_S,
+) -> bytes:
+    """Return the request body.
+
+    Args:
+        environ: WSGI environment.
+        max_bytes: Bound on the body.
+        timeout_s: Bound on the time that the caller takes to send it.
+
+    Raises:
+        RequestError: If the body is malformed, too slow or over its bound.
+    """
+    try:
+        with eventlet.Timeout(timeout_s):
+            body = _read(environ, max_bytes)
+    except (ValueError, OSError) as exc:
+        raise RequestError("the body is cut short or malformed") from exc
+    except eventlet.Timeout as exc:
+        raise RequestError(f"the body took over {timeout_s:g} s") from exc
+    if len(body) > max_bytes:
+        _refuse_size(max_bytes)
+    return body
+
+
+def decode_json(body: bytes) -> dict[str, Any]:
+    """Return the JSON object in a body.
+
+    Raises:
+        RequestError: If the body is no JSON object.
+    """
+    try:
+        value = json.loads(body, parse_constant=_refuse_constant)
+    except (ValueError, RecursionError) as exc:
+        raise RequestError(f"the body is not JSON: {exc}") from exc
+    if not isinstance(value, dict):
+        raise RequestError("the body is not a JSON object")
+    return value
+
+
+def _read(environ: Environ, max_bytes: int) -> bytes:
+    stream = environ["wsgi.input"]
+    coding = environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+    if coding == "chunked":
+        chunked: bytes = stream.read(max_bytes + 1)
+        return chunked
+    if coding:
+        raise RequestError("only the chunked transfer coding is supported")
+    length = _content_length(environ, max_bytes)
+    body: bytes = stream.read(length)
+    if len(body) < length:
+        raise RequestError("the body is shorter than Content-Length")
+    return body
+
+
+def _content_length(environ: Environ, max_bytes: int) -> int:
+    text = environ.get("CONTENT_LENGTH") or "0"
+    if not text.isascii() or not text.isdigit():
+        raise RequestError("Content-Length is not a number")
+    if len(text) > MAX_LENGTH_DIGITS or int(text) > max_bytes:
+        _refuse_size(max_bytes)
+    return int(text)
+
+
+def _refuse_size(max_bytes: int) -> NoReturn:
+    detail = f"the body is over {max_bytes} bytes"
+    raise RequestError(detail, kind=ErrorKind.BODY_TOO_LARGE)
+
+
+def _refuse_constant(text: str) -> NoReturn:
+    raise ValueError(f"{text} is no JSON number")
--- a/hawthornyard/front/encode.py
+++ b/hawthornyard/front/encode.py
@@ -1,17 +1,15 @@
-"""Encode replies as HTTP answers."""
+"""Encode generations in the shapes that client libraries know."""
 
 import json
 from collections.abc import Sequence
 from typing import Any, Protocol
 
-from ..errors import ANSWERS, ErrorKind
-from ..gateway.messages import ReplyEnded, ReplyFailed, ReplyTokens
+from ..frames import Generation
+from ..gateway.messages import ReplyEnded, ReplyTokens
+from .work import decode_chat, decode_completion
 
-Headers = list[tuple[str, str]]
-
-JSON_TYPE = ("Content-Type", "application/json")
-EVENT_STREAM_TYPE = ("Content-Type", "text/event-stream")
 DONE_EVENT = b"data: [DONE]\n\n"
+_MARK = "\x00"
 
 
 class GenerationEncoder(Protocol):
@@ -21,17 +19,75 @@
         """Return the body of a whole answer."""
         ...
 
-    def chunk(self, text: str) -> dict[str, Any]:
-        """Return the body of one event."""
+    def opening(self) -> bytes:
+        """Return the events before the first token."""
+        ...
+
+    def tokens(self, reply: ReplyTokens) -> bytes:
+        """Return one event for each token.
+
+        The id of an event names endpoint, attempt and the number of tokens
+        that the caller has once it has read the event.
+        """
+        ...
+
+    def last(self, end: ReplyEnded) -> bytes:
+        """Return the event with the finish reason."""
         ...
 
-    def last(self, end: ReplyEnded) -> dict[str, Any]:
-        """Return the body of the final event."""
+    def usage(self, end: ReplyEnded) -> bytes:
+        """Return the event with the usage."""
         ...
 
 
+class GenerationShape(Protocol):
+    """The published shape of one path."""
+
+    def decode(self, body: dict[str, Any]) -> Generation:
+        """Return the work that a body asks for."""
+        ...
+
+    def encoder(self, call_id: str, model: str, created: int) -> GenerationEncoder:
+        """Return the encoder of one answer.
+
+        Args:
+            call_id: Identifier of the HTTP exchange.
+            model: Model name.
+            created: Unix seconds.
+        """
+        ...
+
+
+class CompletionShape:
+    """The shape of /v1/completions."""
+
+    __slots__ = ()
+
+    def decode(self, body: dict[str, Any]) -> Generation:
+        """Return the work of a body; see `GenerationShape.decode`."""
+        return decode_completion(body)
+
+    def encoder(self, call_id: str, model: str, created: int) -> GenerationEncoder:
+        """Return an encoder; see `GenerationShape.encoder`."""
+        return CompletionEncoder(f"cmpl-{call_id}", model, created)
+
+
+class ChatShape:
+    """The shape of /v1/chat/completions."""
+
+    __slots__ = ()
+
+    def decode(self, body: dict[str, Any]) -> Generation:
+        """Return the work of a body; see `GenerationShape.decode`."""
+        return decode_chat(body)
+
+    def encoder(self, call_id: str, model: str, created: int) -> GenerationEncoder:
+        """Return an encoder; see `GenerationShape.encoder`."""
+        return ChatEncoder(f"chatcmpl-{call_id}", model, created)
+
+
 class CompletionEncoder:
-    """Encode for /v1/completions.
+    """Encode for /v1/completions; methods as in `GenerationEncoder`.
 
     Args:
         answer_id: Identifier of the answer.
@@ -39,121 +95,115 @@
         created: Unix seconds.
     """
 
-    __slots__ = ("_answer_id", "_created", "_model")
+    __slots__ = ("_head", "_template")
 
     def __init__(self, answer_id: str, model: str, created: int) -> None:
-        self._answer_id = answer_id
-        self._model = model
-        self._created = created
+        self._head = {
+            "id": answer_id,
+            "object": "text_completion",
+            "created": created,
+            "model": model,
+        }
+        self._template = _TokenTemplate(self._body([_text_choice(_MARK, None)]))
 
     def whole(self, texts: Sequence[str], end: ReplyEnded) -> dict[str, Any]:
         """Return the body of a whole answer."""
-        choice = {"index": 0, "text": "".join(texts), "finish_reason": end.reason}
-        return {**self._body(choice), "usage": _usage(end)}
+        body = self._body([_text_choice("".join(texts), end.reason)])
+        return {**body, "usage": _usage(end)}
 
-    def chunk(self, text: str) -> dict[str, Any]:
-        """Return the body of one event."""
-        return self._body({"index": 0, "text": text, "finish_reason": None})
+    def opening(self) -> bytes:
+        """Return no event: completions open with their first token."""
+        return b""
 
-    def last(self, end: ReplyEnded) -> dict[str, Any]:
-        """Return the body of the final event."""
-        return self._body({"index": 0, "text": "", "finish_reason": end.reason})
+    def tokens(self, reply: ReplyTokens) -> bytes:
+        """Return one event for each token."""
+        return self._template.events(reply)
 
-    def _body(self, choice: dict[str, Any]) -> dict[str, Any]:
-        return {
-            "id": self._answer_id,
-            "object": "text_completion",
-            "created": self._created,
-            "model": self._model,
-            "choices": [choice],
-        }
+    def last(self, end: ReplyEnded) -> bytes:
+        """Return the event with the finish reason."""
+        return encode_event(self._body([_text_choice("", end.reason)]))
+
+    def usage(self, end: ReplyEnded) -> bytes:
+        """Return the event with the usage."""
+        return encode_event({**self._body([]), "usage": _usage(end)})
+
+    def _body(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
+        return {**self._head, "choices": choices}
 
 
 class ChatEncoder:
     """Encode for /v1/chat/completions; arguments as `CompletionEncoder`."""
 
-    __slots__ = ("_answer_id", "_created", "_model")
+    __slots__ = ("_head", "_template")
 
     def __init__(self, answer_id: str, model: str, created: int) -> None:
-        self._answer_id = answer_id
-        self._model = model
-        self._created = created
+        self._head = {"id": answer_id, "created": created, "model": model}
+        self._template = _TokenTemplate(self._chunk([_delta({"content": _MARK})]))
 
     def whole(self, texts: Sequence[str], end: ReplyEnded) -> dict[str, Any]:
         """Return the body of a whole answer."""
         choice = {
             "index": 0,
             "message": {"role": "assistant", "content": "".join(texts)},
+            "logprobs": None,
             "finish_reason": end.reason,
         }
-        return {**self._body("chat.completion", choice), "usage": _usage(end)}
-
-    def chunk(self, text: str) -> dict[str, Any]:
-        """Return the body of one event."""
-        delta = {"role": "assistant", "content": text}
-        return self._chunk({"index": 0, "delta": delta, "finish_reason": None})
-
-    def last(self, end: ReplyEnded) -> dict[str, Any]:
-        """Return the body of the final event."""
-        return self._chunk({"index": 0, "delta": {}, "finish_reason": end.reason})
-
-    def _chunk(self, choice: dict[str, Any]) -> dict[str, Any]:
-        return self._body("chat.completion.chunk", choice)
-
-    def _body(self, kind: str, choice: dict[str, Any]) -> dict[str, Any]:
-        return {
-            "id": self._answer_id,
-            "object": kind,
-            "created": self._created,
-            "model": self._model,
-            "choices": [choice],
-        }
+        body = {**self._head, "object": "chat.completion", "choices": [choice]}
+        return {**body, "usage": _usage(end)}
 
+    def opening(self) -> bytes:
+        """Return the event that carries the role."""
+        delta = _delta({"role": "assistant", "content": ""})
+        return encode_event(self._chunk([delta]))
 
-def encode_tokens(reply: ReplyTokens, encoder: GenerationEncoder) -> bytes:
-    """Return one server-sent event for each token.
+    def tokens(self, reply: ReplyTokens) -> bytes:
+        """Return one event for each token."""
+        return self._template.events(reply)
 
-    The id of an event names endpoint, attempt and the number of tokens that
-    the caller has once it has read the event.
-    """
-    events = []
-    for index, text in enumerate(reply.texts, start=1):
-        event_id = f"{reply.endpoint}:{reply.attempt_id}:{reply.offset + index}"
-        events.append(encode_event(encoder.chunk(text), event_id=event_id))
-    return b"".join(events)
+    def last(self, end: ReplyEnded) -> bytes:
+        """Return the event with the finish reason."""
+        return encode_event(self._chunk([_delta({}, end.reason)]))
 
+    def usage(self, end: ReplyEnded) -> bytes:
+        """Return the event with the usage."""
+        return encode_event({**self._chunk([]), "usage": _usage(end)})
 
-def encode_event(body: dict[str, Any], *, event_id: str = "") -> bytes:
-    """Return one server-sent event."""
-    head = f"id: {event_id}\n" if event_id else ""
-    return f"{head}data: {json.dumps(body)}\n\n".encode()
+    def _chunk(self, choices: list[dict[str, Any]]) -> dict[str, Any]:
+        return {**self._head, "object": "chat.completion.chunk", "choices": choices}
 
 
-def encode_error(reply: ReplyFailed, request_id: str) -> dict[str, Any]:
-    """Return the body of an error."""
-    answer = ANSWERS[reply.kind]
-    return {
-        "error": {
-            "type": reply.kind.value,
-            "code": reply.kind.value,
-            "message": answer.meaning,
-            "detail": reply.detail,
-            "ran": answer.ran.value,
-            "retryable": answer.retryable,
-            "n_delivered": reply.n_delivered,
-            "request_id": request_id,
-        }
-    }
+class _TokenTemplate:
+    """Encode token events around what is the same in all of them."""
+
+    __slots__ = ("_after", "_before")
+
+    def __init__(self, body: dict[str, Any]) -> None:
+        # From the right: the caller chose the model name before the mark.
+        before, _, after = json.dumps(body).rpartition(json.dumps(_MARK))
+        self._before = f"\ndata: {before}"
+        self._after = f"{after}\n\n"
+
+    def events(self, reply: ReplyTokens) -> bytes:
+        """Return one event for each token."""
+        stem = f"id: {reply.endpoint}:{reply.attempt_id}:"
+        events = [
+            f"{stem}{number}{self._before}{json.dumps(text)}{self._after}"
+            for number, text in enumerate(reply.texts, start=reply.offset + 1)
+        ]
+        return "".join(events).encode()
+
+
+def encode_event(body: dict[str, Any]) -> bytes:
+    """Return one server-sent event without an id."""
+    return f"data: {json.dumps(body)}\n\n".encode()
+
+
+def _text_choice(text: str, reason: str | None) -> dict[str, Any]:
+    return {"index": 0, "text": text, "logprobs": None, "finish_reason": reason}
 
 
-def error_headers(kind: ErrorKind) -> Headers:
-    """Return the headers that tell machines what an error means."""
-    answer = ANSWERS[kind]
-    headers = [("X-Error-Kind", kind.value), ("X-Request-Ran", answer.ran.value)]
-    headers.append(("X-Should-Retry", "true" if answer.retryable else "false"))
-    if answer.retry_after_s:
-        headers.append(("Retry-After", str(answer.retry_after_s)))
-    return headers
+def _delta(delta: dict[str, str], reason: str | None = None) -> dict[str, Any]:
+    return {"index": 0, "delta": delta, "logprobs": None, "finish_reason": reason}
 
 
 def _usage(end: ReplyEnded) -> dict[str, int]:
--- /dev/null
+++ b/hawthornyard/front/exchange.py
@@ -0,0 +1,63 @@
+"""Describe one HTTP request and its way back."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+Environ = dict[str, Any]
+Headers = list[tuple[str, str]]
+StartResponse = Callable[[str, Headers], Any]
+
+MAX_REQUEST_ID_CHARS = 100
+
+
+class Exchange:
+    """What the front knows of one HTTP request.
+
+    Attributes:
+        call_id: Identifier of the exchange.
+        request_id: The caller's request id, or one made for it.
+        method: HTTP method.
+        path: Decoded path without query.
+        raw_path: Path as it was sent, without query.
+        query: Query string.
+        environ: WSGI environment.
+        body: Whole body.
+    """
+
+    __slots__ = (
+        "body",
+        "call_id",
+        "environ",
+        "method",
+        "path",
+        "query",
+        "raw_path",
+        "request_id",
+    )
+
+    def __init__(self, call_id: str, environ: Environ) -> None:
+        self.call_id = call_id
+        self.environ = environ
+        self.method: str = environ["REQUEST_METHOD"]
+        self.path = str(environ["PATH_INFO"])
+        self.raw_path = str(environ.get("RAW_PATH_INFO", self.path))
+        self.query: str = environ.get("QUERY_STRING", "")
+        self.request_id = _visible(self.header("X-Request-ID")) or call_id
+        self.body = b""
+
+    def header(self, name: str) -> str:
+        """Return a request header, empty if it was not sent."""
+        return str(self.environ.get("HTTP_" + name.upper().replace("-", "_"), ""))
+
+
+class Route(Protocol):
+    """Answer the requests of one group of paths."""
+
+    def answer(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        """Begin the answer with `start` and return its body."""
+        ...
+
+
+def _visible(text: str) -> str:
+    visible = (char for char in text if "!" <= char <= "~")
+    return "".join(visible)[:MAX_REQUEST_ID_CHARS]
--- /dev/null
+++ b/hawthornyard/front/generation.py
@@ -0,0 +1,208 @@
+"""Answer calls for generations, whole or as a stream of events."""
+
+import time
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from loguru import logger
+
+from ..core import Inbox
+from ..errors import ErrorKind, RequestError
+from ..gateway.messages import (
+    Call,
+    Reconnect,
+    ReplyEnded,
+    ReplyFailed,
+    ReplyStarted,
+    ReplyTokens,
+)
+from .answer import answer_error, answer_json, error_body, status_line
+from .body import decode_json, read_body
+from .call import decode_call, decode_reconnect
+from .encode import DONE_EVENT, GenerationEncoder, GenerationShape, encode_event
+from .exchange import Exchange, StartResponse
+from .replies import Replies, Reply
+from .session import Session
+
+EVENT_STREAM_TYPE = ("Content-Type", "text/event-stream")
+NO_STORE = ("Cache-Control", "no-store")
+
+
+class GenerationRoute:
+    """Answer one path of generations.
+
+    Args:
+        inbox: Head of the gateway's pipe.
+        replies: Replies from its tail.
+        shape: Decodes and encodes the path's bodies.
+    """
+
+    __slots__ = ("_inbox", "_replies", "_shape")
+
+    def __init__(self, inbox: Inbox, replies: Replies, shape: GenerationShape) -> None:
+        self._inbox = inbox
+        self._replies = replies
+        self._shape = shape
+
+    def answer(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        """Answer a generation; see `Route.answer`."""
+        if exchange.method != "POST":
+            raise RequestError("only POST is supported here")
+        exchange.body = read_body(exchange.environ)
+        body = decode_json(exchange.body)
+        work = self._shape.decode(body)
+        encoder = self._shape.encoder(exchange.call_id, work.model, int(time.time()))
+        reconnect = decode_reconnect(exchange)
+        if not body.get("stream"):
+            if reconnect is not None:
+                raise RequestError("Last-Event-ID goes with a stream only")
+            call = decode_call(exchange, "", work)
+            return self._whole(exchange, encoder, call, start)
+        call_or_rest = reconnect or decode_call(exchange, "", work)
+        return self._stream(exchange, encoder, call_or_rest, start, body)
+
+    def _whole(
+        self,
+        exchange: Exchange,
+        encoder: GenerationEncoder,
+        call: Call,
+        start: StartResponse,
+    ) -> Iterable[bytes]:
+        texts: list[str] = []
+        with Session(exchange, self._replies, self._inbox, call) as session:
+            while not session.is_final:
+                ready = session.take()
+                for reply in ready:
+                    if isinstance(reply, ReplyTokens):
+                        texts.extend(reply.texts)
+        final = ready[-1]
+        if isinstance(final, ReplyEnded):
+            return answer_json(exchange, start, encoder.whole(texts, final))
+        assert isinstance(final, ReplyFailed)
+        return answer_error(exchange, start, final)
+
+    def _stream(
+        self,
+        exchange: Exchange,
+        encoder: GenerationEncoder,
+        call: Call | Reconnect,
+        start: StartResponse,
+        body: dict[str, Any],
+    ) -> Iterable[bytes]:
+        session = Session(exchange, self._replies, self._inbox, call)
+        try:
+            ready = session.take()
+            while isinstance(ready[-1], ReplyStarted):
+                ready = session.take()
+        except BaseException:
+            session.close()
+            raise
+        final = ready[-1]
+        if isinstance(final, ReplyFailed) and not _has_tokens(ready):
+            session.close()
+            return answer_error(exchange, start, final)
+        request_id = ("X-Request-ID", exchange.request_id)
+        start(status_line(200), [EVENT_STREAM_TYPE, NO_STORE, request_id])
+        events = EventStream(session, exchange, encoder, with_usage=_wants_usage(body))
+        events.begin(ready, with_opening=isinstance(call, Call))
+        return events
+
+
+class EventStream:
+    """The body of a stream: server-sent events as replies come.
+
+    Args:
+        session: Where replies come from; closed with the stream.
+        exchange: The HTTP exchange.
+        encoder: Encodes the events.
+        with_usage: End with an event that tells the usage.
+    """
+
+    __slots__ = (
+        "_encoder",
+        "_exchange",
+        "_ready",
+        "_session",
+        "_with_usage",
+        "_writers",
+    )
+
+    def __init__(
+        self,
+        session: Session,
+        exchange: Exchange,
+        encoder: GenerationEncoder,
+        *,
+        with_usage: bool,
+    ) -> None:
+        self._session = session
+        self._exchange = exchange
+        self._encoder = encoder
+        self._with_usage = with_usage
+        self._ready = b""
+        self._writers: dict[type[Reply], Any] = {
+            ReplyStarted: self._started,
+            ReplyTokens: self._tokens,
+            ReplyEnded: self._ended,
+            ReplyFailed: self._failed,
+        }
+
+    def begin(self, ready: list[Reply], *, with_opening: bool) -> None:
+        """Take the replies that decided that there is a stream.
+
+        Args:
+            ready: The replies.
+            with_opening: False for a caller that comes back.
+        """
+        opening = self._encoder.opening() if with_opening else b""
+        self._ready = opening + self._encode(ready)
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        if self._ready:
+            data, self._ready = self._ready, b""
+            return data
+        if self._session.is_final:
+            raise StopIteration
+        return self._encode(self._session.take())
+
+    def close(self) -> None:
+        """End the session; called by the server however the stream ends."""
+        self._session.close()
+
+    def _encode(self, ready: list[Reply]) -> bytes:
+        try:
+            return b"".join(self._writers[type(reply)](reply) for reply in ready)
+        except Exception as exc:
+            # The status is sent already: only an event can tell the caller.
+            logger.opt(exception=exc).error("encoding_failed")
+            self._session.close()
+            self._session.is_final = True
+            failure = ReplyFailed(self._exchange.call_id, ErrorKind.INTERNAL)
+            return self._failed(failure)
+
+    def _started(self, reply: ReplyStarted) -> bytes:
+        return b""
+
+    def _tokens(self, reply: ReplyTokens) -> bytes:
+        return self._encoder.tokens(reply)
+
+    def _ended(self, reply: ReplyEnded) -> bytes:
+        events = self._encoder.last(reply)
+        if self._with_usage:
+            events += self._encoder.usage(reply)
+        return events + DONE_EVENT
+
+    def _failed(self, reply: ReplyFailed) -> bytes:
+        return encode_event(error_body(reply, self._exchange.request_id))
+
+
+def _has_tokens(ready: list[Reply]) -> bool:
+    return any(isinstance(reply, ReplyTokens) for reply in ready)
+
+
+def _wants_usage(body: dict[str, Any]) -> bool:
+    options = body.get("stream_options")
+    return isinstance(options, dict) and bool(options.get("include_usage"))
--- /dev/null
+++ b/hawthornyard/front/probe.py
@@ -0,0 +1,84 @@
+"""Answer probes of balancers, monitors and operators."""
+
+from collections.abc import Callable, Iterable
+from typing import Any, Protocol
+
+from ..errors import RequestError
+from .answer import TEXT_TYPE, answer_bytes, answer_json
+from .exchange import Exchange, StartResponse
+
+METRICS_TYPE = ("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+
+
+class Probe(Protocol):
+    """Tell how the gateway is."""
+
+    def is_ready(self) -> bool:
+        """Return whether new callers may be sent here."""
+        ...
+
+    def metrics(self) -> bytes:
+        """Return the metrics in the Prometheus text format."""
+        ...
+
+    def status(self) -> dict[str, Any]:
+        """Return the fleet as this gateway sees it."""
+        ...
+
+
+class ProbeRoute:
+    """Answer one probe path.
+
+    Args:
+        answer: Answers a GET or HEAD.
+    """
+
+    __slots__ = ("_answer",)
+
+    def __init__(
+        self, answer: Callable[[Exchange, StartResponse], Iterable[bytes]]
+    ) -> None:
+        self._answer = answer
+
+    def answer(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        """Answer a probe; see `Route.answer`."""
+        if exchange.method not in ("GET", "HEAD"):
+            raise RequestError("only GET is supported here")
+        return self._answer(exchange, start)
+
+
+class Probes:
+    """Answer health, readiness, metrics and status.
+
+    Args:
+        probe: Tells how the gateway is.
+    """
+
+    __slots__ = ("_probe",)
+
+    def __init__(self, probe: Probe) -> None:
+        self._probe = probe
+
+    def routes(self) -> dict[str, ProbeRoute]:
+        """Return the routes by path."""
+        return {
+            "/healthz": ProbeRoute(self._health),
+            "/readyz": ProbeRoute(self._readiness),
+            "/metrics": ProbeRoute(self._metrics),
+            "/v1/status": ProbeRoute(self._status),
+        }
+
+    def _health(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        return answer_bytes(exchange, start, b"ok\n", headers=[TEXT_TYPE])
+
+    def _readiness(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        if self._probe.is_ready():
+            return answer_bytes(exchange, start, b"ready\n", headers=[TEXT_TYPE])
+        return answer_bytes(exchange, start, b"no\n", status=503, headers=[TEXT_TYPE])
+
+    def _metrics(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        data = self._probe.metrics()
+        return answer_bytes(exchange, start, data, headers=[METRICS_TYPE])
+
+    def _status(self, exchange: Exchange, start: StartResponse) -> Iterable[bytes]:
+        return answer_json(exchange, start, self._probe.status())
--- a/hawthornyard/front/replies.py
+++ b/hawthornyard/front/replies.py
@@ -6,12 +6,13 @@
 from ..gateway.messages import (
     ReplyEnded,
     ReplyFailed,
+    ReplyModels,
     ReplyStarted,
     ReplyTokens,
     ReplyWhole,
 )
 
-Reply = ReplyStarted | ReplyTokens | ReplyEnded | ReplyWhole | ReplyFailed
+Reply = ReplyStarted | ReplyTokens | ReplyEnded | ReplyWhole | ReplyFailed | ReplyModels
 
 
 class Replies:
@@ -27,6 +28,7 @@
             ReplyEnded: self._put,
             ReplyWhole: self._put,
             ReplyFailed: self._put,
+            ReplyModels: self._put,
         }
 
     def __len__(self) -> int:
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -1,14 +1,21 @@
 """Serve a WSGI application on eventlet."""
 
+import resource
+import socket
 from typing import Any
 
 import eventlet
 import eventlet.wsgi
 import greenlet
+from loguru import logger
 
 MAX_CONNECTIONS = 10_000
+# File descriptors kept for peers, the platform and the process itself.
+RESERVED_FILES = 128
 # eventlet gathers 4,096 bytes by default, which delays tokens by seconds.
 MINIMUM_CHUNK_BYTES = 1
+IDLE_TIMEOUT_S = 75.0
+SOCKET_TIMEOUT_S = 30.0
 
 
 class HttpServer:
@@ -24,6 +31,8 @@
     def __init__(self, address: tuple[str, int], app: Any) -> None:
         self._app = app
         self._sock = eventlet.listen(address, backlog=1024)
+        # Accepted sockets inherit it; a held back token is a late token.
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._thread: Any = None
 
     @property
@@ -53,8 +62,32 @@
         eventlet.wsgi.server(
             self._sock,
             self._app,
-            log_output=False,
+            log=_ServerLog(),
             minimum_chunk_size=MINIMUM_CHUNK_BYTES,
-            max_size=MAX_CONNECTIONS,
+            max_size=max_connections(),
+            keepalive=IDLE_TIMEOUT_S,
+            socket_timeout=SOCKET_TIMEOUT_S,
             debug=False,
+            log_format="",
         )
+
+
+def max_connections() -> int:
+    """Return how many callers may be connected within the file limit."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY:
+        return MAX_CONNECTIONS
+    return max(1, min(MAX_CONNECTIONS, soft - RESERVED_FILES))
+
+
+class _ServerLog:
+    """Pass the server's own messages to the log."""
+
+    __slots__ = ()
+
+    def info(self, text: str, *args: object) -> None:
+        if text:
+            logger.bind(detail=text % args if args else text).debug("http_server")
+
+    debug = info
+    error = info
--- /dev/null
+++ b/hawthornyard/front/work.py
@@ -0,0 +1,181 @@
+"""Decode bodies and paths into the work of a request."""
+
+import urllib.parse
+from typing import Any
+
+from ..errors import RequestError
+from ..frames import Generation, ServiceCall
+from .exchange import Exchange
+
+DEFAULT_MAX_TOKENS = 512
+MAX_MAX_TOKENS = 131_072
+MAX_TEMPERATURE = 2.0
+MAX_MODEL_CHARS = 200
+
+SERVICE_METHODS = frozenset({"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"})
+# End-to-end headers of the request that plain services may act on; the team's
+# key and the caller's cookies stay here.
+PASSED_HEADERS = (
+    "Accept",
+    "Accept-Language",
+    "If-Match",
+    "If-Modified-Since",
+    "If-None-Match",
+    "If-Unmodified-Since",
+    "Range",
+)
+
+# Options that would change the answer, with the values that ask for nothing.
+_ABSENT: tuple[Any, ...] = (None, False, "", [], {})
+_UNSUPPORTED: dict[str, tuple[Any, ...]] = {
+    "best_of": (*_ABSENT, 1),
+    "echo": _ABSENT,
+    "functions": _ABSENT,
+    "logprobs": _ABSENT,
+    "n": (*_ABSENT, 1),
+    "response_format": (*_ABSENT, {"type": "text"}),
+    "stop": _ABSENT,
+    "suffix": _ABSENT,
+    "tools": _ABSENT,
+}
+_SEGMENT_SAFE = "!$&'()*+,;=:@~"
+
+
+def decode_completion(body: dict[str, Any]) -> Generation:
+    """Return the work of a /v1/completions body.
+
+    Raises:
+        RequestError: If a field is malformed or not supported.
+    """
+    prompt = body.get("prompt", "")
+    if isinstance(prompt, list) and len(prompt) == 1:
+        prompt = prompt[0]
+    if not isinstance(prompt, str):
+        raise RequestError("prompt must be one string")
+    return _generation(body, prompt)
+
+
+def decode_chat(body: dict[str, Any]) -> Generation:
+    """Return the work of a /v1/chat/completions body.
+
+    Raises:
+        RequestError: If a field is malformed or not supported.
+    """
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise RequestError("messages must be a list that is not empty")
+    prompt = "\n".join(_chat_line(item) for item in messages)
+    return _generation(body, prompt)
+
+
+def decode_service_call(exchange: Exchange, path: str) -> ServiceCall:
+    """Return the work of a call below /v1/services/<service>.
+
+    Args:
+        exchange: The exchange.
+        path: Path below the service, as it was sent.
+
+    Raises:
+        RequestError: If method or path can't be passed on.
+    """
+    if exchange.method not in SERVICE_METHODS:
+        raise RequestError(f"{exchange.method} is not supported here")
+    headers = [
+        (name, exchange.header(name))
+        for name in PASSED_HEADERS
+        if exchange.header(name)
+    ]
+    content_type = exchange.environ.get("CONTENT_TYPE")
+    if exchange.body and content_type:
+        headers.append(("Content-Type", content_type))
+    query = f"?{exchange.query}" if exchange.query else ""
+    return ServiceCall(
+        exchange.method, canonical_path(path) + query, headers, exchange.body
+    )
+
+
+def canonical_path(path: str) -> str:
+    """Return the one spelling of a path that decisions and endpoints see.
+
+    Raises:
+        RequestError: If the path has a dot segment or a control character.
+    """
+    segments = [urllib.parse.unquote_to_bytes(part) for part in path.split("/")]
+    for segment in segments:
+        if segment in (b".", b"..") or any(byte < 0x20 for byte in segment):
+            raise RequestError("the path has a dot segment or a control character")
+    return "/".join(urllib.parse.quote(part, _SEGMENT_SAFE) for part in segments)
+
+
+def _generation(body: dict[str, Any], prompt: str) -> Generation:
+    _check_supported(body)
+    model = body.get("model")
+    if not isinstance(model, str) or not 0 < len(model) <= MAX_MODEL_CHARS:
+        raise RequestError("model must be a string that is not empty")
+    return Generation(
+        _encodable(model),
+        _encodable(prompt),
+        _max_tokens(body),
+        _temperature(body),
+    )
+
+
+def _check_supported(body: dict[str, Any]) -> None:
+    for name, harmless in _UNSUPPORTED.items():
+        if body.get(name) not in harmless:
+            raise RequestError(f"this value of {name} is not supported")
+
+
+def _max_tokens(body: dict[str, Any]) -> int:
+    value = body.get("max_completion_tokens")
+    if value is None:
+        value = body.get("max_tokens")
+    if value is None:
+        return DEFAULT_MAX_TOKENS
+    if type(value) is not int:
+        raise RequestError("max_tokens must be an integer")
+    if not 1 <= value <= MAX_MAX_TOKENS:
+        raise RequestError(f"max_tokens must be from 1 to {MAX_MAX_TOKENS}")
+    return value
+
+
+def _temperature(body: dict[str, Any]) -> float:
+    value = body.get("temperature")
+    if value is None:
+        return 1.0
+    if type(value) not in (int, float):
+        raise RequestError("temperature must be a number")
+    if not 0 <= value <= MAX_TEMPERATURE:
+        raise RequestError(f"temperature must be from 0 to {MAX_TEMPERATURE:g}")
+    return float(value)
+
+
+def _chat_line(item: Any) -> str:
+    if not isinstance(item, dict):
+        raise RequestError("each message must be an object")
+    role = item.get("role")
+    if not isinstance(role, str) or not role:
+        raise RequestError("each message must have a role")
+    content = item.get("content")
+    if isinstance(content, list):
+        content = "".join(_text_part(part) for part in content)
+    if content is None:
+        content = ""
+    if not isinstance(content, str):
+        raise RequestError("content must be text")
+    return f"{role}: {content}"
+
+
+def _text_part(part: Any) -> str:
+    if not isinstance(part, dict) or not isinstance(part.get("text"), str):
+        raise RequestError("only text parts are supported")
+    text: str = part["text"]
+    return text
+
+
+def _encodable(text: str) -> str:
+    try:
+        text.encode()
+    except UnicodeEncodeError as exc:
+        raise RequestError("text holds a lone surrogate") from exc
+    return text
--- a/hawthornyard/gateway/messages.py
+++ b/hawthornyard/gateway/messages.py
@@ -98,6 +98,16 @@
         self.timeout_s = timeout_s
 
 
+class ModelsQuery(Message):
+    """A caller that asks which models it may use."""
+
+    __slots__ = ("call_id", "bearer")
+
+    def __init__(self, call_id: str, bearer: str) -> None:
+        self.call_id = call_id
+        self.bearer = bearer
+
+
 class CallerGone(Message):
     """The caller closed its connection."""
 
@@ -221,6 +231,16 @@
         self.team = team
 
 
+class ModelsAsked(Message):
+    """A query for models whose team is known."""
+
+    __slots__ = ("call_id", "team")
+
+    def __init__(self, call_id: str, team: Team) -> None:
+        self.call_id = call_id
+        self.team = team
+
+
 class _OfRequest(Message):
     __slots__ = ()
     request: Request
@@ -407,6 +427,16 @@
         self.n_delivered = n_delivered
 
 
+class ReplyModels(Message):
+    """The names of the models that a team may use."""
+
+    __slots__ = ("call_id", "models")
+
+    def __init__(self, call_id: str, models: Sequence[str]) -> None:
+        self.call_id = call_id
+        self.models = models
+
+
 class ClaimAsked(Message):
     """A question to the platform: claim this idempotency key.
 
--- a/hawthornyard/gateway/reply/relay.py
+++ b/hawthornyard/gateway/reply/relay.py
@@ -166,7 +166,8 @@
         # A non-idempotent call goes on, so that its outcome is recorded.
         if not request.idempotent and request.attempt_id:
             return
-        if request.attempt_id:
+        # An attempt that another exchange reads by now is still wanted.
+        if self._inflight.by_attempt(request.attempt_id) is request:
             yield Cancel(request.attempt_id, now=False).at(request.endpoint)
         yield ReplyFailed(msg.call_id, ErrorKind.CANCELLED)
 
--- a/hawthornyard/gateway/request/__init__.py
+++ b/hawthornyard/gateway/request/__init__.py
@@ -1,6 +1,6 @@
 """Carry a call from the caller to a sidecar.
 
-The chain is Drain, Authenticate, Resolve, TeamLimit, Retry, WaitForRoom,
+The chain is Drain, Authenticate, ListModels, Resolve, TeamLimit, Retry, WaitForRoom,
 Claim, Route, SendAttempt.
 """
 
@@ -9,6 +9,7 @@
 from .dispatch import SendAttempt
 from .drain import Drain
 from .limit import TeamLimit
+from .models import ListModels
 from .queue import WaitForRoom
 from .resolve import Resolve
 from .retry import Retry
@@ -18,6 +19,7 @@
     "Authenticate",
     "Claim",
     "Drain",
+    "ListModels",
     "Resolve",
     "Retry",
     "Route",
--- a/hawthornyard/gateway/request/authenticate.py
+++ b/hawthornyard/gateway/request/authenticate.py
@@ -4,8 +4,16 @@
 
 from ...core import Handlers, Message
 from ...errors import ErrorKind
-from ...records import Catalog, Team, key_matches, team_of_key
-from ..messages import Authenticated, Call, Reattached, Reconnect, ReplyFailed
+from ...records import UNKNOWN_KEY_HASH, Catalog, Team, key_matches, team_of_key
+from ..messages import (
+    Authenticated,
+    Call,
+    ModelsAsked,
+    ModelsQuery,
+    Reattached,
+    Reconnect,
+    ReplyFailed,
+)
 
 
 class Authenticate:
@@ -18,6 +26,7 @@
         self.handlers: Handlers = {
             Call: self._on_call,
             Reconnect: self._on_reconnect,
+            ModelsQuery: self._on_models,
         }
 
     def _on_call(self, msg: Call) -> Iterator[Message]:
@@ -34,8 +43,15 @@
             return
         yield Reattached(msg, team)
 
+    def _on_models(self, msg: ModelsQuery) -> Iterator[Message]:
+        team = self._team(msg.bearer)
+        if team is None:
+            yield ReplyFailed(msg.call_id, ErrorKind.UNAUTHENTICATED)
+            return
+        yield ModelsAsked(msg.call_id, team)
+
     def _team(self, bearer: str) -> Team | None:
         team = self._catalog.team(team_of_key(bearer))
-        if team is None or not key_matches(bearer, team.key_hash):
-            return None
-        return team
+        # The same work for an unknown team, so that timing tells no names.
+        key_hash = team.key_hash if team is not None else UNKNOWN_KEY_HASH
+        return team if key_matches(bearer, key_hash) else None
--- a/hawthornyard/gateway/request/dispatch.py
+++ b/hawthornyard/gateway/request/dispatch.py
@@ -11,6 +11,7 @@
 from ..messages import (
     AttemptFailed,
     Reattached,
+    ReplyFailed,
     ReplyStarted,
     Request,
     Routed,
@@ -63,6 +64,12 @@
 
     def _on_reattached(self, msg: Reattached) -> Iterator[Message]:
         call = msg.call
+        older = self._inflight.by_attempt(call.attempt_id)
+        if older is not None:
+            if older.team.name != msg.team.name:
+                yield ReplyFailed(call.call_id, ErrorKind.FORBIDDEN)
+                return
+            yield ReplyFailed(older.call_id, ErrorKind.CANCELLED, "read elsewhere")
         timeout_s = call.timeout_s or RESUMED_TIMEOUT_S
         request = Request(
             call.call_id,
--- /dev/null
+++ b/hawthornyard/gateway/request/models.py
@@ -0,0 +1,26 @@
+"""Tell a team which models it may use."""
+
+from collections.abc import Iterator
+
+from ...core import Handlers, Message
+from ...records import GENERATION, Catalog
+from ..messages import ModelsAsked, ReplyModels
+
+
+class ListModels:
+    """Answer queries for the models of a team's services."""
+
+    __slots__ = ("_catalog", "handlers")
+
+    def __init__(self, catalog: Catalog) -> None:
+        self._catalog = catalog
+        self.handlers: Handlers = {ModelsAsked: self._on_asked}
+
+    def _on_asked(self, msg: ModelsAsked) -> Iterator[Message]:
+        models = {
+            model
+            for service in self._catalog.services()
+            if service.protocol == GENERATION and service.name in msg.team.services
+            for model in service.models
+        }
+        yield ReplyModels(msg.call_id, sorted(models))
--- a/hawthornyard/records/__init__.py
+++ b/hawthornyard/records/__init__.py
@@ -2,7 +2,13 @@
 
 from .build import build_record
 from .catalog import KINDS, Catalog
-from .key import hash_secret, key_matches, new_key, team_of_key
+from .key import (
+    UNKNOWN_KEY_HASH,
+    hash_secret,
+    key_matches,
+    new_key,
+    team_of_key,
+)
 from .record import (
     GENERATION,
     HTTP,
@@ -24,6 +30,7 @@
     "HTTP",
     "KINDS",
     "NEWEST_SCHEMA",
+    "UNKNOWN_KEY_HASH",
     "Catalog",
     "Document",
     "Endpoint",
--- a/hawthornyard/records/key.py
+++ b/hawthornyard/records/key.py
@@ -45,3 +45,7 @@
     salt, _, _ = key_hash.partition("$")
     expected = hash_secret(secret, salt=bytes.fromhex(salt))
     return hmac.compare_digest(expected, key_hash)
+
+
+# Stands in for the record of a team that does not exist.
+UNKNOWN_KEY_HASH = hash_secret(secrets.token_urlsafe(SECRET_BYTES))
--- a/hawthornyard/rim/connection.py
+++ b/hawthornyard/rim/connection.py
@@ -1,5 +1,6 @@
 """Carry frames of one authenticated connection."""
 
+import socket
 from typing import Any
 
 import eventlet
@@ -25,6 +26,8 @@
     __slots__ = ("_codec", "_outgoing", "_sock", "is_open", "peer")
 
     def __init__(self, sock: Any, peer: str, codec: Codec) -> None:
+        # A held back token is a late token.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._codec = codec
         self._outgoing = LightQueue()
@@ -63,7 +66,7 @@
         """End the connection; its reader then leaves `run`."""
         self.is_open = False
         try:
-            self._sock.shutdown(eventlet.green.socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
--- a/hawthornyard/rim/handshake.py
+++ b/hawthornyard/rim/handshake.py
@@ -14,6 +14,10 @@
 NONCE_BYTES = 32
 HANDSHAKE_TIMEOUT_S = 2.0
 RECEIVE_BYTES = 65536
+# A peer that has proved nothing yet may send this much and no more.
+MAX_HANDSHAKE_BYTES = 2048
+HANDSHAKE_RECEIVE_BYTES = 512
+MAX_NAME_CHARS = 100
 
 
 class FrameReader:
@@ -24,17 +28,22 @@
         codec: Codec of the connection.
     """
 
-    __slots__ = ("_decoder", "_pending", "_sock")
+    __slots__ = ("_decoder", "_n_allowed", "_pending", "_sock")
 
     def __init__(self, sock: Any, codec: Codec) -> None:
         self._sock = sock
         self._decoder = codec.decoder()
         self._pending: list[Frame] = []
+        self._n_allowed = MAX_HANDSHAKE_BYTES
+
+    def trust(self) -> None:
+        """Lift the bound that holds until the peer is authenticated."""
+        self._n_allowed = 0
 
     def read(self) -> list[Frame]:
         """Wait for frames; an empty list tells that the peer closed."""
         while not self._pending:
-            data = self._sock.recv(RECEIVE_BYTES)
+            data = self._receive()
             if not data:
                 return []
             self._pending.extend(self._decoder.feed(data))
@@ -53,6 +62,16 @@
         self._pending = frames[1:]
         return frames[0]
 
+    def _receive(self) -> bytes:
+        if not self._n_allowed:
+            data: bytes = self._sock.recv(RECEIVE_BYTES)
+            return data
+        data = self._sock.recv(min(self._n_allowed, HANDSHAKE_RECEIVE_BYTES))
+        self._n_allowed -= len(data)
+        if not self._n_allowed:
+            raise PeerError("the peer sent too much before its proof")
+        return data
+
     def __iter__(self) -> Iterator[Frame]:
         while frames := self.read():
             yield from frames
@@ -82,12 +101,17 @@
     hello = reader.read_one()
     if not isinstance(hello, Hello) or hello.protocol != PROTOCOL_VERSION:
         raise PeerError("the peer speaks another protocol")
+    if not hello.name or len(hello.name) > MAX_NAME_CHARS:
+        raise PeerError("the peer's name is empty or too long")
+    if len(hello.nonce) != NONCE_BYTES:
+        raise PeerError("the peer's nonce has a wrong length")
     sock.sendall(codec.encode(Proof(_digest(key, role, name, hello.nonce))))
     proof = reader.read_one()
     other = "server" if role == "client" else "client"
     expected = _digest(key, other, hello.name, nonce)
     if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, expected):
         raise PeerError("the peer does not know the key")
+    reader.trust()
     return hello.name
 
 
--- a/hawthornyard/rim/listener.py
+++ b/hawthornyard/rim/listener.py
@@ -11,6 +11,8 @@
 from .connection import Connection, Connections
 from .handshake import HANDSHAKE_TIMEOUT_S, FrameReader, authenticate
 
+MAX_HANDSHAKES = 256
+
 
 class PeerListener:
     """Accept, authenticate and read the connections of peers.
@@ -24,7 +26,15 @@
         inbox: Where their frames go.
     """
 
-    __slots__ = ("_codec", "_connections", "_inbox", "_key", "_name", "_sock")
+    __slots__ = (
+        "_codec",
+        "_connections",
+        "_inbox",
+        "_key",
+        "_n_handshakes",
+        "_name",
+        "_sock",
+    )
 
     def __init__(
         self,
@@ -41,6 +51,7 @@
         self._codec = codec
         self._connections = connections
         self._inbox = inbox
+        self._n_handshakes = 0
 
     @property
     def port(self) -> int:
@@ -55,6 +66,10 @@
                 sock, _ = self._sock.accept()
             except OSError:
                 return
+            if self._n_handshakes >= MAX_HANDSHAKES:
+                sock.close()
+                continue
+            self._n_handshakes += 1
             eventlet.spawn_n(self._serve, sock)
 
     def close(self) -> None:
@@ -64,10 +79,7 @@
     def _serve(self, sock: Any) -> None:
         reader = FrameReader(sock, self._codec)
         try:
-            sock.settimeout(HANDSHAKE_TIMEOUT_S)
-            peer = authenticate(
-                sock, reader, self._codec, self._name, self._key, "server"
-            )
+            peer = self._authenticate(sock, reader)
         except (HawthornyardError, OSError) as exc:
             logger.bind(detail=str(exc)).warning("peer_refused")
             sock.close()
@@ -80,3 +92,12 @@
             logger.bind(peer=peer, detail=str(exc)).warning("peer_lost")
         finally:
             self._connections.remove(conn)
+
+    def _authenticate(self, sock: Any, reader: FrameReader) -> str:
+        try:
+            with eventlet.Timeout(HANDSHAKE_TIMEOUT_S, OSError("handshake timed out")):
+                return authenticate(
+                    sock, reader, self._codec, self._name, self._key, "server"
+                )
+        finally:
+            self._n_handshakes -= 1
--- a/hawthornyard/rim/service.py
+++ b/hawthornyard/rim/service.py
@@ -2,13 +2,13 @@
 
 import urllib3
 
-from ..core import Inbox
+from ..core import Inbox, Message
 from ..frames import ServiceCall
 from ..sidecar.messages import Attempt, EndpointFailed, EndpointReplied
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
-_HOP_BY_HOP = frozenset({"connection", "transfer-encoding", "content-length", "date"})
+MAX_ANSWER_BYTES = 2 * 1024 * 1024
 
 
 class ServiceClient:
@@ -30,29 +30,35 @@
         work = attempt.work
         assert isinstance(work, ServiceCall)
         try:
-            # A pooled connection closed by the peer would fail ambiguously.
-            with urllib3.PoolManager() as pool:
-                resp = pool.request(
-                    work.method,
-                    self._url + work.path,
-                    body=work.body or None,
-                    headers=_headers(attempt, work),
-                    timeout=self._timeout,
-                    retries=False,
-                    redirect=False,
-                )
+            inbox.put(self._call(attempt, work))
         except urllib3.exceptions.NewConnectionError as exc:
             inbox.put(EndpointFailed(attempt.attempt_id, False, str(exc)))
-            return
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             inbox.put(EndpointFailed(attempt.attempt_id, True, str(exc)))
-            return
-        headers = [
-            (name, value)
-            for name, value in resp.headers.items()
-            if name.lower() not in _HOP_BY_HOP
-        ]
-        inbox.put(EndpointReplied(attempt.attempt_id, resp.status, headers, resp.data))
+
+    def _call(self, attempt: Attempt, work: ServiceCall) -> Message:
+        # A pooled connection closed by the peer would fail ambiguously.
+        with urllib3.PoolManager() as pool:
+            resp = pool.request(
+                work.method,
+                self._url + work.path,
+                body=work.body or None,
+                headers=_headers(attempt, work),
+                timeout=self._timeout,
+                retries=False,
+                redirect=False,
+                preload_content=False,
+                decode_content=False,
+            )
+            body = resp.read(MAX_ANSWER_BYTES + 1)
+        if len(body) > MAX_ANSWER_BYTES:
+            detail = f"the answer is over {MAX_ANSWER_BYTES} bytes"
+            return EndpointFailed(attempt.attempt_id, True, detail)
+        # A bounded read reports no early end of the body by itself.
+        if resp.length_remaining:
+            return EndpointFailed(attempt.attempt_id, True, "the answer is cut off")
+        headers = list(resp.headers.items())
+        return EndpointReplied(attempt.attempt_id, resp.status, headers, body)
 
     def cancel(self, attempt_id: str) -> None:
         """Do nothing; a plain service knows no cancel."""
