--- a/features/environment.py
+++ b/features/environment.py
@@ -16,8 +16,9 @@
 from hawthornyard.rim import configure_log  # noqa: E402
 
 _BY_TAG = {
-    "fixture.kingston": fixtures.kingston,
     "fixture.callers": fixtures.callers,
+    "fixture.cut_off_gateway": fixtures.cut_off_gateway,
+    "fixture.kingston": fixtures.kingston,
     "fixture.silent_engine": fixtures.silent_engine,
 }
 
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -9,6 +9,7 @@
 from hawthornyard.demo import Client, Deployment
 from hawthornyard.demo.deployment import EndpointHost
 from hawthornyard.records import Document, new_key
+from hawthornyard.standins import TableStandIn
 
 
 @fixture
@@ -28,6 +29,21 @@
     yield deployment
 
 
+@fixture
+def cut_off_gateway(context: Context) -> Iterator[Deployment]:
+    """Two endpoints and two gateways, the second with its own way to the table."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.005)
+    deployment.add_engine("scribe-2", "half-way-tree", step_s=0.005)
+    context.second_table = TableStandIn(deployment.table.table)
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree", table=context.second_table)
+    deployment.apply(deployment.documents())
+    deployment.wait_ready()
+    context.deployment = deployment
+    yield deployment
+
+
 @fixture
 def callers(context: Context) -> Iterator[Deployment]:
     """Two gateways, an engine and an odd plain service; a second team."""
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -223,7 +223,7 @@
     "a number in place of text": lambda: _ext(6, [7, 7]),
     "true in place of a number": lambda: _ext(6, ["a1", True]),
     "an offset that is no number": lambda: _ENCODE(Attach("a1", "kiosk", 1.5, False)),
-    "a list with a wrong item": lambda: _ENCODE(ConfigPush(1, ["record"])),
+    "a list with a wrong item": lambda: _ENCODE(ConfigPush(0, 1, ["record"])),
     "work of an unknown type": lambda: _ENCODE(_dispatch("write minutes")),
     "a record in place of work": lambda: _ENCODE(
         _dispatch(RecordEntry("team", "kiosk", 1, ""))
@@ -316,7 +316,7 @@
     Tokens("a1", 3, [" þ", " ", "\x00"]),
     Cancel("a1", False),
     Replied("a1", 200, [["ETag", "7"]], b"body"),
-    ConfigPush(7, [RecordEntry("team", "kiosk", 7, "{}")]),
+    ConfigPush(6, 7, [RecordEntry("team", "kiosk", 7, "{}")]),
     Heartbeat("scribe-1", "i", 1, True, 0, 0, 1, 0.25),
 ]
 
