Start the programs as separate processes and bind their ports alone

Cause: eventlet.listen shares a port between processes by default (SO_REUSEPORT): a second sidecar beside an endpoint would have started and taken half of the gateways' connections, with an admission of its own.

Ruled out: a lock file, since hosts have no disks; the port is what makes a sidecar single.

--- a/features/environment.py
+++ b/features/environment.py
@@ -19,6 +19,7 @@
     "fixture.callers": fixtures.callers,
     "fixture.cut_off_gateway": fixtures.cut_off_gateway,
     "fixture.kingston": fixtures.kingston,
+    "fixture.processes": fixtures.processes,
     "fixture.silent_engine": fixtures.silent_engine,
 }
 
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -1,11 +1,13 @@
 """Fixtures that the scenarios share."""
 
 from collections.abc import Iterator
+from pathlib import Path
 
 from behave import fixture
 from behave.runner import Context
 
 from features.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
+from features.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
 from hawthornyard.demo.deployment import EndpointHost
 from hawthornyard.records import Document, new_key
@@ -87,3 +89,15 @@
         "tokens_per_s": 100000,
     }
     return {"kind": "team", "schema": 1, "name": "portal", "spec": spec}
+
+
+@fixture
+def processes(context: Context) -> Iterator[Processes]:
+    """A table, an engine, a sidecar and a gateway, each a process of its own."""
+    with temporary_folder() as folder:
+        context.processes = Processes(Path(folder))
+        try:
+            context.processes.start_all()
+            yield context.processes
+        finally:
+            context.processes.kill()
--- a/hawthornyard/cli/standin.py
+++ b/hawthornyard/cli/standin.py
@@ -2,6 +2,7 @@
 
 import cyclopts
 import eventlet
+from loguru import logger
 
 from ..front import HttpServer
 from ..rim import configure_log, split_address
@@ -59,4 +60,5 @@
     configure_log()
     server = HttpServer(split_address(listen), app)
     server.start()
+    logger.bind(process="standin", port=server.port).info("started")
     server.wait()
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -1,7 +1,6 @@
 """Serve a WSGI application on eventlet."""
 
 import resource
-import socket
 from typing import Any
 
 import eventlet
@@ -9,6 +8,8 @@
 import greenlet
 from loguru import logger
 
+from ..rim import listen
+
 MAX_CONNECTIONS = 10_000
 # File descriptors kept for peers, the platform and the process itself.
 RESERVED_FILES = 128
@@ -30,9 +31,7 @@
 
     def __init__(self, address: tuple[str, int], app: Any) -> None:
         self._app = app
-        self._sock = eventlet.listen(address, backlog=1024)
-        # Accepted sockets inherit it; a held back token is a late token.
-        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = listen(address)
         self._thread: Any = None
 
     @property
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -213,7 +213,8 @@
 
     def run(self) -> None:
         """Run until SIGTERM and the end of all requests."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop())
         loop = self.start()
         logger.bind(process=self._settings.name, port=self.port).info("started")
         loop.wait()
--- a/hawthornyard/rim/__init__.py
+++ b/hawthornyard/rim/__init__.py
@@ -6,6 +6,7 @@
 from .discard import Discard
 from .inbox import EventletInbox
 from .links import PeerLinks, split_address
+from .listen import listen
 from .listener import PeerListener
 from .log import configure_log
 from .loop import StopSink, run_loop
@@ -26,6 +27,7 @@
     "RandomIdentifiers",
     "StopSink",
     "configure_log",
+    "listen",
     "run_loop",
     "run_timer",
     "split_address",
--- a/hawthornyard/rim/listener.py
+++ b/hawthornyard/rim/listener.py
@@ -10,6 +10,7 @@
 from ..errors import HawthornyardError
 from .connection import Connection, Connections
 from .handshake import HANDSHAKE_TIMEOUT_S, FrameReader, authenticate
+from .listen import listen
 
 MAX_HANDSHAKES = 256
 
@@ -45,7 +46,7 @@
         connections: Connections,
         inbox: Inbox,
     ) -> None:
-        self._sock = eventlet.listen(address, backlog=1024)
+        self._sock = listen(address)
         self._name = name
         self._key = key
         self._codec = codec
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -114,7 +114,8 @@
 
     def run(self) -> None:
         """Run until SIGTERM and the end of all attempts."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop())
         loop = self.start()
         logger.bind(process=self._settings.name, port=self.port).info("started")
         loop.wait()
