--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -1,26 +1,21 @@
 """Fixtures that the scenarios share."""
 
-import contextlib
-import io
 import os
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
 
-import eventlet
 from behave import fixture
 from behave.runner import Context
 
-from hawthornyard.cli import run_app
-from hawthornyard.codec import MsgpackCodec
-from hawthornyard.core import Message
+from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
+from features.support.operator import Operator
+from features.support.peers import PeerPair
+from features.support.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
-from hawthornyard.errors import PeerError
-from hawthornyard.front import HttpServer
-from hawthornyard.rim import Connections, PeerLinks
-from hawthornyard.rim.handshake import FrameReader, authenticate
-from hawthornyard.standins import MemoryTable, TableStandIn
+from hawthornyard.demo.deployment import EndpointHost
+from hawthornyard.records import Document, new_key
+from hawthornyard.standins import TableStandIn
 
 
 @fixture
@@ -55,31 +50,61 @@
     yield deployment
 
 
-class Operator:
-    """Runs commands against a stand-in table, with a folder for files."""
+@fixture
+def callers(context: Context) -> Iterator[Deployment]:
+    """Two gateways, an engine and an odd plain service; a second team."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.02)
+    service = OddService()
+    host = EndpointHost("frontdesk-1", "new-kingston", "http", service)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    context.odd_service = service
+    yield deployment
+
+
+@fixture
+def silent_engine(context: Context) -> Iterator[Deployment]:
+    """Two gateways before an engine that stops generating."""
+    deployment = Deployment()
+    context.engine = SilentEngine(N_TOKENS_BEFORE_SILENCE)
+    host = EndpointHost("scribe-1", "new-kingston", "generation", context.engine)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    yield deployment
+
+
+def _finish(context: Context, deployment: Deployment) -> None:
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree")
+    deployment.apply([*deployment.documents(), _portal_team(context)])
+    deployment.wait_ready()
+    context.deployment = deployment
+    context.client = Client(deployment.url(0), deployment.key)
+    context.other_client = Client(deployment.url(1), deployment.key)
+
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.standin = TableStandIn(MemoryTable())
-        server = HttpServer(("127.0.0.1", 0), self.standin.app)
-        server.start()
-        self.table_url = f"http://127.0.0.1:{server.port}"
-        self.code = 0
-        self.out = ""
-        self.err = ""
+def _portal_team(context: Context) -> Document:
+    context.portal_key, key_hash = new_key("portal")
+    spec = {
+        "key_hash": key_hash,
+        "services": ["summaries", "frontdesk"],
+        "requests_per_s": 1000,
+        "tokens_per_s": 100000,
+    }
+    return {"kind": "team", "schema": 1, "name": "portal", "spec": spec}
 
-    def run(self, *args: str) -> None:
-        """Run one command and keep its exit code and what it wrote."""
-        out, err = io.StringIO(), io.StringIO()
-        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
-            self.code = run_app(list(args))
-        self.out, self.err = out.getvalue(), err.getvalue()
 
-    def write(self, name: str, text: str) -> Path:
-        path = self.folder / name
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text)
-        return path
+@fixture
+def processes(context: Context) -> Iterator[Processes]:
+    """A table, an engine, a sidecar and a gateway, each a process of its own."""
+    with temporary_folder() as folder:
+        context.processes = Processes(Path(folder))
+        try:
+            context.processes.start_all()
+            yield context.processes
+        finally:
+            context.processes.kill()
 
 
 @fixture
@@ -92,47 +117,6 @@
         del os.environ["HAWTHORNYARD_TABLE"]
 
 
-PEER_NAME = "scribe-1"
-
-
-class PeerPair:
-    """A listening peer and what a link to it puts into its inbox."""
-
-    def __init__(self) -> None:
-        self.key = b"the key of the deployment"
-        self.kept: list[Message] = []
-        self.n_accepted = 0
-        self.n_closed = 0
-        self._sock = eventlet.listen(("127.0.0.1", 0))
-        self.addresses = {PEER_NAME: f"127.0.0.1:{self._sock.getsockname()[1]}"}
-        eventlet.spawn_n(self._accept)
-
-    def put(self, msg: Message) -> None:
-        """Keep a message, as an inbox does."""
-        self.kept.append(msg)
-
-    def links(self, key: bytes) -> PeerLinks:
-        """Return links that use a key."""
-        connections = Connections(self)
-        return PeerLinks("gateway-1", key, MsgpackCodec(), connections, self)
-
-    def _accept(self) -> None:
-        while True:
-            sock, _ = self._sock.accept()
-            self.n_accepted += 1
-            eventlet.spawn_n(self._serve, sock)
-
-    def _serve(self, sock: Any) -> None:
-        codec = MsgpackCodec()
-        reader = FrameReader(sock, codec)
-        with contextlib.suppress(PeerError):
-            authenticate(sock, reader, codec, PEER_NAME, self.key, "server")
-        with contextlib.suppress(OSError):
-            while sock.recv(4096):
-                pass
-        self.n_closed += 1
-
-
 @fixture
 def peer_pair(context: Context) -> Iterator[PeerPair]:
     """A listening peer."""
--- a/features/steps/links.py
+++ b/features/steps/links.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.fixtures import PEER_NAME, PeerPair
+from features.support.peers import PEER_NAME, PeerPair
 from hawthornyard.core import PeerUp
 from hawthornyard.demo import wait_until
 
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -36,6 +36,8 @@
 
 
 def _start(feature: Path) -> subprocess.Popen[bytes]:
+    # A run that breaks off must not be taken for an earlier one.
+    _json_path(feature).unlink(missing_ok=True)
     log = (REPORTS / f"{feature.stem}.log").open("wb")
     command = [sys.executable, "-W", "ignore", "-m", "behave", "--no-capture"]
     command += ["--format", "plain", "--outfile", "/dev/stdout"]
@@ -48,7 +50,6 @@
 
 
 def _finish(feature: Path, process: subprocess.Popen[bytes]) -> list[tuple[str, str]]:
-    _json_path(feature)
     try:
         process.wait(FEATURE_TIMEOUT_S)
     except subprocess.TimeoutExpired:
