Look at nine horizons instead of five

Cause: the memory expected between two horizons could exceed that at both, so preemptions drove the margin up and the memory stood idle.

--- a/hawthornyard/policy/memory.py
+++ b/hawthornyard/policy/memory.py
@@ -8,7 +8,7 @@
 from .lengths import LengthPredictor, LengthSource
 
 # Steps ahead at which the expected memory must fit.
-HORIZONS_TOKENS = (0, 32, 128, 512, 2048)
+HORIZONS_TOKENS = (0, 16, 32, 64, 128, 256, 512, 1024, 2048)
 INITIAL_SAFETY = 1.0
 MIN_SAFETY = 0.5
 MAX_SAFETY = 4.0
@@ -132,12 +132,13 @@
 
     def fits(self, occupant: Occupant) -> bool:
         """Return whether one more generation is expected to fit."""
-        means, variances = self._with(occupant)
+        means, variances = list(self._means), list(self._variances)
+        self._accumulate(occupant, means, variances)
         return self._demand(means, variances) <= self._memory_tokens
 
     def add(self, occupant: Occupant) -> None:
         """Count a generation that was admitted since the last `reset`."""
-        self._means, self._variances = self._with(occupant)
+        self._accumulate(occupant, self._means, self._variances)
 
     def on_report(self, n_preempted: int, elapsed_s: float) -> None:
         """Widen the margin on preemptions, narrow it slowly without."""
@@ -146,16 +147,17 @@
         change = SAFETY_STEP if n_preempted else -SAFETY_DECAY_PER_S * elapsed_s
         self.safety = min(MAX_SAFETY, max(MIN_SAFETY, self.safety + change))
 
-    def _with(self, occupant: Occupant) -> tuple[list[float], list[float]]:
-        chances = self._chances(occupant)
+    def _accumulate(
+        self, occupant: Occupant, means: list[float], variances: list[float]
+    ) -> None:
         held = occupant.n_prompt + occupant.n_done
-        means, variances = [], []
-        for index, chance in enumerate(chances):
+        for index, chance in enumerate(self._chances(occupant)):
+            if chance <= 0.0:
+                return
             size = held + HORIZONS_TOKENS[index]
-            means.append(self._means[index] + chance * size)
-            spread = chance * (1.0 - chance) * size * size
-            variances.append(self._variances[index] + spread)
-        return means, variances
+            mean = chance * size
+            means[index] += mean
+            variances[index] += mean * (size - mean)
 
     def _chances(self, occupant: Occupant) -> list[float]:
         request_id, n_done = occupant.source.request_id, occupant.n_done
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -11,6 +11,7 @@
     FairQueue,
     LengthPredictor,
     MemoryLimit,
+    Occupant,
     SlowStart,
 )
 from ..attempts import Attempts
@@ -52,6 +53,7 @@
         "_max_wait_s",
         "_memory",
         "_n_preempted",
+        "_occupants",
         "_outside",
         "_pace",
         "_predictor",
@@ -85,6 +87,7 @@
         self._queue: FairQueue[Attempt] = FairQueue(clock)
         self._since: dict[str, float] = {}
         self._costs: dict[str, float] = {}
+        self._occupants: dict[str, Occupant] = {}
         self._running: dict[str, Attempt] = {}
         self._n_preempted = 0
         self._reported_at = clock.now()
@@ -112,6 +115,7 @@
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
         attempt = msg.attempt
         expected = self._costs.pop(attempt.attempt_id, 0.0)
+        self._occupants.pop(attempt.attempt_id, None)
         if self._running.pop(attempt.attempt_id, None) is not None:
             self._state.n_running = len(self._running)
             self._queue.charge(attempt.team, len(attempt.texts) - expected)
@@ -194,16 +198,23 @@
     def _measure(self) -> None:
         record = self._state.record
         memory_tokens = record.memory_tokens if record else 1
-        occupants = [occupant(attempt) for attempt in self._running.values()]
+        occupants = [self._occupant(attempt) for attempt in self._running.values()]
         self._memory.reset(memory_tokens, occupants)
 
+    def _occupant(self, attempt: Attempt) -> Occupant:
+        known = self._occupants.get(attempt.attempt_id)
+        if known is None:
+            known = self._occupants[attempt.attempt_id] = occupant(attempt)
+        known.n_done = len(attempt.texts)
+        return known
+
     def _fits(self, attempt: Attempt) -> bool:
         # A generation larger than the memory must not wait for ever.
-        return not self._running or self._memory.fits(occupant(attempt))
+        return not self._running or self._memory.fits(self._occupant(attempt))
 
     def _begin(self, attempt: Attempt) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
-        self._memory.add(occupant(attempt))
+        self._memory.add(self._occupant(attempt))
         self._running[attempt.attempt_id] = attempt
         self._state.n_running = len(self._running)
         self._outside.on_own(self._state.n_running, self._clock.now())
@@ -222,6 +233,7 @@
     ) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
         self._costs.pop(attempt.attempt_id, None)
+        self._occupants.pop(attempt.attempt_id, None)
         self._attempts.refuse(attempt.attempt_id)
         self._state.n_waiting = len(self._queue)
         if attempt.peer:
