--- a/benchmarks/policy/oracle.py
+++ b/benchmarks/policy/oracle.py
@@ -1,13 +1,13 @@
 """Know every length ahead, as a bound that no real predictor reaches."""
 
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from hawthornyard.policy import (
-    ExpectedMemory,
     LengthPredictor,
     LengthSource,
     MemoryLimit,
+    Occupant,
     RoutingPolicy,
 )
 
@@ -15,6 +15,9 @@
 from .score import Record
 from .variant import Whole
 
+# Tokens that may have left since the sidecar was last told.
+UNSEEN_TOKENS = 8
+
 
 class OraclePredictor:
     """Look the length of an output up.
@@ -39,6 +42,58 @@
         """Learn nothing."""
 
 
+class KnownMemory:
+    """Compute the peak of the memory from lengths that are known.
+
+    Args:
+        records: Records of all jobs by id.
+    """
+
+    __slots__ = ("_memory_tokens", "_occupants", "_records")
+
+    def __init__(self, records: dict[str, Record]) -> None:
+        self._records = records
+        self._memory_tokens = 1
+        self._occupants: list[Occupant] = []
+
+    @property
+    def load(self) -> float:
+        """Return the share of the memory in use at the peak."""
+        return self._peak(self._occupants) / self._memory_tokens
+
+    def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
+        """Take the work that runs now."""
+        self._memory_tokens = memory_tokens
+        self._occupants = list(running)
+
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether the peak with one more generation fits."""
+        return self._peak([*self._occupants, occupant]) <= self._memory_tokens
+
+    def add(self, occupant: Occupant) -> None:
+        """Count one more generation."""
+        self._occupants.append(occupant)
+
+    def on_report(self, n_preempted: int, elapsed_s: float) -> None:
+        """Learn nothing."""
+
+    def _peak(self, occupants: Sequence[Occupant]) -> int:
+        ends = sorted((self._n_left(item), self._held(item)) for item in occupants)
+        held = sum(size for _, size in ends)
+        peak = held
+        for index, (n_left, size) in enumerate(ends):
+            peak = max(peak, held + n_left * (len(ends) - index))
+            held -= size
+        return peak
+
+    def _n_left(self, occupant: Occupant) -> int:
+        job = self._records[occupant.source.request_id].job
+        return job.n_output - occupant.n_done
+
+    def _held(self, occupant: Occupant) -> int:
+        return occupant.n_prompt + occupant.n_done + UNSEEN_TOKENS
+
+
 class Oracle:
     """The whole system with lengths that are known ahead."""
 
@@ -51,9 +106,11 @@
         """Return a predictor that knows each length."""
         return OraclePredictor(records)
 
-    def memory(self, predictor: LengthPredictor) -> MemoryLimit:
-        """Return the memory limit of the programs, without a margin."""
-        return ExpectedMemory(predictor, safety=0.0, adapts=False)
+    def memory(
+        self, records: dict[str, Record], predictor: LengthPredictor
+    ) -> MemoryLimit:
+        """Return a memory limit that knows each length."""
+        return KnownMemory(records)
 
     def routing(self, chance: random.Random) -> RoutingPolicy:
         """Return the routing policy of the programs."""
--- a/benchmarks/policy/system.py
+++ b/benchmarks/policy/system.py
@@ -121,7 +121,7 @@
             self,
             self._world.loop.clock,
             predictor,
-            self._variant.memory(predictor),
+            self._variant.memory(self._records, predictor),
         )
         self._sidecars[sidecar.name] = sidecar
         for gateway in self._gateways:
--- a/benchmarks/policy/variant.py
+++ b/benchmarks/policy/variant.py
@@ -24,7 +24,9 @@
         """Return the length predictor of a sidecar or gateway."""
         ...
 
-    def memory(self, predictor: LengthPredictor) -> MemoryLimit:
+    def memory(
+        self, records: dict[str, Record], predictor: LengthPredictor
+    ) -> MemoryLimit:
         """Return the memory limit of a sidecar."""
         ...
 
@@ -50,7 +52,9 @@
         """Return the predictor of the programs."""
         return BackoffPredictor()
 
-    def memory(self, predictor: LengthPredictor) -> MemoryLimit:
+    def memory(
+        self, records: dict[str, Record], predictor: LengthPredictor
+    ) -> MemoryLimit:
         """Return the memory limit of the programs."""
         return ExpectedMemory(predictor)
 
