Let urgent work wait ahead at a full endpoint, and drafts wait longer

Cause: short calls queued at the gateway while drafts waited at the endpoint; drafts went back as overloaded after three seconds.

--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -87,7 +87,8 @@
 
     def has_room(self, request: Request) -> bool:
         """Return whether some endpoint can begin the request at once."""
-        return any(view.n_free for view in self.candidates(request))
+        priority = request.service.priority
+        return any(view.n_free(priority) for view in self.candidates(request))
 
     def has_any(self, request: Request) -> bool:
         """Return whether any live endpoint fits the request."""
--- a/hawthornyard/gateway/request/route.py
+++ b/hawthornyard/gateway/request/route.py
@@ -26,7 +26,8 @@
     def _on_claimed(self, msg: Claimed) -> Iterator[Message]:
         request = msg.request
         views = self._fleet.candidates(request)
-        with_room = [view for view in views if view.n_free]
+        priority = request.service.priority
+        with_room = [view for view in views if view.n_free(priority)]
         choice = self._policy.choose(with_room or views, prefix=_prefix(request))
         if choice is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
--- a/hawthornyard/policy/view.py
+++ b/hawthornyard/policy/view.py
@@ -3,7 +3,9 @@
 from ..core import Message
 
 # Attempts that may wait at a full endpoint, to begin there between reports.
-QUEUE_AHEAD = 2
+QUEUE_AHEAD = 1
+# Steps of priority that let one more attempt wait there, ahead of the others.
+PRIORITY_PER_AHEAD = 3
 
 
 class EndpointView(Message):
@@ -55,11 +57,11 @@
         """Return the attempts that are there, as far as is known."""
         return max(0, self.n_running + self.n_waiting + self.n_unreported)
 
-    @property
-    def n_free(self) -> int:
-        """Return how many more attempts may be sent there now."""
+    def n_free(self, priority: int) -> int:
+        """Return how many more attempts of a priority may be sent there now."""
         room = min(self.limit, self.n_fitting) - self.n_expected
-        return max(0, room + QUEUE_AHEAD)
+        ahead = QUEUE_AHEAD + priority // PRIORITY_PER_AHEAD
+        return max(0, room + ahead)
 
     @property
     def n_fitting(self) -> int:
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -29,7 +29,7 @@
 from .size import expected_tokens, length_source, occupant
 
 MAX_WAITING = 32
-MAX_WAIT_S = 3.0
+MAX_WAIT_SHARE = 0.5
 ORPHAN_WAIT_S = 1.0
 
 
@@ -42,7 +42,7 @@
         clock: Source of time.
         predictor: Predicts output lengths.
         memory: Bounds the expected memory; made from `predictor` by default.
-        max_wait_s: Longest wait in the queue before an attempt goes back.
+        max_wait_share: Share of its time that an attempt waits before it goes back.
     """
 
     __slots__ = (
@@ -50,7 +50,7 @@
         "_clock",
         "_costs",
         "_limit",
-        "_max_wait_s",
+        "_max_wait_share",
         "_memory",
         "_n_preempted",
         "_occupants",
@@ -73,14 +73,14 @@
         predictor: LengthPredictor,
         *,
         memory: MemoryLimit | None = None,
-        max_wait_s: float = MAX_WAIT_S,
+        max_wait_share: float = MAX_WAIT_SHARE,
     ) -> None:
         self._state = state
         self._attempts = attempts
         self._clock = clock
         self._predictor = predictor
         self._memory = memory or ExpectedMemory(predictor)
-        self._max_wait_s = max_wait_s
+        self._max_wait_share = max_wait_share
         self._limit: ConcurrencyLimit = SlowStart(1, 1)
         self._pace = Pace()
         self._outside = OutsideLoad()
@@ -182,8 +182,9 @@
         return self._clock.now() - orphaned_at >= ORPHAN_WAIT_S
 
     def _is_late(self, attempt: Attempt) -> bool:
-        waited_s = self._clock.now() - self._since[attempt.attempt_id]
-        return waited_s > self._max_wait_s
+        since = self._since[attempt.attempt_id]
+        allowed_s = self._max_wait_share * (attempt.deadline - since)
+        return self._clock.now() - since > allowed_s
 
     def _admit(self) -> Iterator[Message]:
         self._measure()
