Let a lower priority catch up in four seconds a step instead of one

Cause: after six seconds unserved, a draft that did not fit held the queue and kept short calls out that did.

--- a/hawthornyard/policy/fairqueue.py
+++ b/hawthornyard/policy/fairqueue.py
@@ -9,8 +9,8 @@
 
 T = TypeVar("T")
 
-AGEING_S = 1.0
-PATIENCE_S = 5.0
+AGEING_S = 4.0
+PATIENCE_S = 30.0
 MAX_SHARES = 4096
 _COMPACT_FACTOR = 4
 _COMPACT_MINIMUM = 64
