--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -11,6 +11,7 @@
     FairQueue,
     LengthPredictor,
     MemoryLimit,
+    Occupant,
     SlowStart,
 )
 from ..attempts import Attempts
@@ -28,7 +29,7 @@
 from .size import expected_tokens, length_source, occupant
 
 MAX_WAITING = 32
-MAX_WAIT_S = 3.0
+MAX_WAIT_SHARE = 0.5
 ORPHAN_WAIT_S = 1.0
 
 
@@ -41,7 +42,7 @@
         clock: Source of time.
         predictor: Predicts output lengths.
         memory: Bounds the expected memory; made from `predictor` by default.
-        max_wait_s: Longest wait in the queue before an attempt goes back.
+        max_wait_share: Share of its time that an attempt waits before it goes back.
     """
 
     __slots__ = (
@@ -49,9 +50,10 @@
         "_clock",
         "_costs",
         "_limit",
-        "_max_wait_s",
+        "_max_wait_share",
         "_memory",
         "_n_preempted",
+        "_occupants",
         "_outside",
         "_pace",
         "_predictor",
@@ -71,20 +73,21 @@
         predictor: LengthPredictor,
         *,
         memory: MemoryLimit | None = None,
-        max_wait_s: float = MAX_WAIT_S,
+        max_wait_share: float = MAX_WAIT_SHARE,
     ) -> None:
         self._state = state
         self._attempts = attempts
         self._clock = clock
         self._predictor = predictor
         self._memory = memory or ExpectedMemory(predictor)
-        self._max_wait_s = max_wait_s
+        self._max_wait_share = max_wait_share
         self._limit: ConcurrencyLimit = SlowStart(1, 1)
         self._pace = Pace()
         self._outside = OutsideLoad()
         self._queue: FairQueue[Attempt] = FairQueue(clock)
         self._since: dict[str, float] = {}
         self._costs: dict[str, float] = {}
+        self._occupants: dict[str, Occupant] = {}
         self._running: dict[str, Attempt] = {}
         self._n_preempted = 0
         self._reported_at = clock.now()
@@ -112,6 +115,7 @@
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
         attempt = msg.attempt
         expected = self._costs.pop(attempt.attempt_id, 0.0)
+        self._occupants.pop(attempt.attempt_id, None)
         if self._running.pop(attempt.attempt_id, None) is not None:
             self._state.n_running = len(self._running)
             self._queue.charge(attempt.team, len(attempt.texts) - expected)
@@ -178,8 +182,9 @@
         return self._clock.now() - orphaned_at >= ORPHAN_WAIT_S
 
     def _is_late(self, attempt: Attempt) -> bool:
-        waited_s = self._clock.now() - self._since[attempt.attempt_id]
-        return waited_s > self._max_wait_s
+        since = self._since[attempt.attempt_id]
+        allowed_s = self._max_wait_share * (attempt.deadline - since)
+        return self._clock.now() - since > allowed_s
 
     def _admit(self) -> Iterator[Message]:
         self._measure()
@@ -194,16 +199,23 @@
     def _measure(self) -> None:
         record = self._state.record
         memory_tokens = record.memory_tokens if record else 1
-        occupants = [occupant(attempt) for attempt in self._running.values()]
+        occupants = [self._occupant(attempt) for attempt in self._running.values()]
         self._memory.reset(memory_tokens, occupants)
 
+    def _occupant(self, attempt: Attempt) -> Occupant:
+        known = self._occupants.get(attempt.attempt_id)
+        if known is None:
+            known = self._occupants[attempt.attempt_id] = occupant(attempt)
+        known.n_done = len(attempt.texts)
+        return known
+
     def _fits(self, attempt: Attempt) -> bool:
         # A generation larger than the memory must not wait for ever.
-        return not self._running or self._memory.fits(occupant(attempt))
+        return not self._running or self._memory.fits(self._occupant(attempt))
 
     def _begin(self, attempt: Attempt) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
-        self._memory.add(occupant(attempt))
+        self._memory.add(self._occupant(attempt))
         self._running[attempt.attempt_id] = attempt
         self._state.n_running = len(self._running)
         self._outside.on_own(self._state.n_running, self._clock.now())
@@ -222,6 +234,7 @@
     ) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
         self._costs.pop(attempt.attempt_id, None)
+        self._occupants.pop(attempt.attempt_id, None)
         self._attempts.refuse(attempt.attempt_id)
         self._state.n_waiting = len(self._queue)
         if attempt.peer:
