--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of decisions, of the programs and of memory."""
--- a/features/environment.py
+++ b/features/environment.py
@@ -15,12 +15,9 @@
 from features import fixtures  # noqa: E402
 from hawthornyard.rim import configure_log  # noqa: E402
 
-_BY_TAG = {
-    "fixture.kingston": fixtures.kingston,
-    "fixture.ordered_engines": fixtures.ordered_engines,
-    "fixture.planners": fixtures.planners,
-    "fixture.platform": fixtures.platform,
-}
+# Made anew for each scenario of a feature with the tag.
+_BY_SCENARIO = ("operator",)
+_PREFIX = "fixture."
 
 
 def before_all(context: Context) -> None:
@@ -28,9 +25,13 @@
 
 
 def before_tag(context: Context, tag: str) -> None:
-    if tag in _BY_TAG:
-        use_fixture(_BY_TAG[tag], context)
+    name = tag.removeprefix(_PREFIX)
+    if name != tag and name not in _BY_SCENARIO:
+        use_fixture(getattr(fixtures, name), context)
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.answers = []
+    for name in _BY_SCENARIO:
+        if _PREFIX + name in scenario.effective_tags:
+            use_fixture(getattr(fixtures, name), context)
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the scenarios share: stand-ins, processes, relays, checkers."""
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -3,16 +3,29 @@
 from collections.abc import Sequence
 
 from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import RetryBudget, TwoChoices
+from ..policy import PrefixAffinity, RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
-from .fleet import ApplyConfig, Fleet, FollowHosts, PushPlan, TrackLoaded, Watch
+from .fleet import (
+    ApplyConfig,
+    Fleet,
+    FollowHosts,
+    Greet,
+    Neighbours,
+    PushPlan,
+    ShareLimits,
+    SubscribeHeartbeats,
+    SuspectSilence,
+    TrackLoaded,
+    Watch,
+)
 from .inflight import InFlight
 from .reply import Meter, Relay, Settle
 from .request import (
     Authenticate,
     Claim,
     Drain,
+    ListModels,
     Resolve,
     Retry,
     Route,
@@ -26,6 +39,7 @@
     catalog: Catalog,
     inflight: InFlight,
     fleet: Fleet,
+    neighbours: Neighbours,
     drain: Drain,
     clock: Clock,
     chance: Chance,
@@ -38,6 +52,7 @@
         catalog: Records in force.
         inflight: Requests that are not answered yet.
         fleet: What is known of the endpoints.
+        neighbours: What is known of the other gateways.
         drain: Tells the program whether it is stopping.
         clock: Source of time.
         chance: Source of randomness.
@@ -46,7 +61,11 @@
     """
     budgets = TeamBudgets(clock)
     return [
-        ApplyConfig(catalog),
+        ApplyConfig(catalog, neighbours),
+        Greet(catalog, neighbours),
+        SubscribeHeartbeats(fleet, neighbours),
+        SuspectSilence(inflight, clock),
+        ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
         TrackLoaded(fleet.loaded),
         FollowHosts(fleet.leaving),
@@ -54,12 +73,13 @@
         PushPlan(),
         drain,
         Authenticate(catalog),
+        ListModels(catalog),
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(RetryBudget(), clock),
         WaitForRoom(fleet, clock),
         Claim(inflight),
-        Route(fleet, TwoChoices(chance)),
+        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -5,13 +5,15 @@
 from ...core import Clock
 from ...frames import Heartbeat
 from ...policy import EndpointView
-from ...records import Catalog
+from ...records import Catalog, Service
 from ..messages import Request
 from .hosts import LeavingHosts
 from .loaded import LoadedModels
 
-SUSPECT_AFTER_S = 3.0
+MISSED_HEARTBEATS = 3
+DEFAULT_INTERVAL_S = 1.0
 SERVICE_TIME_WEIGHT = 0.1
+TOKEN_TIME_MEMORY = 5000
 
 
 class Fleet:
@@ -22,17 +24,31 @@
         clock: Source of time.
 
     Attributes:
+        heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
         leaving: Hosts that the platform is about to reclaim.
         loaded: Models that the endpoints have ready.
     """
 
-    __slots__ = ("_catalog", "_clock", "_heard_at", "_views", "leaving", "loaded")
+    __slots__ = (
+        "_catalog",
+        "_clock",
+        "_heard_at",
+        "_offers",
+        "_offers_at",
+        "_views",
+        "heartbeat_interval_s",
+        "leaving",
+        "loaded",
+    )
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
         self._catalog = catalog
         self._clock = clock
         self._views: dict[str, EndpointView] = {}
         self._heard_at: dict[str, float] = {}
+        self._offers: dict[str, list[EndpointView]] = {}
+        self._offers_at = 0
+        self.heartbeat_interval_s = DEFAULT_INTERVAL_S
         self.leaving = LeavingHosts()
         self.loaded = LoadedModels()
 
@@ -41,11 +57,14 @@
         endpoint = self._catalog.endpoint(beat.endpoint)
         if endpoint is None:
             return
-        view = self._views.setdefault(
-            endpoint.name, EndpointView(endpoint.name, endpoint.failure_domain)
-        )
+        view = self._views.get(endpoint.name)
+        if view is None:
+            view = EndpointView(endpoint.name, endpoint.failure_domain)
+            self._views[endpoint.name] = view
+            self._offers.clear()
         view.failure_domain = endpoint.failure_domain
         view.incarnation = beat.incarnation
+        view.revision = beat.revision
         view.accepting = beat.accepting
         view.n_running = beat.n_running
         view.n_waiting = beat.n_waiting
@@ -70,13 +89,16 @@
         if view is not None:
             view.n_unreported -= 1
 
-    def on_finished(self, endpoint: str, seconds: float) -> None:
-        """Learn how long an attempt took at an endpoint."""
+    def on_finished(self, endpoint: str, seconds: float, n_tokens: int = 0) -> None:
+        """Learn how long an attempt and its tokens took at an endpoint."""
         view = self._views.get(endpoint)
         if view is None:
             return
         weight = SERVICE_TIME_WEIGHT if view.service_s else 1.0
         view.service_s += weight * (seconds - view.service_s)
+        if n_tokens:
+            weight = min(1.0, n_tokens / TOKEN_TIME_MEMORY) if view.token_s else 1.0
+            view.token_s += weight * (seconds / n_tokens - view.token_s)
 
     def incarnation(self, endpoint: str) -> str:
         """Return the last known incarnation of an endpoint's sidecar."""
@@ -91,7 +113,8 @@
 
     def has_room(self, request: Request) -> bool:
         """Return whether some endpoint can begin the request at once."""
-        return any(view.n_free for view in self.candidates(request))
+        priority = request.service.priority
+        return any(view.n_free(priority) for view in self.candidates(request))
 
     def has_any(self, request: Request) -> bool:
         """Return whether any live endpoint fits the request."""
@@ -104,24 +127,41 @@
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
-        model = request.model
-        for endpoint in self._catalog.endpoints():
-            view = self._views.get(endpoint.name)
-            if view is None or not view.accepting:
-                continue
-            if not self._is_live(endpoint.name):
-                continue
-            if not self._catalog.in_service(endpoint):
-                continue
-            if self.leaving.holds(endpoint):
+        for view in self._offering(request.service, request.model):
+            if not view.accepting or not self._is_live(view.endpoint):
                 continue
-            if not self.loaded.serves(endpoint.name, model):
+            if self._is_leaving(view.endpoint):
                 continue
-            if endpoint.serves(request.service, model):
+            if self.loaded.serves(view.endpoint, request.model):
                 yield view
 
+    def _offering(self, service: Service, model: str) -> list[EndpointView]:
+        if self._offers_at != self._catalog.revision:
+            self._offers_at = self._catalog.revision
+            self._offers.clear()
+        offer = f"{service.name}/{model}"
+        views = self._offers.get(offer)
+        if views is None:
+            views = self._offers[offer] = [
+                view
+                for view in self._views.values()
+                if self._serves(view.endpoint, service, model)
+            ]
+        return views
+
+    def _serves(self, name: str, service: Service, model: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        if endpoint is None or not self._catalog.in_service(endpoint):
+            return False
+        return endpoint.serves(service, model)
+
+    def _is_leaving(self, name: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        return endpoint is not None and self.leaving.holds(endpoint)
+
     def _is_live(self, endpoint: str) -> bool:
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
             return False
-        return self._clock.now() - heard_at <= SUSPECT_AFTER_S
+        bound_s = MISSED_HEARTBEATS * self.heartbeat_interval_s
+        return self._clock.now() - heard_at <= bound_s
--- a/hawthornyard/gateway/messages.py
+++ b/hawthornyard/gateway/messages.py
@@ -98,6 +98,16 @@
         self.timeout_s = timeout_s
 
 
+class ModelsQuery(Message):
+    """A caller that asks which models it may use."""
+
+    __slots__ = ("call_id", "bearer")
+
+    def __init__(self, call_id: str, bearer: str) -> None:
+        self.call_id = call_id
+        self.bearer = bearer
+
+
 class CallerGone(Message):
     """The caller closed its connection."""
 
@@ -221,6 +231,16 @@
         self.team = team
 
 
+class ModelsAsked(Message):
+    """A query for models whose team is known."""
+
+    __slots__ = ("call_id", "team")
+
+    def __init__(self, call_id: str, team: Team) -> None:
+        self.call_id = call_id
+        self.team = team
+
+
 class _OfRequest(Message):
     __slots__ = ()
     request: Request
@@ -407,6 +427,16 @@
         self.n_delivered = n_delivered
 
 
+class ReplyModels(Message):
+    """The names of the models that a team may use."""
+
+    __slots__ = ("call_id", "models")
+
+    def __init__(self, call_id: str, models: Sequence[str]) -> None:
+        self.call_id = call_id
+        self.models = models
+
+
 class ClaimAsked(Message):
     """A question to the platform: claim this idempotency key.
 
@@ -495,3 +525,38 @@
     """An order to the rim: accept no further connection of callers."""
 
     __slots__ = ()
+
+
+class LinkWanted(Message):
+    """An order to the rim: connect to a sidecar outside the subset.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+    """
+
+    __slots__ = ("endpoint",)
+
+    def __init__(self, endpoint: str) -> None:
+        self.endpoint = endpoint
+
+
+class HeartbeatsExpected(Message):
+    """An order to the rim: replace a connection that is silent for longer.
+
+    Attributes:
+        interval_s: Seconds between heartbeats.
+    """
+
+    __slots__ = ("interval_s",)
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+
+
+class ConnectionSuspected(Message):
+    """An order to the rim: replace the connection to a peer."""
+
+    __slots__ = ("peer",)
+
+    def __init__(self, peer: str) -> None:
+        self.peer = peer
--- /dev/null
+++ b/hawthornyard/policy/memory.py
@@ -0,0 +1,174 @@
+"""Admit work as far as the endpoint's memory is expected to hold it."""
+
+import math
+from collections.abc import Iterable
+from typing import Protocol
+
+from ..core import Message
+from .lengths import LengthPredictor, LengthSource
+
+# Steps ahead at which the expected memory must fit.
+HORIZONS_TOKENS = (0, 16, 32, 64, 128, 256, 512, 1024, 2048)
+INITIAL_SAFETY = 1.0
+MIN_SAFETY = 0.5
+MAX_SAFETY = 4.0
+SAFETY_STEP = 0.5
+SAFETY_DECAY_PER_S = 0.02
+# A prediction is made again once this share of the tokens is new.
+STALE_SHARE = 0.125
+STALE_TOKENS = 8
+
+
+class Occupant(Message):
+    """A generation that holds or would hold memory.
+
+    Attributes:
+        source: Where it comes from.
+        n_prompt: Tokens of its prompt.
+        n_done: Tokens that it has generated.
+    """
+
+    __slots__ = ("source", "n_prompt", "n_done")
+
+    def __init__(self, source: LengthSource, n_prompt: int, n_done: int) -> None:
+        self.source = source
+        self.n_prompt = n_prompt
+        self.n_done = n_done
+
+
+class MemoryLimit(Protocol):
+    """Bound the memory that admitted work is expected to need."""
+
+    @property
+    def load(self) -> float:
+        """Return the expected share of the memory in use."""
+        ...
+
+    def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
+        """Take the work that runs now."""
+        ...
+
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether one more generation is expected to fit."""
+        ...
+
+    def add(self, occupant: Occupant) -> None:
+        """Count a generation that was admitted since the last `reset`."""
+        ...
+
+    def on_report(self, n_preempted: int, elapsed_s: float) -> None:
+        """Take preemptions since the last report as evidence."""
+        ...
+
+
+class _Prediction:
+    __slots__ = ("chances", "n_done")
+
+    def __init__(self, n_done: int, chances: list[float]) -> None:
+        self.n_done = n_done
+        self.chances = chances
+
+    def is_stale(self, n_done: int) -> bool:
+        n_new = n_done - self.n_done
+        return n_new > STALE_TOKENS + STALE_SHARE * self.n_done
+
+
+class ExpectedMemory:
+    """Sum the expected memory at several horizons with a margin.
+
+    At each horizon a generation holds its prompt, its tokens so far and those
+    up to the horizon, with the probability that it still runs. The margin is a
+    multiple of the standard deviation, which grows on preemptions and shrinks
+    slowly without.
+
+    Args:
+        predictor: Predicts lengths.
+        safety: Initial margin in standard deviations.
+        adapts: Whether preemptions move the margin.
+    """
+
+    __slots__ = (
+        "_adapts",
+        "_means",
+        "_memory_tokens",
+        "_predictions",
+        "_predictor",
+        "_variances",
+        "safety",
+    )
+
+    def __init__(
+        self,
+        predictor: LengthPredictor,
+        *,
+        safety: float = INITIAL_SAFETY,
+        adapts: bool = True,
+    ) -> None:
+        self._predictor = predictor
+        self._adapts = adapts
+        self._memory_tokens = 1
+        self._predictions: dict[str, _Prediction] = {}
+        self._means = [0.0] * len(HORIZONS_TOKENS)
+        self._variances = [0.0] * len(HORIZONS_TOKENS)
+        self.safety = safety
+
+    @property
+    def load(self) -> float:
+        """Return the expected share of the memory in use, margin included."""
+        return self._demand(self._means, self._variances) / self._memory_tokens
+
+    def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
+        """Take the work that runs now."""
+        self._memory_tokens = max(1, memory_tokens)
+        self._means = [0.0] * len(HORIZONS_TOKENS)
+        self._variances = [0.0] * len(HORIZONS_TOKENS)
+        before = self._predictions
+        self._predictions = {}
+        for occupant in running:
+            request_id = occupant.source.request_id
+            if request_id in before:
+                self._predictions[request_id] = before[request_id]
+            self.add(occupant)
+
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether one more generation is expected to fit."""
+        means, variances = list(self._means), list(self._variances)
+        self._accumulate(occupant, means, variances)
+        return self._demand(means, variances) <= self._memory_tokens
+
+    def add(self, occupant: Occupant) -> None:
+        """Count a generation that was admitted since the last `reset`."""
+        self._accumulate(occupant, self._means, self._variances)
+
+    def on_report(self, n_preempted: int, elapsed_s: float) -> None:
+        """Widen the margin on preemptions, narrow it slowly without."""
+        if not self._adapts:
+            return
+        change = SAFETY_STEP if n_preempted else -SAFETY_DECAY_PER_S * elapsed_s
+        self.safety = min(MAX_SAFETY, max(MIN_SAFETY, self.safety + change))
+
+    def _accumulate(
+        self, occupant: Occupant, means: list[float], variances: list[float]
+    ) -> None:
+        held = occupant.n_prompt + occupant.n_done
+        for index, chance in enumerate(self._chances(occupant)):
+            if chance <= 0.0:
+                return
+            size = held + HORIZONS_TOKENS[index]
+            mean = chance * size
+            means[index] += mean
+            variances[index] += mean * (size - mean)
+
+    def _chances(self, occupant: Occupant) -> list[float]:
+        request_id, n_done = occupant.source.request_id, occupant.n_done
+        known = self._predictions.get(request_id)
+        if known is None or known.is_stale(n_done):
+            chances = self._predictor.survival(occupant.source, n_done, HORIZONS_TOKENS)
+            known = self._predictions[request_id] = _Prediction(n_done, chances)
+        return known.chances
+
+    def _demand(self, means: list[float], variances: list[float]) -> float:
+        return max(
+            mean + self.safety * math.sqrt(variance)
+            for mean, variance in zip(means, variances, strict=True)
+        )
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Clock, Filter
+from ..policy import BackoffPredictor, LengthPredictor, MemoryLimit
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
 from .orders import Reconcile
@@ -12,7 +13,12 @@
 
 
 def sidecar_chain(
-    state: SidecarState, attempts: Attempts, clock: Clock
+    state: SidecarState,
+    attempts: Attempts,
+    clock: Clock,
+    *,
+    predictor: LengthPredictor | None = None,
+    memory: MemoryLimit | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a sidecar, head first.
 
@@ -20,7 +26,10 @@
         state: State of the sidecar.
         attempts: Attempts that are known.
         clock: Source of time.
+        predictor: Predicts output lengths.
+        memory: Bounds the expected memory.
     """
+    predictor = predictor or BackoffPredictor()
     return [
         TakeConfig(state.catalog),
         Reconcile(state.name, clock),
@@ -28,7 +37,7 @@
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
         Gate(state, attempts),
-        Admit(state, attempts, clock),
+        Admit(state, attempts, clock, predictor, memory=memory),
         Begin(clock),
-        Beat(state, clock),
+        Beat(state, attempts, clock),
     ]
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -16,6 +16,7 @@
 )
 from ..frames import (
     Accepted,
+    ConfigPull,
     Ended,
     Failed,
     Heartbeat,
@@ -68,6 +69,7 @@
             settings.name, settings.failure_domain, incarnation, Catalog()
         )
         connections = Connections(self._inbox)
+        self._client = _client(settings)
         self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
@@ -83,8 +85,9 @@
                     Heartbeat,
                     Loaded,
                     Unknown,
+                    ConfigPull,
                 ),
-                EndpointSink(_client(settings), self._inbox),
+                EndpointSink(self._client, self._inbox),
                 self._orders,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
@@ -114,11 +117,13 @@
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
         self._orders.start()
+        eventlet.spawn_n(self._client.watch, self._inbox)
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
         """Run until SIGTERM and the end of all attempts."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop())
         loop = self.start()
         logger.bind(process=self._settings.name, port=self.port).info("started")
         loop.wait()
