--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
+import eventlet
 from behave import fixture
 from behave.runner import Context
 
@@ -33,6 +34,9 @@
     yield deployment
 
 
+COMMAND_TIMEOUT_S = 15.0
+
+
 class Operator:
     """Runs commands against a stand-in table, with a folder for files."""
 
@@ -50,9 +54,17 @@
         """Run one command and keep its exit code and what it wrote."""
         out, err = io.StringIO(), io.StringIO()
         with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
-            self.code = run_app(list(args))
+            self.code = self._run(list(args))
         self.out, self.err = out.getvalue(), err.getvalue()
 
+    def _run(self, args: list[str]) -> int:
+        # A command that should fail but starts a daemon would never end.
+        try:
+            with eventlet.Timeout(COMMAND_TIMEOUT_S):
+                return run_app(args)
+        except eventlet.Timeout as exc:
+            raise AssertionError("the command did not end") from exc
+
     def write(self, name: str, text: str) -> Path:
         path = self.folder / name
         path.parent.mkdir(parents=True, exist_ok=True)
--- a/features/steps/records.py
+++ b/features/steps/records.py
@@ -13,7 +13,6 @@
     GATEWAYS_VARIABLE,
     TABLE_VARIABLE,
 )
-from hawthornyard.frames import RecordEntry
 from hawthornyard.platform import Put
 from hawthornyard.records import (
     NEWEST_SCHEMA,
@@ -23,6 +22,7 @@
     schema_of,
     upgrade,
 )
+from hawthornyard.rim import ConfigPoll, EventletInbox
 from hawthornyard.settings import PEER_KEY_VARIABLE, SETTINGS_SCHEMAS
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -39,7 +39,8 @@
     path = context.operator.folder / name
     text = path.read_text()
     assert found in text, found
-    indent = "  " if text.index(found) > text.index("spec:") else ""
+    start = text.index(found)
+    indent = "  " if "spec:" in text[:start] else ""
     path.write_text(text.replace(found, replaced.replace(" // ", f"\n{indent}"), 1))
 
 
@@ -49,6 +50,8 @@
     "a deep nesting": b"[" * 100_000,
     "too many bytes": b"#" * (16 * 1024 * 1024 + 1),
     "a list": b"[1, 2]",
+    "nothing": b"# nothing\n",
+    "two documents": b"a: 1\n---\na: 2\n",
     "an infinite number": b"kind: team\nschema: 1\nname: a\nspec:\n"
     b'  key_hash: "x"\n  weight: .inf\n',
 }
@@ -72,6 +75,11 @@
     _follow(context, context.catalog)
 
 
+@when("the table is followed")
+def follow(context: Context) -> None:
+    _follow(context, context.catalog)
+
+
 @when('the operator runs "{command}"')
 def run(context: Context, command: str) -> None:
     operator = context.operator
@@ -249,9 +257,7 @@
 
 
 def _follow(context: Context, catalog: Catalog) -> None:
-    page = context.operator.standin.table.scan(RECORDS, after=catalog.revision)
-    entries = [
-        RecordEntry(*row.key.split("/")[1:], row.revision, row.value)
-        for row in page.rows
-    ]
-    catalog.apply(page.head, entries)
+    inbox = EventletInbox()
+    ConfigPoll(context.operator.standin.table, inbox).poll()
+    push = inbox.get()
+    catalog.apply(push.revision, push.entries)
--- a/hawthornyard/cli/option.py
+++ b/hawthornyard/cli/option.py
@@ -23,6 +23,14 @@
         help="URL of the platform's table service.",
     ),
 ]
+OptionalTableOption = Annotated[
+    str,
+    Parameter(
+        name="--table",
+        env_var=TABLE_VARIABLE,
+        help="URL of the table service; adds what is accepted there.",
+    ),
+]
 OutputOption = Annotated[
     Output, Parameter(name="--output", help="Tables for people, or JSON.")
 ]
--- a/hawthornyard/cli/status.py
+++ b/hawthornyard/cli/status.py
@@ -5,9 +5,18 @@
 
 import cyclopts
 
-from ..operator import EndpointStatus, GatewayStatus, fetch_status
+from ..errors import PlatformError
+from ..operator import (
+    Accepted,
+    AcceptedRecord,
+    EndpointStatus,
+    GatewayStatus,
+    fetch_status,
+    read_accepted,
+)
+from ..platform import HttpTable
 from .exit import ExitCode
-from .option import GatewaysOption, OutputOption, gateway_urls
+from .option import GatewaysOption, OptionalTableOption, OutputOption, gateway_urls
 from .output import Result, show
 
 COLUMNS = (
@@ -29,21 +38,51 @@
 
 
 def status(
-    *, gateway: GatewaysOption = None, output: OutputOption = "text"
+    *,
+    gateway: GatewaysOption = None,
+    table: OptionalTableOption = "",
+    output: OutputOption = "text",
 ) -> ExitCode:
-    """Show gateways, endpoints and the revision in force in each process."""
+    """Show gateways, endpoints and the revision in force in each process.
+
+    Args:
+        gateway: URLs of the gateways to ask.
+        table: URL of the table service; adds endpoints that no gateway hears.
+        output: Tables for people, or JSON.
+    """
     statuses = [fetch_status(url) for url in gateway_urls(gateway)]
-    show(_result(statuses), output)
-    if any(item.problem for item in statuses):
+    accepted, problem = _accepted(table)
+    result = _result(statuses, accepted)
+    if problem:
+        result.notes = [*result.notes, problem]
+    show(result, output)
+    if problem or any(item.problem for item in statuses):
         return ExitCode.UNAVAILABLE
     return ExitCode.OK
 
 
-def _result(statuses: Sequence[GatewayStatus]) -> Result:
-    body = {"gateways": [_gateway_body(item) for item in statuses]}
+def _accepted(table: str) -> tuple[Accepted | None, str]:
+    if not table:
+        return None, ""
+    try:
+        return read_accepted(HttpTable(table)), ""
+    except PlatformError as exc:
+        return None, str(exc)
+
+
+def _result(statuses: Sequence[GatewayStatus], accepted: Accepted | None) -> Result:
+    unheard = _unheard(statuses, accepted)
+    body = {
+        "accepted_revision": accepted.revision if accepted else None,
+        "gateways": [_gateway_body(item) for item in statuses],
+        "unheard": [item.name for item in unheard],
+    }
     rows = [_gateway_row(item) for item in statuses]
     rows += _endpoint_rows([item for item in statuses if not item.problem])
+    rows += [_unheard_row(item) for item in unheard]
     notes = [f"{item.url}: {item.problem}" for item in statuses if item.problem]
+    if accepted is not None:
+        notes.append(f"Accepted revision: {accepted.revision}.")
     for item in statuses:
         if item.not_understood:
             named = ", ".join(item.not_understood)
@@ -51,6 +90,23 @@
     return Result(body, columns=COLUMNS, rows=rows, notes=notes)
 
 
+def _unheard(
+    statuses: Sequence[GatewayStatus], accepted: Accepted | None
+) -> list[AcceptedRecord]:
+    heard = {endpoint.name for item in statuses for endpoint in item.endpoints}
+    return [
+        item
+        for item in (accepted.live() if accepted else ())
+        if item.kind == "endpoint" and item.name not in heard
+    ]
+
+
+def _unheard_row(item: AcceptedRecord) -> tuple[object, ...]:
+    domain = (item.document or {})["spec"].get("failure_domain")
+    name = f"sidecar of {item.name}"
+    return (name, domain, "", "not heard", "", "", "", "", "none")
+
+
 def _gateway_row(item: GatewayStatus) -> tuple[object, ...]:
     if item.problem:
         return (f"gateway {item.url}", "", "", "no answer", "", "", "", "", "")
