--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -1,20 +1,21 @@
 """Fixtures that the scenarios share."""
 
-import contextlib
-import io
 import os
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
 
-import eventlet
 from behave import fixture
 from behave.runner import Context
 
-from hawthornyard.cli import run_app
+from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
+from features.support.operator import Operator
+from features.support.peers import PeerPair
+from features.support.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
-from hawthornyard.front import HttpServer
-from hawthornyard.standins import MemoryTable, TableStandIn
+from hawthornyard.demo.deployment import EndpointHost
+from hawthornyard.records import Document, new_key
+from hawthornyard.standins import TableStandIn
 
 
 @fixture
@@ -34,42 +35,76 @@
     yield deployment
 
 
-COMMAND_TIMEOUT_S = 15.0
+@fixture
+def cut_off_gateway(context: Context) -> Iterator[Deployment]:
+    """Two endpoints and two gateways, the second with its own way to the table."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.005)
+    deployment.add_engine("scribe-2", "half-way-tree", step_s=0.005)
+    context.second_table = TableStandIn(deployment.table.table)
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree", table=context.second_table)
+    deployment.apply(deployment.documents())
+    deployment.wait_ready()
+    context.deployment = deployment
+    yield deployment
 
 
-class Operator:
-    """Runs commands against a stand-in table, with a folder for files."""
+@fixture
+def callers(context: Context) -> Iterator[Deployment]:
+    """Two gateways, an engine and an odd plain service; a second team."""
+    deployment = Deployment()
+    deployment.add_engine("scribe-1", "new-kingston", step_s=0.02)
+    service = OddService()
+    host = EndpointHost("frontdesk-1", "new-kingston", "http", service)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    context.odd_service = service
+    yield deployment
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
-        self.standin = TableStandIn(MemoryTable())
-        server = HttpServer(("127.0.0.1", 0), self.standin.app)
-        server.start()
-        self.table_url = f"http://127.0.0.1:{server.port}"
-        self.code = 0
-        self.out = ""
-        self.err = ""
 
-    def run(self, *args: str) -> None:
-        """Run one command and keep its exit code and what it wrote."""
-        out, err = io.StringIO(), io.StringIO()
-        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
-            self.code = self._run(list(args))
-        self.out, self.err = out.getvalue(), err.getvalue()
+@fixture
+def silent_engine(context: Context) -> Iterator[Deployment]:
+    """Two gateways before an engine that stops generating."""
+    deployment = Deployment()
+    context.engine = SilentEngine(N_TOKENS_BEFORE_SILENCE)
+    host = EndpointHost("scribe-1", "new-kingston", "generation", context.engine)
+    deployment.hosts[host.name] = host
+    _finish(context, deployment)
+    yield deployment
 
-    def _run(self, args: list[str]) -> int:
-        # A command that should fail but starts a daemon would never end.
-        try:
-            with eventlet.Timeout(COMMAND_TIMEOUT_S):
-                return run_app(args)
-        except eventlet.Timeout as exc:
-            raise AssertionError("the command did not end") from exc
 
-    def write(self, name: str, text: str) -> Path:
-        path = self.folder / name
-        path.parent.mkdir(parents=True, exist_ok=True)
-        path.write_text(text)
-        return path
+def _finish(context: Context, deployment: Deployment) -> None:
+    deployment.add_gateway("gateway-1", "new-kingston")
+    deployment.add_gateway("gateway-2", "half-way-tree")
+    deployment.apply([*deployment.documents(), _portal_team(context)])
+    deployment.wait_ready()
+    context.deployment = deployment
+    context.client = Client(deployment.url(0), deployment.key)
+    context.other_client = Client(deployment.url(1), deployment.key)
+
+
+def _portal_team(context: Context) -> Document:
+    context.portal_key, key_hash = new_key("portal")
+    spec = {
+        "key_hash": key_hash,
+        "services": ["summaries", "frontdesk"],
+        "requests_per_s": 1000,
+        "tokens_per_s": 100000,
+    }
+    return {"kind": "team", "schema": 1, "name": "portal", "spec": spec}
+
+
+@fixture
+def processes(context: Context) -> Iterator[Processes]:
+    """A table, an engine, a sidecar and a gateway, each a process of its own."""
+    with temporary_folder() as folder:
+        context.processes = Processes(Path(folder))
+        try:
+            context.processes.start_all()
+            yield context.processes
+        finally:
+            context.processes.kill()
 
 
 @fixture
@@ -80,3 +115,10 @@
         os.environ["HAWTHORNYARD_TABLE"] = context.operator.table_url
         yield context.operator
         del os.environ["HAWTHORNYARD_TABLE"]
+
+
+@fixture
+def peer_pair(context: Context) -> Iterator[PeerPair]:
+    """A listening peer."""
+    context.pair = PeerPair()
+    yield context.pair
--- a/features/operators.feature
+++ b/features/operators.feature
@@ -130,7 +130,7 @@
 
   Scenario Outline: With the table down a command says so and does nothing
     Given the operator applied the folder
-    And the table is down
+    And the operator's table is down
     When the operator runs "<command>"
     Then the exit code is 5
     And standard error contains "table service"
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -11,7 +11,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.table_faults import FAULTS, FaultyTable
+from features.support.table_faults import FAULTS, FaultyTable
 from hawthornyard.documents import Unplaced
 from hawthornyard.errors import ConflictError
 from hawthornyard.front import HttpServer
@@ -131,7 +131,7 @@
     assert last.note.author == f"operator-{n_tokens}", (last, n_tokens)
 
 
-@given("the table is down")
+@given("the operator's table is down")
 def table_down(context: Context) -> None:
     context.operator.standin.faults.is_down = True
 
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -21,9 +21,14 @@
     Ack,
     Attach,
     Cancel,
+    ConfigPull,
     ConfigPush,
+    Demand,
     Dispatch,
+    GatewayBeat,
     Heartbeat,
+    Portion,
+    Subscribe,
 )
 from ..front import Application, HttpServer, Replies
 from ..platform import TableStore
@@ -37,6 +42,7 @@
     FrameSink,
     MonotonicClock,
     PeerLinks,
+    PeerListener,
     RandomIdentifiers,
     StopSink,
     run_loop,
@@ -46,13 +52,16 @@
 from ..rim.claims import ClaimWriter
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import Fleet
+from .fleet import MISSED_HEARTBEATS, Fleet, Neighbours, Subset
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
     CallerGone,
     Closed,
     ConfigChanged,
+    ConnectionSuspected,
+    HeartbeatsExpected,
+    LinkWanted,
     StopListening,
 )
 from .request import Drain
@@ -74,16 +83,56 @@
 class LinkSink:
     """Point the peer links at the sidecars that the records name."""
 
-    __slots__ = ("_catalog", "_links", "consumers")
+    __slots__ = ("_gateways", "_links", "_subset", "consumers")
 
-    def __init__(self, catalog: Catalog, links: PeerLinks) -> None:
-        self._catalog = catalog
+    def __init__(
+        self, catalog: Catalog, links: PeerLinks, settings: GatewaySettings
+    ) -> None:
+        self._subset = Subset(settings.name, catalog)
         self._links = links
-        self.consumers: Consumers = {ConfigChanged: self._on_changed}
+        self._gateways = {
+            name: address
+            for name, address in settings.peers.items()
+            # Of two gateways, one connects: the one whose name comes first.
+            if settings.name < name
+        }
+        self.consumers: Consumers = {
+            ConfigChanged: self._on_changed,
+            LinkWanted: self._on_wanted,
+            HeartbeatsExpected: self._on_interval,
+            ConnectionSuspected: self._on_suspected,
+        }
+
+    def refresh(self) -> None:
+        """Hold connections to the gateways and sidecars that are known now."""
+        self._links.set_addresses({**self._subset.addresses(), **self._gateways})
 
     def _on_changed(self, msg: ConfigChanged) -> None:
-        addresses = {item.name: item.sidecar for item in self._catalog.endpoints()}
-        self._links.set_addresses(addresses)
+        self.refresh()
+
+    def _on_wanted(self, msg: LinkWanted) -> None:
+        self._subset.want(msg.endpoint)
+        self.refresh()
+
+    def _on_suspected(self, msg: ConnectionSuspected) -> None:
+        self._links.replace(msg.peer)
+
+    def _on_interval(self, msg: HeartbeatsExpected) -> None:
+        self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
+
+
+_SENT = (
+    Dispatch,
+    Attach,
+    Cancel,
+    Ack,
+    ConfigPush,
+    ConfigPull,
+    GatewayBeat,
+    Demand,
+    Portion,
+    Subscribe,
+)
 
 
 class Gateway:
@@ -109,13 +158,17 @@
         links = PeerLinks(
             settings.name, settings.peer_key, codec, connections, self._inbox
         )
+        self._link_sink = LinkSink(self.catalog, links, settings)
+        self._listener = _peer_listener(settings, codec, connections, self._inbox)
         replies = Replies()
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
+        neighbours = Neighbours(settings.name, settings.peers, self._clock)
         chain = gateway_chain(
             self.catalog,
             self.inflight,
             self.fleet,
+            neighbours,
             self._drain,
             self._clock,
             random.Random(),
@@ -127,8 +180,8 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, Dispatch, Attach, Cancel, Ack, ConfigPush),
-                LinkSink(self.catalog, links),
+                FrameSink(connections, *_SENT),
+                self._link_sink,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
                 replies,
@@ -152,12 +205,16 @@
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._poll.run)
         self._claims.start()
+        self._link_sink.refresh()
+        if self._listener is not None:
+            eventlet.spawn_n(self._listener.run)
         self._server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
         """Run until SIGTERM and the end of all requests."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop())
         loop = self.start()
         logger.bind(process=self._settings.name, port=self.port).info("started")
         loop.wait()
@@ -197,3 +254,21 @@
                 for view in self.fleet.views()
             ],
         }
+
+
+def _peer_listener(
+    settings: GatewaySettings,
+    codec: MsgpackCodec,
+    connections: Connections,
+    inbox: EventletInbox,
+) -> PeerListener | None:
+    if not settings.peer_listen:
+        return None
+    return PeerListener(
+        split_address(settings.peer_listen),
+        settings.name,
+        settings.peer_key,
+        codec,
+        connections,
+        inbox,
+    )
--- a/hawthornyard/rim/connection.py
+++ b/hawthornyard/rim/connection.py
@@ -1,5 +1,6 @@
 """Carry frames of one authenticated connection."""
 
+import socket
 from typing import Any
 
 import eventlet
@@ -25,6 +26,8 @@
     __slots__ = ("_codec", "_outgoing", "_sock", "is_open", "peer")
 
     def __init__(self, sock: Any, peer: str, codec: Codec) -> None:
+        # A held back token is a late token.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._sock = sock
         self._codec = codec
         self._outgoing = LightQueue()
@@ -53,17 +56,23 @@
         inbox.put(PeerUp(self.peer))
         try:
             for frame in reader:
+                if not self.is_open:
+                    break
                 inbox.put(frame.at(self.peer))
         finally:
             self.is_open = False
             writer.kill()
             self._sock.close()
 
+    def set_silence(self, seconds: float) -> None:
+        """Give up after so many seconds without a frame."""
+        self._sock.settimeout(seconds)
+
     def close(self) -> None:
         """End the connection; its reader then leaves `run`."""
         self.is_open = False
         try:
-            self._sock.shutdown(eventlet.green.socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
@@ -101,6 +110,18 @@
             del self._by_peer[conn.peer]
             self._inbox.put(PeerDown(conn.peer))
 
+    def close(self, peer: str) -> None:
+        """End the connection to a peer, if there is one."""
+        conn = self._by_peer.get(peer)
+        if conn is not None:
+            conn.close()
+
+    def set_silence(self, peer: str, seconds: float) -> None:
+        """Replace the connection to a peer after so long without a frame."""
+        conn = self._by_peer.get(peer)
+        if conn is not None:
+            conn.set_silence(seconds)
+
     def send(self, frame: Frame) -> None:
         """Send a frame to its peer; dropped if there is no connection."""
         conn = self._by_peer.get(frame.peer)
