--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -27,6 +27,7 @@
 from .outside import OutsideLoad
 from .pace import Pace
 from .size import expected_tokens, length_source, occupant
+from .urgency import Urgency
 
 MAX_WAITING = 32
 MAX_WAIT_SHARE = 0.5
@@ -62,6 +63,7 @@
         "_running",
         "_since",
         "_state",
+        "_urgency",
         "handlers",
     )
 
@@ -84,6 +86,7 @@
         self._limit: ConcurrencyLimit = SlowStart(1, 1)
         self._pace = Pace()
         self._outside = OutsideLoad()
+        self._urgency = Urgency()
         self._queue: FairQueue[Attempt] = FairQueue(clock)
         self._since: dict[str, float] = {}
         self._costs: dict[str, float] = {}
@@ -104,8 +107,8 @@
         if len(self._queue) >= MAX_WAITING:
             yield from self._refuse(attempt, ErrorKind.OVERLOADED, "queue is full")
             return
-        service = self._state.catalog.service(attempt.service)
-        priority = service.priority if service else 0
+        priority = self._priority(attempt)
+        self._urgency.on_arrival(priority, self._clock.now())
         cost = expected_tokens(self._predictor, attempt)
         self._queue.push(attempt, attempt.team, priority=priority, cost=cost)
         self._since[attempt.attempt_id] = self._clock.now()
@@ -211,7 +214,15 @@
 
     def _fits(self, attempt: Attempt) -> bool:
         # A generation larger than the memory must not wait for ever.
-        return not self._running or self._memory.fits(self._occupant(attempt))
+        if not self._running:
+            return True
+        priority = self._priority(attempt)
+        margin = self._urgency.margin(priority, self._clock.now())
+        return self._memory.fits(self._occupant(attempt), margin)
+
+    def _priority(self, attempt: Attempt) -> int:
+        service = self._state.catalog.service(attempt.service)
+        return service.priority if service else 0
 
     def _begin(self, attempt: Attempt) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
