--- a/benchmarks/policy/oracle.py
+++ b/benchmarks/policy/oracle.py
@@ -66,7 +66,7 @@
         self._memory_tokens = memory_tokens
         self._occupants = list(running)
 
-    def fits(self, occupant: Occupant, margin: float = 1.0) -> bool:
+    def fits(self, occupant: Occupant) -> bool:
         """Return whether the peak with one more generation fits."""
         return self._peak([*self._occupants, occupant]) <= self._memory_tokens
 
--- a/hawthornyard/policy/memory.py
+++ b/hawthornyard/policy/memory.py
@@ -48,13 +48,8 @@
         """Take the work that runs now."""
         ...
 
-    def fits(self, occupant: Occupant, margin: float = 1.0) -> bool:
-        """Return whether one more generation is expected to fit.
-
-        Args:
-            occupant: The generation.
-            margin: Share of the safety margin that it must leave free.
-        """
+    def fits(self, occupant: Occupant) -> bool:
+        """Return whether one more generation is expected to fit."""
         ...
 
     def add(self, occupant: Occupant) -> None:
@@ -120,8 +115,7 @@
     @property
     def load(self) -> float:
         """Return the expected share of the memory in use, margin included."""
-        demand = _demand(self._means, self._variances, self.safety)
-        return demand / self._memory_tokens
+        return self._demand(self._means, self._variances) / self._memory_tokens
 
     def reset(self, memory_tokens: int, running: Iterable[Occupant]) -> None:
         """Take the work that runs now."""
@@ -136,12 +130,11 @@
                 self._predictions[request_id] = before[request_id]
             self.add(occupant)
 
-    def fits(self, occupant: Occupant, margin: float = 1.0) -> bool:
+    def fits(self, occupant: Occupant) -> bool:
         """Return whether one more generation is expected to fit."""
         means, variances = list(self._means), list(self._variances)
         self._accumulate(occupant, means, variances)
-        safety = margin * self.safety
-        return _demand(means, variances, safety) <= self._memory_tokens
+        return self._demand(means, variances) <= self._memory_tokens
 
     def add(self, occupant: Occupant) -> None:
         """Count a generation that was admitted since the last `reset`."""
@@ -174,9 +167,8 @@
             known = self._predictions[request_id] = _Prediction(n_done, chances)
         return known.chances
 
-
-def _demand(means: list[float], variances: list[float], safety: float) -> float:
-    return max(
-        mean + safety * math.sqrt(variance)
-        for mean, variance in zip(means, variances, strict=True)
-    )
+    def _demand(self, means: list[float], variances: list[float]) -> float:
+        return max(
+            mean + self.safety * math.sqrt(variance)
+            for mean, variance in zip(means, variances, strict=True)
+        )
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -27,7 +27,6 @@
 from .outside import OutsideLoad
 from .pace import Pace
 from .size import expected_tokens, length_source, occupant
-from .urgency import Urgency
 
 MAX_WAITING = 32
 MAX_WAIT_SHARE = 0.5
@@ -63,7 +62,6 @@
         "_running",
         "_since",
         "_state",
-        "_urgency",
         "handlers",
     )
 
@@ -86,7 +84,6 @@
         self._limit: ConcurrencyLimit = SlowStart(1, 1)
         self._pace = Pace()
         self._outside = OutsideLoad()
-        self._urgency = Urgency()
         self._queue: FairQueue[Attempt] = FairQueue(clock)
         self._since: dict[str, float] = {}
         self._costs: dict[str, float] = {}
@@ -107,8 +104,8 @@
         if len(self._queue) >= MAX_WAITING:
             yield from self._refuse(attempt, ErrorKind.OVERLOADED, "queue is full")
             return
-        priority = self._priority(attempt)
-        self._urgency.on_arrival(priority, self._clock.now())
+        service = self._state.catalog.service(attempt.service)
+        priority = service.priority if service else 0
         cost = expected_tokens(self._predictor, attempt)
         self._queue.push(attempt, attempt.team, priority=priority, cost=cost)
         self._since[attempt.attempt_id] = self._clock.now()
@@ -214,15 +211,7 @@
 
     def _fits(self, attempt: Attempt) -> bool:
         # A generation larger than the memory must not wait for ever.
-        if not self._running:
-            return True
-        priority = self._priority(attempt)
-        margin = self._urgency.margin(priority, self._clock.now())
-        return self._memory.fits(self._occupant(attempt), margin)
-
-    def _priority(self, attempt: Attempt) -> int:
-        service = self._state.catalog.service(attempt.service)
-        return service.priority if service else 0
+        return not self._running or self._memory.fits(self._occupant(attempt))
 
     def _begin(self, attempt: Attempt) -> Iterator[Message]:
         self._since.pop(attempt.attempt_id, None)
