--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of decisions and of the programs."""
+"""Benchmarks of decisions, of the programs and of memory."""
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -5,10 +5,11 @@
 from ...core import Clock
 from ...frames import Heartbeat
 from ...policy import EndpointView
-from ...records import Catalog
+from ...records import Catalog, Service
 from ..messages import Request
 
-SUSPECT_AFTER_S = 3.0
+MISSED_HEARTBEATS = 3
+DEFAULT_INTERVAL_S = 1.0
 SERVICE_TIME_WEIGHT = 0.1
 TOKEN_TIME_MEMORY = 5000
 
@@ -19,26 +20,43 @@
     Args:
         catalog: Records in force.
         clock: Source of time.
+
+    Attributes:
+        heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
     """
 
-    __slots__ = ("_catalog", "_clock", "_heard_at", "_views")
+    __slots__ = (
+        "_catalog",
+        "_clock",
+        "_heard_at",
+        "_offers",
+        "_offers_at",
+        "_views",
+        "heartbeat_interval_s",
+    )
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
         self._catalog = catalog
         self._clock = clock
         self._views: dict[str, EndpointView] = {}
         self._heard_at: dict[str, float] = {}
+        self._offers: dict[str, list[EndpointView]] = {}
+        self._offers_at = 0
+        self.heartbeat_interval_s = DEFAULT_INTERVAL_S
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
         """Take the state of an endpoint over."""
         endpoint = self._catalog.endpoint(beat.endpoint)
         if endpoint is None:
             return
-        view = self._views.setdefault(
-            endpoint.name, EndpointView(endpoint.name, endpoint.failure_domain)
-        )
+        view = self._views.get(endpoint.name)
+        if view is None:
+            view = EndpointView(endpoint.name, endpoint.failure_domain)
+            self._views[endpoint.name] = view
+            self._offers.clear()
         view.failure_domain = endpoint.failure_domain
         view.incarnation = beat.incarnation
+        view.revision = beat.revision
         view.accepting = beat.accepting
         view.n_running = beat.n_running
         view.n_waiting = beat.n_waiting
@@ -101,20 +119,33 @@
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
-        model = request.model
-        for endpoint in self._catalog.endpoints():
-            view = self._views.get(endpoint.name)
-            if view is None or not view.accepting:
-                continue
-            if not self._is_live(endpoint.name):
-                continue
-            if not self._catalog.in_service(endpoint):
-                continue
-            if endpoint.serves(request.service, model):
+        for view in self._offering(request.service, request.model):
+            if view.accepting and self._is_live(view.endpoint):
                 yield view
 
+    def _offering(self, service: Service, model: str) -> list[EndpointView]:
+        if self._offers_at != self._catalog.revision:
+            self._offers_at = self._catalog.revision
+            self._offers.clear()
+        offer = f"{service.name}/{model}"
+        views = self._offers.get(offer)
+        if views is None:
+            views = self._offers[offer] = [
+                view
+                for view in self._views.values()
+                if self._serves(view.endpoint, service, model)
+            ]
+        return views
+
+    def _serves(self, name: str, service: Service, model: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        if endpoint is None or not self._catalog.in_service(endpoint):
+            return False
+        return endpoint.serves(service, model)
+
     def _is_live(self, endpoint: str) -> bool:
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
             return False
-        return self._clock.now() - heard_at <= SUSPECT_AFTER_S
+        bound_s = MISSED_HEARTBEATS * self.heartbeat_interval_s
+        return self._clock.now() - heard_at <= bound_s
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -13,10 +13,11 @@
     quantile,
 )
 from .memory import ExpectedMemory, MemoryLimit, Occupant
+from .portion import divide
+from .rendezvous import rank, spread_subset
 from .retry import RetryBudget
 from .routing import Choice, RoutingPolicy, TwoChoices
 from .slowstart import ConcurrencyLimit, SlowStart
-from .subset import rendezvous_subset
 from .view import EndpointView
 
 __all__ = [
@@ -39,7 +40,9 @@
     "SlowStart",
     "TokenBucket",
     "TwoChoices",
+    "divide",
+    "rank",
+    "spread_subset",
     "prompt_tokens",
     "quantile",
-    "rendezvous_subset",
 ]
--- a/hawthornyard/records/__init__.py
+++ b/hawthornyard/records/__init__.py
@@ -2,7 +2,13 @@
 
 from .build import build_record
 from .catalog import KINDS, Catalog
-from .key import hash_secret, key_matches, new_key, team_of_key
+from .key import (
+    UNKNOWN_KEY_HASH,
+    hash_secret,
+    key_matches,
+    new_key,
+    team_of_key,
+)
 from .record import (
     GENERATION,
     HTTP,
@@ -16,14 +22,16 @@
     Service,
     Team,
 )
-from .schema import Violation, schema_of, violations
-from .upgrade import NEWEST_SCHEMA, upgrade
+from .reference import Reference, references
+from .schema import schema_of, violations
+from .upgrade import NEWEST_SCHEMA, is_known, upgrade
 
 __all__ = [
     "GENERATION",
     "HTTP",
     "KINDS",
     "NEWEST_SCHEMA",
+    "UNKNOWN_KEY_HASH",
     "Catalog",
     "Document",
     "Endpoint",
@@ -32,13 +40,15 @@
     "OpeningHours",
     "Operation",
     "Record",
+    "Reference",
     "Service",
     "Team",
-    "Violation",
     "build_record",
     "hash_secret",
+    "is_known",
     "key_matches",
     "new_key",
+    "references",
     "schema_of",
     "team_of_key",
     "upgrade",
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -37,5 +37,5 @@
         Gate(state, attempts),
         Admit(state, attempts, clock, predictor, memory=memory),
         Begin(clock),
-        Beat(state, clock),
+        Beat(state, attempts, clock),
     ]
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -16,6 +16,7 @@
 )
 from ..frames import (
     Accepted,
+    ConfigPull,
     Ended,
     Failed,
     Heartbeat,
@@ -80,6 +81,7 @@
                     Failed,
                     Heartbeat,
                     Unknown,
+                    ConfigPull,
                 ),
                 EndpointSink(self._client, self._inbox),
                 DecisionLog(settings.name),
@@ -114,7 +116,8 @@
 
     def run(self) -> None:
         """Run until SIGTERM and the end of all attempts."""
-        signal.signal(signal.SIGTERM, lambda *_: self.stop())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self.stop())
         loop = self.start()
         logger.bind(process=self._settings.name, port=self.port).info("started")
         loop.wait()
