--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Measure decisions, wire and memory."""
+"""Benchmarks of decisions, of the programs and of memory."""
--- a/features/environment.py
+++ b/features/environment.py
@@ -15,13 +15,9 @@
 from features import fixtures  # noqa: E402
 from hawthornyard.rim import configure_log  # noqa: E402
 
-_BY_TAG = {
-    "fixture.callers": fixtures.callers,
-    "fixture.cut_off_gateway": fixtures.cut_off_gateway,
-    "fixture.kingston": fixtures.kingston,
-    "fixture.processes": fixtures.processes,
-    "fixture.silent_engine": fixtures.silent_engine,
-}
+# Made anew for each scenario of a feature with the tag.
+_BY_SCENARIO = ("operator",)
+_PREFIX = "fixture."
 
 
 def before_all(context: Context) -> None:
@@ -29,9 +25,13 @@
 
 
 def before_tag(context: Context, tag: str) -> None:
-    if tag in _BY_TAG:
-        use_fixture(_BY_TAG[tag], context)
+    name = tag.removeprefix(_PREFIX)
+    if name != tag and name not in _BY_SCENARIO:
+        use_fixture(getattr(fixtures, name), context)
 
 
 def before_scenario(context: Context, scenario: Scenario) -> None:
     context.answers = []
+    for name in _BY_SCENARIO:
+        if _PREFIX + name in scenario.effective_tags:
+            use_fixture(getattr(fixtures, name), context)
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -1,13 +1,17 @@
 """Fixtures that the scenarios share."""
 
+import os
+import tempfile
 from collections.abc import Iterator
 from pathlib import Path
 
 from behave import fixture
 from behave.runner import Context
 
-from features.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
-from features.processes import Processes, temporary_folder
+from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
+from features.support.operator import Operator
+from features.support.peers import PeerPair
+from features.support.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
 from hawthornyard.demo.deployment import EndpointHost
 from hawthornyard.records import Document, new_key
@@ -101,3 +105,20 @@
             yield context.processes
         finally:
             context.processes.kill()
+
+
+@fixture
+def operator(context: Context) -> Iterator[Operator]:
+    """An operator with an empty table service, named by the environment."""
+    with tempfile.TemporaryDirectory() as folder:
+        context.operator = Operator(Path(folder))
+        os.environ["HAWTHORNYARD_TABLE"] = context.operator.table_url
+        yield context.operator
+        del os.environ["HAWTHORNYARD_TABLE"]
+
+
+@fixture
+def peer_pair(context: Context) -> Iterator[PeerPair]:
+    """A listening peer."""
+    context.pair = PeerPair()
+    yield context.pair
--- a/features/steps/bad_input.py
+++ b/features/steps/bad_input.py
@@ -8,7 +8,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.fakes import RawCaller
+from features.support.fakes import RawCaller
 
 COMPLETIONS = "/v1/completions"
 
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -9,7 +9,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.fakes import RawCaller
+from features.support.fakes import RawCaller
 from hawthornyard.demo import Client
 from hawthornyard.demo.client import Event
 from hawthornyard.demo.deployment import wait_until
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -10,7 +10,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.fakes import RawPeer
+from features.support.fakes import RawPeer
 from hawthornyard.codec import MAX_FRAME_BYTES, MsgpackCodec
 from hawthornyard.demo.deployment import PEER_KEY
 from hawthornyard.errors import PeerError
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -7,7 +7,7 @@
 from behave import then, when
 from behave.runner import Context
 
-from features.processes import PEER_KEY, TEAM_KEY
+from features.support.processes import PEER_KEY, TEAM_KEY
 from hawthornyard.demo import Client
 
 REQUEST_ID = "kiosk-4711"
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -11,6 +11,7 @@
 MISSED_HEARTBEATS = 3
 DEFAULT_INTERVAL_S = 1.0
 SERVICE_TIME_WEIGHT = 0.1
+TOKEN_TIME_MEMORY = 5000
 
 
 class Fleet:
@@ -55,6 +56,7 @@
             self._offers.clear()
         view.failure_domain = endpoint.failure_domain
         view.incarnation = beat.incarnation
+        view.revision = beat.revision
         view.accepting = beat.accepting
         view.n_running = beat.n_running
         view.n_waiting = beat.n_waiting
@@ -79,13 +81,16 @@
         if view is not None:
             view.n_unreported -= 1
 
-    def on_finished(self, endpoint: str, seconds: float) -> None:
-        """Learn how long an attempt took at an endpoint."""
+    def on_finished(self, endpoint: str, seconds: float, n_tokens: int = 0) -> None:
+        """Learn how long an attempt and its tokens took at an endpoint."""
         view = self._views.get(endpoint)
         if view is None:
             return
         weight = SERVICE_TIME_WEIGHT if view.service_s else 1.0
         view.service_s += weight * (seconds - view.service_s)
+        if n_tokens:
+            weight = min(1.0, n_tokens / TOKEN_TIME_MEMORY) if view.token_s else 1.0
+            view.token_s += weight * (seconds / n_tokens - view.token_s)
 
     def incarnation(self, endpoint: str) -> str:
         """Return the last known incarnation of an endpoint's sidecar."""
@@ -100,7 +105,8 @@
 
     def has_room(self, request: Request) -> bool:
         """Return whether some endpoint can begin the request at once."""
-        return any(view.n_free for view in self.candidates(request))
+        priority = request.service.priority
+        return any(view.n_free(priority) for view in self.candidates(request))
 
     def has_any(self, request: Request) -> bool:
         """Return whether any live endpoint fits the request."""
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -1,7 +1,18 @@
 """Decide on routing, limits, order and retries, without any I/O."""
 
+from .affinity import PrefixAffinity
 from .bucket import TokenBucket
+from .calibration import Calibration
 from .fairqueue import FairQueue, Queue
+from .lengths import (
+    BackoffPredictor,
+    LengthHistogram,
+    LengthPredictor,
+    LengthSource,
+    prompt_tokens,
+    quantile,
+)
+from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .portion import divide
 from .rendezvous import rank, spread_subset
 from .retry import RetryBudget
@@ -10,10 +21,19 @@
 from .view import EndpointView
 
 __all__ = [
+    "BackoffPredictor",
+    "Calibration",
     "Choice",
     "ConcurrencyLimit",
     "EndpointView",
+    "ExpectedMemory",
     "FairQueue",
+    "LengthHistogram",
+    "LengthPredictor",
+    "LengthSource",
+    "MemoryLimit",
+    "Occupant",
+    "PrefixAffinity",
     "Queue",
     "RetryBudget",
     "RoutingPolicy",
@@ -23,4 +43,6 @@
     "divide",
     "rank",
     "spread_subset",
+    "prompt_tokens",
+    "quantile",
 ]
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -67,6 +67,7 @@
             settings.name, settings.failure_domain, incarnation, Catalog()
         )
         connections = Connections(self._inbox)
+        self._client = _client(settings)
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
             [
@@ -82,7 +83,7 @@
                     Unknown,
                     ConfigPull,
                 ),
-                EndpointSink(_client(settings), self._inbox),
+                EndpointSink(self._client, self._inbox),
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
                 self._stop,
@@ -110,6 +111,7 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
+        eventlet.spawn_n(self._client.watch, self._inbox)
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
