--- a/hawthornyard/core/__init__.py
+++ b/hawthornyard/core/__init__.py
@@ -4,12 +4,14 @@
 from .event import Decision, Fault, PeerDown, PeerUp, Stopped, StopRequested, Tick
 from .message import Message
 from .pipe import Consumers, Feedback, Filter, Handlers, Inbox, Pipeline, Sink
+from .unexpected import DropUnexpected
 
 __all__ = [
     "Chance",
     "Clock",
     "Consumers",
     "Decision",
+    "DropUnexpected",
     "Fault",
     "Feedback",
     "Filter",
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -1,5 +1,11 @@
 """Define the protocol between gateways and sidecars."""
 
+from .direction import (
+    GATEWAY_TO_SIDECAR,
+    SENT_BY_GATEWAY,
+    SENT_BY_SIDECAR,
+    SIDECAR_TO_GATEWAY,
+)
 from .frame import (
     Accepted,
     Ack,
@@ -28,6 +34,10 @@
 from .work import Generation, ServiceCall, Work
 
 __all__ = [
+    "GATEWAY_TO_SIDECAR",
+    "SENT_BY_GATEWAY",
+    "SENT_BY_SIDECAR",
+    "SIDECAR_TO_GATEWAY",
     "Accepted",
     "Ack",
     "Attach",
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, Filter, Identifiers
+from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
+from ..frames import GATEWAY_TO_SIDECAR
 from ..policy import PrefixAffinity, RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
@@ -61,6 +62,7 @@
     """
     budgets = TeamBudgets(clock)
     return [
+        DropUnexpected(*GATEWAY_TO_SIDECAR),
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
         SubscribeHeartbeats(fleet, neighbours),
