--- /dev/null
+++ b/benchmarks/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Measure decisions on models of engines, without any I/O."""
--- /dev/null
+++ b/benchmarks/policy/ablation.py
@@ -0,0 +1,100 @@
+"""Leave one part of the system out at a time."""
+
+import random
+
+from hawthornyard.policy import (
+    BackoffPredictor,
+    ExpectedMemory,
+    LengthPredictor,
+    LengthSource,
+    MemoryLimit,
+    RoutingPolicy,
+    TwoChoices,
+)
+
+from .runner import Runner
+from .score import Record
+from .variant import Whole
+
+
+class Unlearned(BackoffPredictor):
+    """Know the prior alone."""
+
+    __slots__ = ()
+
+    def observe(self, source: LengthSource, n_tokens: int) -> None:
+        """Learn nothing."""
+
+
+class WithoutPredictor(Whole):
+    """Predict lengths by the prior alone."""
+
+    __slots__ = ()
+
+    def predictor(self, records: dict[str, Record]) -> LengthPredictor:
+        """Return a predictor that does not learn."""
+        return Unlearned()
+
+
+class WithoutMargin(Whole):
+    """Admit by the expected memory without a safety margin."""
+
+    __slots__ = ()
+
+    def memory(
+        self, records: dict[str, Record], predictor: LengthPredictor
+    ) -> MemoryLimit:
+        """Return a memory limit without a margin."""
+        return ExpectedMemory(predictor, safety=0.0, adapts=False)
+
+
+class WithFixedMargin(Whole):
+    """Keep the safety margin as it is at the start."""
+
+    __slots__ = ()
+
+    def memory(
+        self, records: dict[str, Record], predictor: LengthPredictor
+    ) -> MemoryLimit:
+        """Return a memory limit that does not adapt."""
+        return ExpectedMemory(predictor, adapts=False)
+
+
+class WithoutAffinity(Whole):
+    """Route without regard to prefixes."""
+
+    __slots__ = ()
+
+    def routing(self, chance: random.Random) -> RoutingPolicy:
+        """Return a routing policy without affinity."""
+        return TwoChoices(chance)
+
+
+class WithoutSlowStart(Whole):
+    """Start each endpoint at its full limit."""
+
+    __slots__ = ()
+
+    def initial_limit(self, runner: Runner) -> int:
+        """Return the limit of a warm endpoint."""
+        return runner.spec.max_limit
+
+
+class WithoutFairness(Whole):
+    """Charge all work to one team."""
+
+    __slots__ = ()
+
+    def team(self, name: str) -> str:
+        """Return the same team for all."""
+        return "all"
+
+
+ABLATIONS = {
+    "no predictor": WithoutPredictor(),
+    "no margin": WithoutMargin(),
+    "fixed margin": WithFixedMargin(),
+    "no affinity": WithoutAffinity(),
+    "no slow start": WithoutSlowStart(),
+    "no fairness": WithoutFairness(),
+}
--- a/benchmarks/policy/members.py
+++ b/benchmarks/policy/members.py
@@ -1,13 +1,13 @@
 """Put the real chains of a gateway and a sidecar between taps."""
 
-from collections.abc import Callable, Iterable
+import random
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any, Protocol
 
 from hawthornyard.core import (
     Clock,
     Consumers,
     Decision,
-    Filter,
     Identifiers,
     Message,
     PeerDown,
@@ -15,23 +15,9 @@
     Pipeline,
     Tick,
 )
-from hawthornyard.frames import (
-    Accepted,
-    Ack,
-    Attach,
-    Cancel,
-    ConfigPush,
-    Dispatch,
-    Ended,
-    Failed,
-    Frame,
-    Heartbeat,
-    Refused,
-    Replied,
-    Tokens,
-    Unknown,
-)
-from hawthornyard.gateway.fleet import ApplyConfig, Fleet, Watch
+from hawthornyard.frames import Frame, Heartbeat
+from hawthornyard.gateway.chain import gateway_chain
+from hawthornyard.gateway.fleet import Fleet, Neighbours
 from hawthornyard.gateway.inflight import InFlight
 from hawthornyard.gateway.messages import (
     AttemptFailed,
@@ -42,14 +28,8 @@
     ReplyStarted,
     ReplyTokens,
 )
-from hawthornyard.gateway.reply import Relay, Settle
-from hawthornyard.gateway.request import Claim, Retry, Route, SendAttempt, WaitForRoom
-from hawthornyard.policy import (
-    LengthPredictor,
-    MemoryLimit,
-    RetryBudget,
-    RoutingPolicy,
-)
+from hawthornyard.gateway.request import Drain
+from hawthornyard.policy import LengthPredictor, MemoryLimit, RoutingPolicy
 from hawthornyard.records import Catalog
 from hawthornyard.sidecar.attempts import Attempts
 from hawthornyard.sidecar.chain import sidecar_chain
@@ -131,8 +111,10 @@
     def __init__(
         self,
         name: str,
+        peers: Sequence[str],
         bus: Bus,
         clock: Clock,
+        chance: random.Random,
         identifiers: Identifiers,
         predictor: LengthPredictor,
         routing: RoutingPolicy,
@@ -140,40 +122,25 @@
         self.name = name
         self.inflight = InFlight()
         catalog = Catalog()
-        fleet = Fleet(catalog, clock)
-        chain: list[Filter] = [
-            ApplyConfig(catalog),
-            Watch(fleet),
-            Retry(RetryBudget(), clock),
-            WaitForRoom(fleet, clock, predictor=predictor),
-            Claim(self.inflight),
-            Route(fleet, routing),
-            SendAttempt(self.inflight, fleet, clock, identifiers),
-            Relay(self.inflight, fleet, clock),
-            Settle(self.inflight, fleet, clock),
-        ]
-        frames = _tap(
-            lambda frame: bus.deliver(name, frame),
-            (Dispatch, Attach, Cancel, Ack, ConfigPush),
+        chain = gateway_chain(
+            catalog,
+            self.inflight,
+            Fleet(catalog, clock),
+            Neighbours(name, peers, clock),
+            Drain(self.inflight, clock),
+            clock,
+            chance,
+            identifiers,
+            predictor=predictor,
+            routing=routing,
         )
+        frames = _tap(lambda frame: bus.deliver(name, frame), Frame.__subclasses__())
         feedback = _tap(lambda msg: bus.put(self, msg), (AttemptFailed, Closed))
         replies = Taps(
             {ReplyEnded: bus.on_reply_ended, ReplyFailed: bus.on_reply_failed}
         )
-        dropped = _tap(
-            _drop,
-            (
-                ReplyStarted,
-                ReplyTokens,
-                ConfigChanged,
-                Decision,
-                Heartbeat,
-                Tick,
-                PeerUp,
-                PeerDown,
-            ),
-        )
-        self.pipeline = Pipeline(chain, [frames, feedback, replies, dropped])
+        dropped = _tap(_drop, _UNUSED_BY_GATEWAY)
+        self.pipeline = Pipeline(chain, [frames, dropped, feedback, replies])
 
 
 class SidecarMember:
@@ -208,8 +175,7 @@
             state, self.attempts, clock, predictor=predictor, memory=memory
         )
         frames = _tap(
-            lambda frame: bus.deliver(self.name, frame),
-            (Accepted, Refused, Tokens, Ended, Replied, Failed, Heartbeat, Unknown),
+            lambda frame: bus.deliver(self.name, frame), Frame.__subclasses__()
         )
         calls = Taps(
             {
@@ -217,10 +183,8 @@
                 CancelEndpoint: lambda msg: bus.on_cancel(self, msg),
             }
         )
-        dropped = _tap(
-            _drop, (Decision, Tick, PeerUp, PeerDown, Finished, SidecarConfigChanged)
-        )
-        self.pipeline = Pipeline(chain, [frames, calls, dropped])
+        dropped = _tap(_drop, _UNUSED_BY_SIDECAR)
+        self.pipeline = Pipeline(chain, [frames, dropped, calls])
 
     def flush(self, attempt_id: str, n_done: int) -> None:
         """Pass on the tokens that have left the runner for an attempt."""
@@ -236,6 +200,17 @@
         self._bus.put(self, EndpointEnded(attempt_id, "stop"))
 
 
+_UNUSED: Sequence[type[Message]] = (Decision, Tick, PeerUp, PeerDown)
+_UNUSED_BY_GATEWAY = (
+    *_UNUSED,
+    Heartbeat,
+    ReplyStarted,
+    ReplyTokens,
+    ConfigChanged,
+)
+_UNUSED_BY_SIDECAR = (*_UNUSED, Finished, SidecarConfigChanged)
+
+
 def _tap(take: Callable[[Any], None], types: Iterable[type[Message]]) -> Taps:
     return Taps(dict.fromkeys(types, take))
 
--- /dev/null
+++ b/benchmarks/policy/report.py
@@ -0,0 +1,89 @@
+"""Print the figures of all runs as tables and plots."""
+
+import statistics
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+from .score import Score
+
+ScoresByPolicy = Mapping[str, Sequence[Score]]
+
+MEASURES = {
+    "stall_s": ("stall s", 1.0),
+    "stall_p99_s": ("stall p99 s", 1.0),
+    "preemptions": ("preempt", 1.0),
+    "gap_p95_s": ("gap p95 ms", 1000.0),
+    "gap_p99_s": ("gap p99 ms", 1000.0),
+    "first_p95_s": ("first p95 s", 1.0),
+    "short_first_p95_s": ("short p95 s", 1.0),
+    "goodput": ("goodput/s", 1.0),
+    "n_refused": ("refused", 1.0),
+    "n_lost": ("lost", 1.0),
+    "n_overborne": ("overborne", 1.0),
+    "small_team_goodput": ("small team", 1.0),
+    "large_team_goodput": ("large team", 1.0),
+}
+_WIDTH = 16
+
+
+def table(title: str, scores: ScoresByPolicy, ours: str) -> str:
+    """Return the mean and spread of each measure, and ours over each other.
+
+    Args:
+        title: Heading of the table.
+        scores: Scores of each policy, by seed.
+        ours: The policy that the ratios are of.
+    """
+    names = list(scores)
+    lines = [f"== {title}, mean (standard deviation) over {len(scores[ours])} seeds"]
+    lines.append(_row("", [name[: _WIDTH - 1] for name in names]))
+    for measure, (label, factor) in MEASURES.items():
+        cells = [_cell(scores[name], measure, factor) for name in names]
+        lines.append(_row(label, cells))
+    lines.append(f"-- ratio of {ours} to each")
+    for measure in ("stall_s", "preemptions", "gap_p99_s", "goodput"):
+        own = mean(scores[ours], measure)
+        ratios = [_ratio(own, mean(scores[name], measure)) for name in names]
+        lines.append(_row(MEASURES[measure][0], ratios))
+    return "\n".join(lines)
+
+
+def mean(scores: Sequence[Score], measure: str) -> float:
+    """Return the mean of one measure."""
+    return statistics.fmean(getattr(score, measure) for score in scores)
+
+
+def plot(path: Path, titles: Sequence[str], tables: Sequence[ScoresByPolicy]) -> None:
+    """Write bars of stall time and preemptions by scenario and policy."""
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(2, 1, figsize=(12, 9), sharex=True)
+    for axis, measure in zip(axes, ("stall_s", "preemptions"), strict=True):
+        names = list(tables[0])
+        for place, name in enumerate(names):
+            heights = [mean(scores[name], measure) for scores in tables]
+            left = [index + place / (len(names) + 1) for index in range(len(tables))]
+            axis.bar(left, heights, 1 / (len(names) + 1), label=name)
+        axis.set_ylabel(MEASURES[measure][0])
+        axis.set_yscale("symlog")
+    axes[0].legend()
+    axes[1].set_xticks(range(len(titles)), titles, rotation=20, fontsize=7)
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def _row(label: str, cells: Sequence[str]) -> str:
+    return f"{label:12}" + "".join(f"{cell:>{_WIDTH}}" for cell in cells)
+
+
+def _cell(scores: Sequence[Score], measure: str, factor: float) -> str:
+    values = [getattr(score, measure) * factor for score in scores]
+    spread = statistics.stdev(values) if len(values) > 1 else 0.0
+    return f"{statistics.fmean(values):.4g} ({spread:.2g})"
+
+
+def _ratio(own: float, other: float) -> str:
+    return f"{own / other:.2f}" if other else "-"
--- a/benchmarks/policy/system.py
+++ b/benchmarks/policy/system.py
@@ -19,7 +19,7 @@
 from .workload import MODEL, PREFIX_TOKENS, Job
 from .world import World
 
-N_GATEWAYS = 2
+GATEWAYS = ("gateway-0", "gateway-1")
 TICK_S = 0.2
 REPORT_TICKS = 3
 STATED_QUANTILE = 0.9
@@ -66,13 +66,17 @@
         self._n_ticks = 0
         self._revision = 0
         self.calibration = Calibration(STATED_QUANTILE)
-        self._gateways = [self._gateway(index) for index in range(N_GATEWAYS)]
+        self._gateways = [self._gateway(name) for name in GATEWAYS]
         self._sidecars: dict[str, SidecarMember] = {}
         limits = {
             name: variant.initial_limit(runner)
             for name, runner in world.runners.items()
         }
         self._push(deployment_entries(world.spec, limits))
+        for gateway in self._gateways:
+            for peer in GATEWAYS:
+                if peer != gateway.name:
+                    self.put(gateway, PeerUp(peer))
         for runner in world.runners.values():
             runner.on_first = self._on_first
             runner.on_finished = self._on_finished
@@ -88,7 +92,7 @@
         """Hand a job to one of the gateways."""
         job = record.job
         self._records[job.id] = record
-        gateway = self._gateways[len(self._records) % N_GATEWAYS]
+        gateway = self._gateways[len(self._records) % len(GATEWAYS)]
         work = Generation(MODEL, _prompt(job), MAX_OUTPUT_TOKENS, priority=job.priority)
         request = Request(
             job.id,
@@ -178,13 +182,14 @@
         else:
             record.lost = now < record.job.deadline
 
-    def _gateway(self, index: int) -> GatewayMember:
-        name = f"gateway-{index}"
+    def _gateway(self, name: str) -> GatewayMember:
         chance = random.Random(f"{name}/{self._world.seed}")
         return GatewayMember(
             name,
+            [peer for peer in GATEWAYS if peer != name],
             self,
             self._world.loop.clock,
+            chance,
             self,
             self._variant.predictor(self._records),
             self._variant.routing(chance),
@@ -231,7 +236,8 @@
             for entry in entries
         ]
         for gateway in self._gateways:
-            self.put(gateway, ConfigPush(self._revision, stamped))
+            push = ConfigPush(self._revision - 1, self._revision, stamped)
+            self.put(gateway, push.at(""))
 
 
 def _prompt(job: Job) -> str:
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -3,7 +3,13 @@
 from collections.abc import Sequence
 
 from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import PrefixAffinity, RetryBudget, TwoChoices
+from ..policy import (
+    LengthPredictor,
+    PrefixAffinity,
+    RetryBudget,
+    RoutingPolicy,
+    TwoChoices,
+)
 from ..records import Catalog
 from .budget import TeamBudgets
 from .fleet import (
@@ -41,6 +47,9 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    *,
+    predictor: LengthPredictor | None = None,
+    routing: RoutingPolicy | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -53,7 +62,10 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        predictor: Predicts output lengths.
+        routing: Chooses among endpoints that fit.
     """
+    routing = routing or TwoChoices(chance, affinity=PrefixAffinity())
     budgets = TeamBudgets(clock)
     return [
         ApplyConfig(catalog, neighbours),
@@ -68,9 +80,9 @@
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(RetryBudget(), clock),
-        WaitForRoom(fleet, clock),
+        WaitForRoom(fleet, clock, predictor=predictor),
         Claim(inflight),
-        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
+        Route(fleet, routing),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
