--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -4,7 +4,13 @@
 
 from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
 from ..frames import GATEWAY_TO_SIDECAR
-from ..policy import PrefixAffinity, RetryBudget, TwoChoices
+from ..policy import (
+    LengthPredictor,
+    PrefixAffinity,
+    RetryBudget,
+    RoutingPolicy,
+    TwoChoices,
+)
 from ..records import Catalog
 from .budget import TeamBudgets
 from .fleet import (
@@ -46,6 +52,9 @@
     chance: Chance,
     identifiers: Identifiers,
     planner: Sequence[Filter] = (),
+    *,
+    predictor: LengthPredictor | None = None,
+    routing: RoutingPolicy | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -59,7 +68,10 @@
         chance: Source of randomness.
         identifiers: Source of attempt ids.
         planner: Filters of the planner's duty.
+        predictor: Predicts output lengths.
+        routing: Chooses among endpoints that fit.
     """
+    routing = routing or TwoChoices(chance, affinity=PrefixAffinity())
     budgets = TeamBudgets(clock)
     return [
         DropUnexpected(*GATEWAY_TO_SIDECAR),
@@ -79,9 +91,9 @@
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(RetryBudget(), clock),
-        WaitForRoom(fleet, clock),
+        WaitForRoom(fleet, clock, predictor=predictor),
         Claim(inflight),
-        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
+        Route(fleet, routing),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
