--- /dev/null
+++ b/features/promise_at_most_once.feature
@@ -0,0 +1,66 @@
+Feature: A request marked non-idempotent runs at most once
+
+  Every row is a fault, every column a step of the request at which it strikes.
+  The caller sends its badge issue again, with the same key, when its gateway
+  is lost.
+
+  Scenario Outline: A badge issue and <fault>
+    When "<fault>" strikes a badge issue at each step
+      | decode | claimed | dispatch | sent | queued | admitted | begun | ended |
+    Then every promise holds, and the last answer is
+      | decode | claimed | dispatch | sent | queued | admitted | begun | ended |
+      | <decode> | <claimed> | <dispatch> | <sent> | <queued> | <admitted> | <begun> | <ended> |
+
+    Examples:
+      | fault                           | decode  | claimed | dispatch | sent    | queued  | admitted | begun   | ended   |
+      | gateway killed                  | whole   | busy    | whole    | busy    | busy    | busy     | busy    | busy    |
+      | two gateways killed             | whole   | busy    | busy     | busy    | busy    | busy     | busy    | busy    |
+      | gateway killed, platform down   | whole   | refused | refused  | refused | refused | refused  | refused | refused |
+      | sidecar killed                  | whole   | whole   | whole    | unknown | unknown | unknown  | unknown | unknown |
+      | endpoint killed                 | whole   | whole   | whole    | whole   | whole   | whole    | unknown | whole   |
+      | gateway frozen for 4 s          | whole   | whole   | refused  | whole   | whole   | whole    | whole   | whole   |
+      | gateway frozen for 20 s         | whole   | busy    | whole    | busy    | busy    | busy     | busy    | busy    |
+      | gateway frozen past retention   | whole   | whole   | refused  | whole   | unknown | whole    | unknown | unknown |
+      | sidecar frozen for 4 s          | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | sidecar frozen for 20 s         | whole   | unknown | whole    | unknown | unknown | unknown  | unknown | whole   |
+      | sidecar frozen, domain out      | whole   | whole   | whole    | unknown | unknown | unknown  | unknown | whole   |
+      | frozen sidecar replaced         | whole   | unknown | whole    | unknown | unknown | unknown  | unknown | whole   |
+      | connection cut                  | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | connection silent               | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | silent, endpoint killed         | whole   | whole   | whole    | whole   | whole   | whole    | unknown | whole   |
+      | connection delayed              | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | network parted for 20 s         | whole   | refused | refused  | unknown | unknown | unknown  | unknown | unknown |
+      | platform down                   | refused | whole   | refused  | whole   | whole   | whole    | whole   | whole   |
+      | platform slow                   | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | reply of the platform lost      | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | failure domain out              | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | gateway stopped                 | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | sidecar stopped                 | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | caller gone                     | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+      | caller back at the same gateway | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
+
+  Scenario Outline: A key is free again once its request certainly was not run
+    Given a badge issue at the step <step>
+    When caller gone strikes
+    And all work comes to its end
+    Then the next answer with the same key is whole
+
+    Examples:
+      | step                        |
+      | after the claim is written  |
+      | dispatched and not received |
+      | received and not admitted   |
+
+  Scenario: A refusal that crosses the caller's leaving starts no other attempt
+    Given a badge issue at the step dispatched and not received
+    When its sidecar refuses it while the caller leaves
+    And all work comes to its end
+    Then it was run 0 times
+    And the next answer with the same key is whole
+
+  Scenario: A claim that is answered after the deadline is given back
+    Given a badge issue at the step before decode
+    When the claims of a request are not answered before its deadline
+    And all work comes to its end
+    Then it was run 0 times
+    And the next answer with the same key is whole
--- /dev/null
+++ b/features/promise_planned_stop.feature
@@ -0,0 +1,12 @@
+Feature: A planned stop cuts off no request
+
+  Scenario Outline: A sidecar exits only when its last answer was read
+    Given a <kind> at the step <step>
+    When the sidecar is stopped and answers in its last moment
+    Then every promise holds
+
+    Examples:
+      | kind        | step                        |
+      | generation  | mid-stream                  |
+      | badge issue | begun                       |
+      | badge issue | dispatched and not received |
--- /dev/null
+++ b/features/steps/checker.py
@@ -0,0 +1,135 @@
+"""Feed the checker a violation of each promise."""
+
+from collections.abc import Callable
+
+from behave import then, when
+from behave.runner import Context
+
+from features.support.checker import violations
+from features.support.history import Caller, Closure, History, Run, Token
+from hawthornyard.errors import ErrorKind
+
+
+@when("a history shows {violation}")
+def show(context: Context, violation: str) -> None:
+    context.history = History()
+    _VIOLATIONS[violation](context.history)
+
+
+@then('the checker reports only "{promise}"')
+def check_caught(context: Context, promise: str) -> None:
+    found = {line.split(": ")[0] for line in violations(context.history)}
+    assert found == {promise}, found
+
+
+@then("the checker reports nothing")
+def check_nothing(context: Context) -> None:
+    found = violations(context.history)
+    assert not found, found
+
+
+def _stream(history: History, numbers: list[int], *, n_end: int | None = 3) -> Caller:
+    run = Run("r", "a", "engine")
+    run.texts = ["a/1", "a/2", "a/3"]
+    run.n_whole = 3
+    history.runs.append(run)
+    caller = Caller("r")
+    caller.tokens = [Token("a", number, f"a/{number}") for number in numbers]
+    caller.n_end = n_end
+    history.callers.append(caller)
+    return caller
+
+
+def _gap(history: History) -> None:
+    _stream(history, [1, 3], n_end=None).is_cut = True
+
+
+def _badge(history: History, request_id: str, *, key: str = "") -> Caller:
+    history.runs.append(Run(request_id, f"attempt of {request_id}", "service"))
+    caller = Caller(request_id, idempotent=False, key=key)
+    caller.body = f'{{"request": "{request_id}"}}'.encode()
+    history.callers.append(caller)
+    return caller
+
+
+def _two_generations(history: History) -> None:
+    caller = _stream(history, [1, 2, 3])
+    other = Run("r", "b", "engine")
+    other.texts = ["b/1", "b/2", "b/3"]
+    history.runs.append(other)
+    caller.tokens[2] = Token("b", 3, "b/3")
+
+
+def _foreign_token(history: History) -> None:
+    _stream(history, [1, 2, 3]).tokens[1].text = "x/2"
+
+
+def _foreign_answer(history: History) -> None:
+    _badge(history, "r").body = b'{"request": "other"}'
+
+
+def _early_end(history: History) -> None:
+    _stream(history, [1, 2], n_end=2)
+
+
+def _ran(history: History) -> None:
+    _badge(history, "r").body = None
+    history.callers[0].failure = ErrorKind.OVERLOADED
+
+
+def _twice(history: History) -> None:
+    _badge(history, "r")
+    history.runs.append(Run("r", "another attempt", "service"))
+
+
+def _one_key(history: History) -> None:
+    _badge(history, "r", key="k")
+    _badge(history, "s", key="k")
+
+
+def _out(history: History) -> None:
+    _badge(history, "r")
+    history.closures.append(Closure("service", 10.0))
+    history.runs[0].at = 13.5
+
+
+def _over_limit(history: History) -> None:
+    _badge(history, "r")
+    history.limits["service"] = 1
+    history.runs[0].n_running = 2
+
+
+def _cut(history: History) -> None:
+    caller = _badge(history, "r")
+    caller.body = None
+    caller.is_cut = True
+    caller.must_be_whole = True
+
+
+def _reverts(history: History) -> None:
+    history.revisions["gateway-1"] = [3, 5, 4]
+
+
+def _right(history: History) -> None:
+    _stream(history, [1, 2, 3])
+    _badge(history, "s", key="k")
+
+
+_VIOLATIONS: dict[str, Callable[[History], object]] = {
+    "a token twice": lambda history: _stream(history, [1, 2, 2]),
+    "a token missing": _gap,
+    "tokens out of order": lambda history: _stream(history, [1, 3, 2]),
+    "tokens of two generations": _two_generations,
+    "a token of another request": _foreign_token,
+    "the answer of another request": _foreign_answer,
+    "an end before the last token": _early_end,
+    "a caller without an answer": lambda history: _stream(history, [1], n_end=None),
+    "a refusal of a request that ran": _ran,
+    "a badge issue run twice": _twice,
+    "two badge issues with one key": _one_key,
+    "new work where the domain is out": _out,
+    "a cold endpoint over its limit": _over_limit,
+    "a request cut off by a stop": _cut,
+    "a configuration that reverts": _reverts,
+    "nothing wrong": _right,
+}
--- /dev/null
+++ b/features/steps/promises.py
@@ -0,0 +1,180 @@
+"""Steps of the fault matrix, on a deployment that the test holds still."""
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.checker import check_all, violations
+from features.support.history import Caller
+from features.support.scene import FIRST, SECOND, Scene
+from hawthornyard.core import StopRequested
+from hawthornyard.errors import ANSWERS, ErrorKind, Ran
+from hawthornyard.frames import Refused
+from hawthornyard.gateway.messages import CallerGone
+
+_STEPS = {
+    "decode": "before decode",
+    "claimed": "after the claim is written",
+    "dispatch": "before dispatch",
+    "sent": "dispatched and not received",
+    "queued": "received and not admitted",
+    "admitted": "admitted and not begun",
+    "begun": "begun",
+    "first": "first token",
+    "mid": "mid-stream",
+    "last": "last token before the end",
+    "ended": "ended and not acknowledged",
+}
+
+_WORDS = {
+    ErrorKind.KEY_IN_PROGRESS: "busy",
+    ErrorKind.GENERATION_LOST: "lost",
+    ErrorKind.OUTCOME_UNKNOWN: "unknown",
+}
+
+
+@when('"{fault}" strikes a {kind} at each step')
+def strike_each(context: Context, fault: str, kind: str) -> None:
+    context.scenes = {}
+    for column in context.table.headings:
+        scene = Scene(kind)
+        scene.drive(_STEPS[column])
+        scene.strike(fault)
+        scene.finish()
+        context.scenes[column] = scene
+
+
+@then("every promise holds, and the last answer is")
+def check_matrix(context: Context) -> None:
+    (row,) = context.table
+    seen = {}
+    for column, scene in context.scenes.items():
+        broken = violations(scene.world.history)
+        assert not broken, f"{column}: {broken}"
+        seen[column] = outcome((scene.retries or [scene.caller])[-1])
+    expected = dict(zip(row.headings, row.cells, strict=True))
+    assert seen == expected, seen
+
+
+def outcome(caller: Caller) -> str:
+    """Return how a caller ended, in one word."""
+    if caller.is_whole:
+        return "whole"
+    if caller.failure is None:
+        return "cut" if caller.is_cut else "none"
+    if ANSWERS[caller.failure].ran is Ran.NO:
+        return "refused"
+    return _WORDS.get(caller.failure, caller.failure.value)
+
+
+@given("a {kind} at the step {step}")
+def drive(context: Context, kind: str, step: str) -> None:
+    context.scene = Scene(kind)
+    context.scene.drive(step)
+
+
+@when("{fault} strikes")
+def strike(context: Context, fault: str) -> None:
+    context.scene.strike(fault)
+
+
+@when("all work comes to its end")
+def finish(context: Context) -> None:
+    context.scene.finish()
+
+
+@then("every promise holds")
+def check_promises(context: Context) -> None:
+    check_all(context.scene.world.history)
+
+
+@then("the answer is {word}")
+def check_answer(context: Context, word: str) -> None:
+    seen = outcome(context.scene.caller)
+    assert seen == word, (seen, context.scene.caller.failure)
+
+
+@then("the next answer with the same key is {word}")
+def check_next(context: Context, word: str) -> None:
+    scene = context.scene
+    scene.world.settle(5)
+    again = scene.send(SECOND, "again")
+    scene.world.settle(5)
+    assert outcome(again) == word, (outcome(again), again.failure)
+    check_all(scene.world.history)
+
+
+@then("it was run {n_runs:d} times")
+def check_runs(context: Context, n_runs: int) -> None:
+    scene = context.scene
+    runs = scene.world.history.runs_of(scene.caller.request_id)
+    assert len(runs) == n_runs, runs
+
+
+@when("its sidecar refuses it while the caller leaves")
+def refuse_and_leave(context: Context) -> None:
+    scene = context.scene
+    gateway = scene.world.gateways[FIRST]
+    (request,) = list(gateway.inflight)
+    (call_id,) = list(gateway.calls)
+    for link in scene.world.links_of(FIRST):
+        link.to_sidecar.clear()
+    gateway.put(Refused(request.attempt_id, "overloaded", "").at(scene.endpoint))
+    gateway.put(CallerGone(call_id))
+    scene.world.leave(scene.caller)
+    scene.world.run()
+
+
+@when("the claims of a request are not answered before its deadline")
+def claim_late(context: Context) -> None:
+    scene = context.scene
+    scene.world.gateways[FIRST].claims.is_slow = True
+    scene.caller = scene.send(FIRST)
+    scene.world.advance(301)
+    assert scene.caller.failure is ErrorKind.DEADLINE_EXCEEDED, scene.caller.failure
+    scene.world.gateways[FIRST].claims.is_slow = False
+
+
+@when("the caller comes back with the name of an endpoint that nobody knows")
+def come_back_to_nobody(context: Context) -> None:
+    scene = context.scene
+    scene.world.leave(scene.caller)
+    scene.caller.endpoint = "nobody"
+    scene.world.reconnect(scene.caller, SECOND)
+    scene.world.settle(10)
+
+
+@when("an endpoint with queued work is told to leave")
+def leave_endpoint(context: Context) -> None:
+    scene = context.scene
+    world = scene.world
+    world.apply([world.endpoint_document(scene.endpoint, leaving=True)])
+    world.close_endpoint(scene.endpoint, is_closed=True)
+    world.run()
+    world.advance(4)
+
+
+@when("operators take its failure domain out, and its gateway cannot read that")
+def domain_out_unread(context: Context) -> None:
+    scene = context.scene
+    domain = scene.endpoint.split("-")[1]
+    scene.world.set_domain(domain, in_service=False, cut_off=FIRST)
+    scene.world.run()
+    scene.world.settle(3)
+    for index in range(10):
+        scene.world.generate(FIRST, f"later-{index}")
+        scene.world.settle(2)
+
+
+@when("the sidecar is stopped and answers in its last moment")
+def stop_and_answer(context: Context) -> None:
+    scene = context.scene
+    sidecar = scene.world.sidecars[scene.endpoint]
+    scene.caller.must_be_whole = True
+    sidecar.put(StopRequested())
+    for link in scene.world.links_of(FIRST):
+        link.is_held = True
+    scene.world.settle(2)
+    assert sidecar.is_alive
+    scene.release()
+    scene.world.settle(15)
+    assert not sidecar.is_alive
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""What the fault scenarios share: history, checker, world, relay, processes."""
--- a/hawthornyard/errors.py
+++ b/hawthornyard/errors.py
@@ -111,7 +111,7 @@
     _K.DOMAIN_OUT: _not_run(503, "The failure domain is out.", retry_after_s=1),
     _K.DEADLINE_EXCEEDED: _not_run(504, "The deadline passed before the start."),
     _K.DEADLINE_AFTER_START: Answer(
-        504, Ran.YES, "The deadline passed while the request was running."
+        504, Ran.UNKNOWN, "The deadline passed after the request was sent."
     ),
     _K.PLATFORM_UNAVAILABLE: _not_run(
         503, "The platform's table service is unavailable.", retry_after_s=5
--- a/hawthornyard/frames/frame.py
+++ b/hawthornyard/frames/frame.py
@@ -21,6 +21,10 @@
         self.peer = peer
         return self
 
+    def copy_to(self, peer: str) -> "Frame":
+        """Return a copy for one of several connections."""
+        return type(self)(*self.values()).at(peer)
+
 
 class Dispatch(Frame):
     """Gateway to sidecar: run this attempt once.
@@ -72,15 +76,19 @@
         team: Team of the caller; must be the attempt's own.
         offset: Number of tokens that the caller has already got.
         reader: True for a caller that reconnects, which must not fence the attempt.
+        age_s: Seconds since the gateway dispatched the attempt.
     """
 
-    __slots__ = ("attempt_id", "team", "offset", "reader")
+    __slots__ = ("attempt_id", "team", "offset", "reader", "age_s")
 
-    def __init__(self, attempt_id: str, team: str, offset: int, reader: bool) -> None:
+    def __init__(
+        self, attempt_id: str, team: str, offset: int, reader: bool, age_s: float
+    ) -> None:
         self.attempt_id = attempt_id
         self.team = team
         self.offset = offset
         self.reader = reader
+        self.age_s = age_s
 
 
 class Cancel(Frame):
@@ -310,15 +318,17 @@
 
 
 class Unknown(Frame):
-    """Sidecar to gateway: the attempt was never seen and is refused from now on.
+    """Sidecar to gateway: the attempt is not held.
 
     Attributes:
         attempt_id: The attempt.
         incarnation: Incarnation of the sidecar that says so.
+        never_run: Whether this incarnation never ran it and never will.
     """
 
-    __slots__ = ("attempt_id", "incarnation")
+    __slots__ = ("attempt_id", "incarnation", "never_run")
 
-    def __init__(self, attempt_id: str, incarnation: str) -> None:
+    def __init__(self, attempt_id: str, incarnation: str, never_run: bool) -> None:
         self.attempt_id = attempt_id
         self.incarnation = incarnation
+        self.never_run = never_run
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -92,7 +92,7 @@
     def views(self) -> Iterator[EndpointView]:
         """Yield the view of every endpoint heard of lately."""
         for view in self._views.values():
-            if self._is_live(view.endpoint):
+            if self.is_live(view.endpoint):
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
@@ -101,14 +101,15 @@
             view = self._views.get(endpoint.name)
             if view is None or not view.accepting:
                 continue
-            if not self._is_live(endpoint.name):
+            if not self.is_live(endpoint.name):
                 continue
             if not self._catalog.in_service(endpoint):
                 continue
             if endpoint.serves(request.service, model):
                 yield view
 
-    def _is_live(self, endpoint: str) -> bool:
+    def is_live(self, endpoint: str) -> bool:
+        """Return whether an endpoint was heard of lately."""
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
             return False
--- a/hawthornyard/gateway/inflight.py
+++ b/hawthornyard/gateway/inflight.py
@@ -32,7 +32,7 @@
 
     def end_attempt(self, request: Request) -> None:
         """Forget the current attempt, so that its frames are discarded."""
-        self._by_attempt.pop(request.attempt_id, None)
+        self._drop_attempt(request)
         request.attempt_id = ""
         request.accepted = False
         request.detached_at = None
@@ -48,4 +48,8 @@
     def remove(self, request: Request) -> None:
         """Forget a request and its current attempt."""
         self._by_call.pop(request.call_id, None)
-        self._by_attempt.pop(request.attempt_id, None)
+        self._drop_attempt(request)
+
+    def _drop_attempt(self, request: Request) -> None:
+        if self._by_attempt.get(request.attempt_id) is request:
+            del self._by_attempt[request.attempt_id]
--- a/hawthornyard/gateway/messages.py
+++ b/hawthornyard/gateway/messages.py
@@ -129,6 +129,7 @@
         n_delivered: Tokens handed to the caller.
         sent_at: Monotonic seconds of the dispatch.
         excluded: Endpoints that refused it.
+        may_have_run: Whether an earlier attempt ended without a refusal.
         resumed: Whether the caller came back for an earlier generation.
         detached_at: Monotonic seconds when its connection was lost, None if it holds.
     """
@@ -152,6 +153,7 @@
         "n_delivered",
         "sent_at",
         "excluded",
+        "may_have_run",
         "resumed",
         "detached_at",
     )
@@ -187,6 +189,7 @@
         self.n_delivered = 0
         self.sent_at = 0.0
         self.excluded: set[str] = set()
+        self.may_have_run = False
         self.resumed = False
         self.detached_at: float | None = None
 
@@ -415,15 +418,24 @@
         row_key: Key of the claim's row.
         claim_id: Identifier of this claim, to recognise a lost reply.
         digest: Digest of the request body.
+        remaining_s: Seconds until the request's deadline.
     """
 
-    __slots__ = ("call_id", "row_key", "claim_id", "digest")
+    __slots__ = ("call_id", "row_key", "claim_id", "digest", "remaining_s")
 
-    def __init__(self, call_id: str, row_key: str, claim_id: str, digest: str) -> None:
+    def __init__(
+        self,
+        call_id: str,
+        row_key: str,
+        claim_id: str,
+        digest: str,
+        remaining_s: float,
+    ) -> None:
         self.call_id = call_id
         self.row_key = row_key
         self.claim_id = claim_id
         self.digest = digest
+        self.remaining_s = remaining_s
 
 
 class ClaimAnswered(Message):
--- a/hawthornyard/gateway/reply/relay.py
+++ b/hawthornyard/gateway/reply/relay.py
@@ -91,7 +91,7 @@
         if request is None:
             return
         if msg.offset > request.n_delivered:
-            yield _attach(request)
+            yield self._attach(request)
             return
         fresh = msg.texts[request.n_delivered - msg.offset :]
         if not fresh:
@@ -113,7 +113,7 @@
         if request is None:
             return
         if msg.n_tokens > request.n_delivered:
-            yield _attach(request)
+            yield self._attach(request)
             return
         yield Ack(msg.attempt_id, msg.n_tokens).at(request.endpoint)
         yield ReplyEnded(request.call_id, msg.n_tokens, msg.reason)
@@ -129,7 +129,9 @@
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None:
             return
+        yield Ack(msg.attempt_id, request.n_delivered).at(request.endpoint)
         if request.may_rerun:
+            request.may_have_run = True
             yield self._again(request, ErrorKind(msg.kind), msg.detail)
             return
         yield self._fail(request, ErrorKind(msg.kind), msg.detail)
@@ -141,16 +143,15 @@
         if request.resumed:
             yield self._fail(request, ErrorKind.UNKNOWN_GENERATION)
             return
-        # The same incarnation refuses the attempt from now on: it never ran.
-        if msg.incarnation == request.incarnation and request.n_delivered == 0:
+        if msg.never_run and msg.incarnation == request.incarnation:
             yield self._again(request, ErrorKind.NO_ENDPOINT, "the dispatch was lost")
             return
-        yield self._lose(request, "the sidecar was restarted")
+        yield self._lose(request, "the sidecar holds the attempt no longer")
 
     def _on_peer_up(self, msg: PeerUp) -> Iterator[Message]:
         for request in self._at(msg.peer):
             request.detached_at = None
-            yield _attach(request)
+            yield self._attach(request)
         yield msg
 
     def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
@@ -167,7 +168,9 @@
         if not request.idempotent and request.attempt_id:
             return
         if request.attempt_id:
-            yield Cancel(request.attempt_id, now=False).at(request.endpoint)
+            # Without a token the caller has no event id to come back with.
+            now = request.n_delivered == 0
+            yield Cancel(request.attempt_id, now=now).at(request.endpoint)
         yield ReplyFailed(msg.call_id, ErrorKind.CANCELLED)
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
@@ -194,6 +197,7 @@
 
     def _lose(self, request: Request, detail: str) -> Message:
         if request.may_rerun:
+            request.may_have_run = True
             return self._again(request, ErrorKind.ENDPOINT_FAILED, detail)
         if request.idempotent:
             return self._fail(request, ErrorKind.GENERATION_LOST, detail)
@@ -213,8 +217,11 @@
             if request.attempt_id and request.endpoint == endpoint:
                 yield request
 
-
-def _attach(request: Request) -> Message:
-    return Attach(
-        request.attempt_id, request.team.name, request.n_delivered, request.resumed
-    ).at(request.endpoint)
+    def _attach(self, request: Request) -> Message:
+        return Attach(
+            request.attempt_id,
+            request.team.name,
+            request.n_delivered,
+            request.resumed,
+            self._clock.now() - request.sent_at,
+        ).at(request.endpoint)
--- a/hawthornyard/gateway/reply/settle.py
+++ b/hawthornyard/gateway/reply/settle.py
@@ -3,11 +3,19 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Handlers, Message
-from ...errors import ErrorKind
+from ...errors import ANSWERS, ErrorKind, Ran
 from ..fleet import Fleet
 from ..inflight import InFlight
 from ..messages import Closed, ReplyEnded, ReplyFailed, ReplyWhole
 
+# What a refusal becomes once an earlier attempt may have run.
+_KIND_AFTER_A_RUN = {
+    kind: ErrorKind.OUTCOME_UNKNOWN
+    for kind, answer in ANSWERS.items()
+    if answer.ran is Ran.NO
+}
+_KIND_AFTER_A_RUN[ErrorKind.DEADLINE_EXCEEDED] = ErrorKind.DEADLINE_AFTER_START
+
 
 class Settle:
     """Follow each final reply by `Closed`, exactly once a request."""
@@ -34,6 +42,9 @@
         yield from self._close(msg.call_id, None, msg)
 
     def _on_failed(self, msg: ReplyFailed) -> Iterator[Message]:
+        request = self._inflight.by_call(msg.call_id)
+        if request is not None and request.may_have_run:
+            msg.kind = _KIND_AFTER_A_RUN.get(msg.kind, msg.kind)
         yield msg
         yield from self._close(msg.call_id, msg.kind, None)
 
--- a/hawthornyard/gateway/request/claim.py
+++ b/hawthornyard/gateway/request/claim.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator
 
-from ...core import Decision, Handlers, Message
-from ...errors import ANSWERS, Ran
+from ...core import Clock, Decision, Handlers, Message, Tick
+from ...errors import ANSWERS, ErrorKind, Ran
 from ..inflight import InFlight
 from ..messages import (
     ClaimAnswered,
@@ -19,16 +19,24 @@
 
 
 class Claim:
-    """Ask the platform for a key before the first dispatch."""
+    """Ask the platform for a key before the first dispatch.
 
-    __slots__ = ("_inflight", "handlers")
+    Args:
+        inflight: Requests that are not answered yet.
+        clock: Source of time.
+    """
 
-    def __init__(self, inflight: InFlight) -> None:
+    __slots__ = ("_asked", "_clock", "_inflight", "handlers")
+
+    def __init__(self, inflight: InFlight, clock: Clock) -> None:
         self._inflight = inflight
+        self._clock = clock
+        self._asked: dict[str, Request] = {}
         self.handlers: Handlers = {
             Released: self._on_released,
             ClaimAnswered: self._on_answered,
             Closed: self._on_closed,
+            Tick: self._on_tick,
         }
 
     def _on_released(self, msg: Released) -> Iterator[Message]:
@@ -36,12 +44,17 @@
         if request.claimed or request.idempotent or not request.key:
             yield Claimed(request)
             return
+        self._asked[request.call_id] = request
         yield ClaimAsked(
-            request.call_id, _row_key(request), request.call_id, request.digest
+            request.call_id,
+            _row_key(request),
+            request.call_id,
+            request.digest,
+            request.deadline - self._clock.now(),
         )
 
     def _on_answered(self, msg: ClaimAnswered) -> Iterator[Message]:
-        request = self._inflight.by_call(msg.call_id)
+        request = self._asked.pop(msg.call_id, None)
         if request is None:
             return
         yield Decision(
@@ -50,29 +63,59 @@
             reason=msg.kind.value if msg.kind else "claimed",
             replayed=msg.outcome is not None,
         )
-        if msg.outcome is not None:
-            yield _replay(request, msg.outcome)
-            return
-        if msg.kind is not None:
-            yield ReplyFailed(request.call_id, msg.kind)
+        is_waiting = self._inflight.by_call(msg.call_id) is request
+        if msg.outcome is not None or msg.kind is not None:
+            yield from self._on_refused(request, msg, is_waiting)
             return
         request.claimed = True
+        if not is_waiting:
+            yield _settled(request, not_run=True)
+            return
         yield Claimed(request)
 
+    def _on_refused(
+        self, request: Request, msg: ClaimAnswered, is_waiting: bool
+    ) -> Iterator[Message]:
+        # The write may have taken effect, or may yet, without its reply.
+        if msg.kind is ErrorKind.PLATFORM_UNAVAILABLE:
+            yield _settled(request, not_run=True)
+        if not is_waiting:
+            return
+        if msg.outcome is not None:
+            yield _replay(request, msg.outcome)
+        elif msg.kind is not None:
+            yield ReplyFailed(request.call_id, msg.kind)
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        for request in list(self._asked.values()):
+            if msg.now < request.deadline:
+                continue
+            if self._inflight.by_call(request.call_id) is request:
+                yield ReplyFailed(request.call_id, ErrorKind.DEADLINE_EXCEEDED)
+        yield msg
+
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
         request = msg.request
         if request.claimed:
-            not_run = msg.kind is not None and ANSWERS[msg.kind].ran is Ran.NO
-            yield ClaimSettled(
-                _row_key(request),
-                request.call_id,
-                request.digest,
-                not_run,
-                msg.outcome,
-            )
+            yield _settled(request, not_run=_is_not_run(msg), outcome=msg.outcome)
         yield msg
 
 
+def _is_not_run(msg: Closed) -> bool:
+    if msg.kind is None:
+        return False
+    # A non-idempotent request without a current attempt was refused or not sent.
+    return not msg.request.attempt_id or ANSWERS[msg.kind].ran is Ran.NO
+
+
+def _settled(
+    request: Request, *, not_run: bool, outcome: ReplyWhole | None = None
+) -> ClaimSettled:
+    return ClaimSettled(
+        _row_key(request), request.call_id, request.digest, not_run, outcome
+    )
+
+
 def _row_key(request: Request) -> str:
     return f"claim/{request.team.name}/{request.service.name}/{request.key}"
 
--- a/hawthornyard/gateway/request/dispatch.py
+++ b/hawthornyard/gateway/request/dispatch.py
@@ -11,6 +11,7 @@
 from ..messages import (
     AttemptFailed,
     Reattached,
+    ReplyFailed,
     ReplyStarted,
     Request,
     Routed,
@@ -43,6 +44,8 @@
 
     def _on_routed(self, msg: Routed) -> Iterator[Message]:
         request = msg.request
+        if self._inflight.by_call(request.call_id) is not request:
+            return
         now = self._clock.now()
         if now >= request.deadline or request.work is None:
             yield AttemptFailed(request, ErrorKind.DEADLINE_EXCEEDED)
@@ -63,6 +66,12 @@
 
     def _on_reattached(self, msg: Reattached) -> Iterator[Message]:
         call = msg.call
+        older = self._inflight.by_attempt(call.attempt_id)
+        if older is not None:
+            if older.team.name != msg.team.name:
+                yield ReplyFailed(call.call_id, ErrorKind.UNKNOWN_GENERATION)
+                return
+            yield ReplyFailed(older.call_id, ErrorKind.CANCELLED, "resumed elsewhere")
         timeout_s = call.timeout_s or RESUMED_TIMEOUT_S
         request = Request(
             call.call_id,
@@ -78,8 +87,10 @@
         self._inflight.add(request)
         self._begin(request, call.endpoint, call.attempt_id)
         request.accepted = True
+        if not self._fleet.is_live(call.endpoint):
+            request.detached_at = self._clock.now()
         yield ReplyStarted(call.call_id, call.endpoint, call.attempt_id)
-        yield Attach(call.attempt_id, msg.team.name, call.offset, True).at(
+        yield Attach(call.attempt_id, msg.team.name, call.offset, True, 0.0).at(
             call.endpoint
         )
 
--- a/hawthornyard/gateway/request/retry.py
+++ b/hawthornyard/gateway/request/retry.py
@@ -5,17 +5,27 @@
 from ...core import Clock, Decision, Handlers, Message
 from ...errors import ErrorKind
 from ...policy import RetryBudget
+from ..inflight import InFlight
 from ..messages import AttemptFailed, Closed, Permitted, ReplyFailed
 
 MAX_ATTEMPTS = 4
+# Refusals of a planned stop are few, and must cut no request off.
+_PLANNED = frozenset({ErrorKind.DRAINING, ErrorKind.DOMAIN_OUT})
 
 
 class Retry:
-    """Send requests back to the queue while budget and deadline allow."""
+    """Send requests back to the queue while budget and deadline allow.
 
-    __slots__ = ("_budget", "_clock", "handlers")
+    Args:
+        inflight: Requests that are not answered yet.
+        budget: Bounds the retries.
+        clock: Source of time.
+    """
 
-    def __init__(self, budget: RetryBudget, clock: Clock) -> None:
+    __slots__ = ("_budget", "_clock", "_inflight", "handlers")
+
+    def __init__(self, inflight: InFlight, budget: RetryBudget, clock: Clock) -> None:
+        self._inflight = inflight
         self._budget = budget
         self._clock = clock
         self.handlers: Handlers = {
@@ -25,6 +35,8 @@
 
     def _on_failed(self, msg: AttemptFailed) -> Iterator[Message]:
         request = msg.request
+        if self._inflight.by_call(request.call_id) is not request:
+            return
         refusal = self._refusal(msg)
         yield Decision(
             "retry",
@@ -42,7 +54,9 @@
         request = msg.request
         if self._clock.now() >= request.deadline:
             return ErrorKind.DEADLINE_EXCEEDED
-        if request.n_attempts >= MAX_ATTEMPTS or not self._budget.take():
+        if request.n_attempts >= MAX_ATTEMPTS:
+            return msg.kind
+        if msg.kind not in _PLANNED and not self._budget.take():
             return msg.kind
         return None
 
--- a/hawthornyard/rim/claims.py
+++ b/hawthornyard/rim/claims.py
@@ -1,7 +1,7 @@
 """Keep claims of idempotency keys in the table service, in batches."""
 
-import base64
-import json
+import time
+from collections.abc import Callable
 from typing import Any
 
 import eventlet
@@ -10,40 +10,122 @@
 
 from ..core import Consumers, Inbox
 from ..errors import ConflictError, ErrorKind, PlatformError
-from ..gateway.messages import ClaimAnswered, ClaimAsked, ClaimSettled, ReplyWhole
+from ..gateway.claims import (
+    ClaimRow,
+    answer_claim,
+    claimed_row,
+    may_settle,
+    may_take,
+    settled_row,
+)
+from ..gateway.messages import ClaimAnswered, ClaimAsked, ClaimSettled
 from ..platform import Condition, Put, Row, TableStore
+from .claim_codec import decode_claim, encode_claim
 
 MAX_BATCH = 64
 SETTLE_RETRY_S = 1.0
 MAX_SETTLE_TRIES = 600
+MAX_TAKE_TRIES = 3
 
-_CLAIMED = "claimed"
-_DONE = "done"
-_NOT_RUN = "not_run"
 
+class ClaimTable:
+    """Carry out claims at the table service.
 
-class ClaimWriter:
-    """Write claims and their outcomes.
+    A lost reply is resolved by reading the row and comparing the claim's
+    identifier.
+
+    Args:
+        table: The platform's table service.
+        wall_clock: Returns Unix seconds.
+    """
+
+    __slots__ = ("_table", "_wall_clock")
+
+    def __init__(self, table: TableStore, wall_clock: Callable[[], float]) -> None:
+        self._table = table
+        self._wall_clock = wall_clock
+
+    def claim(self, batch: list[ClaimAsked]) -> list[ClaimAnswered]:
+        """Claim the keys of a batch, in one transaction if all are free."""
+        if self._claim_all(batch):
+            return [ClaimAnswered(item.call_id, None) for item in batch]
+        return [self._claim_one(item) for item in batch]
+
+    def settle(self, item: ClaimSettled) -> None:
+        """Record how a claimed request ended.
+
+        Raises:
+            ConflictError: If the row changed meanwhile.
+            PlatformError: If there was no answer.
+        """
+        row = self._table.read(item.row_key)
+        if not may_settle(item, _decode(row)):
+            return
+        revision = row.revision if row else 0
+        put = Put(item.row_key, encode_claim(settled_row(item)))
+        self._table.transact([Condition(item.row_key, revision)], [put])
+
+    def _claim_all(self, batch: list[ClaimAsked]) -> bool:
+        if len({item.row_key for item in batch}) < len(batch):
+            return False
+        conditions = [Condition(item.row_key, 0) for item in batch]
+        try:
+            self._table.transact(conditions, [self._put(item) for item in batch])
+        except (ConflictError, PlatformError):
+            return False
+        return True
+
+    def _claim_one(self, item: ClaimAsked) -> ClaimAnswered:
+        for _ in range(MAX_TAKE_TRIES):
+            try:
+                return self._take_or_answer(item)
+            except ConflictError:
+                continue
+            except PlatformError:
+                return ClaimAnswered(item.call_id, ErrorKind.PLATFORM_UNAVAILABLE)
+        return ClaimAnswered(item.call_id, ErrorKind.KEY_IN_PROGRESS)
+
+    def _take_or_answer(self, item: ClaimAsked) -> ClaimAnswered:
+        row = self._table.read(item.row_key)
+        claim = _decode(row)
+        if claim is None or may_take(claim):
+            return self._take(item, row)
+        return answer_claim(item, claim, self._wall_clock())
+
+    def _take(self, item: ClaimAsked, row: Row | None) -> ClaimAnswered:
+        condition = Condition(item.row_key, row.revision if row else 0)
+        try:
+            self._table.transact([condition], [self._put(item)])
+        except PlatformError:
+            written = _decode(self._table.read(item.row_key))
+            if written is None or written.claim_id != item.claim_id:
+                raise
+        return ClaimAnswered(item.call_id, None)
+
+    def _put(self, item: ClaimAsked) -> Put:
+        row = claimed_row(item, self._wall_clock())
+        return Put(item.row_key, encode_claim(row))
 
-    A claim row goes from absent to claimed to done. A lost reply is
-    resolved by reading the row and comparing the claim's identifier. A
-    claimed row is never taken over, however old it is.
+
+class ClaimWriter:
+    """Write claims and their outcomes in green threads.
 
     Args:
         table: The platform's table service.
         inbox: Where `ClaimAnswered` goes.
     """
 
-    __slots__ = ("_asked", "_inbox", "_settled", "_table", "consumers")
+    __slots__ = ("_asked", "_inbox", "_n_settling", "_settled", "_table", "consumers")
 
     def __init__(self, table: TableStore, inbox: Inbox) -> None:
-        self._table = table
+        self._table = ClaimTable(table, time.time)
         self._inbox = inbox
         self._asked = LightQueue()
         self._settled = LightQueue()
+        self._n_settling = 0
         self.consumers: Consumers = {
             ClaimAsked: self._asked.put,
-            ClaimSettled: self._settled.put,
+            ClaimSettled: self._on_settled,
         }
 
     def start(self) -> None:
@@ -53,70 +135,39 @@
 
     def _run_asked(self) -> None:
         while True:
-            self._claim_batch(_take_batch(self._asked))
+            for answer in self._table.claim(_take_batch(self._asked)):
+                self._inbox.put(answer)
 
     def _run_settled(self) -> None:
         while True:
             eventlet.spawn_n(self._settle, self._settled.get())
 
-    def _claim_batch(self, batch: list[ClaimAsked]) -> None:
-        conditions = [Condition(item.row_key, 0) for item in batch]
-        puts = [Put(item.row_key, _row(_CLAIMED, item)) for item in batch]
-        if len({item.row_key for item in batch}) == len(batch):
-            try:
-                self._table.transact(conditions, puts)
-            except (ConflictError, PlatformError):
-                pass
-            else:
-                for item in batch:
-                    self._inbox.put(ClaimAnswered(item.call_id, None))
-                return
-        for item in batch:
-            self._inbox.put(self._claim_one(item))
+    def _on_settled(self, msg: ClaimSettled) -> None:
+        self._n_settling += 1
+        self._settled.put(msg)
 
-    def _claim_one(self, item: ClaimAsked) -> ClaimAnswered:
+    def _settle(self, item: ClaimSettled) -> None:
         try:
-            row = self._table.read(item.row_key)
-            if row is None or _state(row)["state"] == _NOT_RUN:
-                return self._take(item, row)
-            return _answer(item, row)
-        except ConflictError:
-            return ClaimAnswered(item.call_id, ErrorKind.KEY_IN_PROGRESS)
-        except PlatformError:
-            self._settled.put(
-                ClaimSettled(item.row_key, item.claim_id, item.digest, True, None)
-            )
-            return ClaimAnswered(item.call_id, ErrorKind.PLATFORM_UNAVAILABLE)
+            for _ in range(MAX_SETTLE_TRIES):
+                if self._settle_once(item):
+                    return
+                eventlet.sleep(SETTLE_RETRY_S)
+        finally:
+            self._n_settling -= 1
 
-    def _take(self, item: ClaimAsked, row: Row | None) -> ClaimAnswered:
-        condition = Condition(item.row_key, row.revision if row else 0)
-        put = Put(item.row_key, _row(_CLAIMED, item))
+    def _settle_once(self, item: ClaimSettled) -> bool:
         try:
-            self._table.transact([condition], [put])
-        except PlatformError:
-            written = self._table.read(item.row_key)
-            if written is None or _state(written)["claim_id"] != item.claim_id:
-                raise
-        return ClaimAnswered(item.call_id, None)
+            self._table.settle(item)
+        except ConflictError:
+            return False
+        except PlatformError as exc:
+            logger.bind(detail=str(exc)).warning("settle_failed")
+            return False
+        return True
 
-    def _settle(self, item: ClaimSettled) -> None:
-        for _ in range(MAX_SETTLE_TRIES):
-            try:
-                self._settle_once(item)
-                return
-            except ConflictError:
-                continue
-            except PlatformError as exc:
-                logger.bind(detail=str(exc)).warning("settle_failed")
-                eventlet.sleep(SETTLE_RETRY_S)
 
-    def _settle_once(self, item: ClaimSettled) -> None:
-        row = self._table.read(item.row_key)
-        if row is None or _state(row)["claim_id"] != item.claim_id:
-            return
-        state = _NOT_RUN if item.not_run else _DONE
-        put = Put(item.row_key, _row(state, item, item.outcome))
-        self._table.transact([Condition(item.row_key, row.revision)], [put])
+def _decode(row: Row | None) -> ClaimRow | None:
+    return decode_claim(row.value) if row is not None else None
 
 
 def _take_batch(queue: Any) -> list[ClaimAsked]:
@@ -124,38 +175,3 @@
     while len(batch) < MAX_BATCH and not queue.empty():
         batch.append(queue.get())
     return batch
-
-
-def _row(
-    state: str, item: ClaimAsked | ClaimSettled, outcome: ReplyWhole | None = None
-) -> str:
-    value: dict[str, Any] = {
-        "state": state,
-        "claim_id": item.claim_id,
-        "digest": item.digest,
-    }
-    if outcome is not None:
-        value["status"] = outcome.status
-        value["headers"] = [list(pair) for pair in outcome.headers]
-        value["body"] = base64.b64encode(outcome.body).decode()
-    return json.dumps(value)
-
-
-def _state(row: Row) -> dict[str, Any]:
-    value: dict[str, Any] = json.loads(row.value)
-    return value
-
-
-def _answer(item: ClaimAsked, row: Row) -> ClaimAnswered:
-    value = _state(row)
-    if value["claim_id"] == item.claim_id:
-        return ClaimAnswered(item.call_id, None)
-    if value["digest"] != item.digest:
-        return ClaimAnswered(item.call_id, ErrorKind.KEY_REUSED)
-    if value["state"] == _CLAIMED:
-        return ClaimAnswered(item.call_id, ErrorKind.KEY_IN_PROGRESS)
-    if "status" not in value:
-        return ClaimAnswered(item.call_id, ErrorKind.OUTCOME_UNKNOWN)
-    body = base64.b64decode(value["body"])
-    outcome = ReplyWhole(item.call_id, value["status"], value["headers"], body)
-    return ClaimAnswered(item.call_id, None, outcome)
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -25,7 +25,7 @@
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
-        Gate(state, attempts),
+        Gate(state, attempts, clock),
         Admit(state, attempts, clock),
         Begin(clock),
         Beat(state, clock),
--- a/hawthornyard/sidecar/messages.py
+++ b/hawthornyard/sidecar/messages.py
@@ -18,13 +18,15 @@
         work: What to run.
         idempotent: Whether another attempt may follow.
         deadline: Monotonic seconds.
-        peer: Gateway that gets the output, empty while none is attached.
+        peer: Gateway that dispatched it, empty while it is not connected.
+        readers: Gateways whose callers came back for the output.
         begun_at: Monotonic seconds of the call to the endpoint, None before.
         first_token_at: Monotonic seconds of the first token, None before.
         orphaned_at: Monotonic seconds since when no gateway wants it.
         texts: Tokens so far, the first has number 0.
         end: Final frame, None while it runs.
         ended_at: Monotonic seconds of the end.
+        is_acknowledged: Whether a gateway has read the final frame.
     """
 
     __slots__ = (
@@ -36,12 +38,14 @@
         "idempotent",
         "deadline",
         "peer",
+        "readers",
         "begun_at",
         "first_token_at",
         "orphaned_at",
         "texts",
         "end",
         "ended_at",
+        "is_acknowledged",
     )
 
     def __init__(self, dispatch: Dispatch, now: float) -> None:
@@ -53,12 +57,20 @@
         self.idempotent = dispatch.idempotent
         self.deadline = now + dispatch.remaining_s
         self.peer = dispatch.peer
+        self.readers: set[str] = set()
         self.begun_at: float | None = None
         self.first_token_at: float | None = None
         self.orphaned_at: float | None = None
         self.texts: list[str] = []
         self.end: Message | None = None
         self.ended_at = 0.0
+        self.is_acknowledged = False
+
+    @property
+    def audience(self) -> list[str]:
+        """Return the gateways that get the output."""
+        owner = {self.peer} if self.peer else set()
+        return sorted(self.readers | owner)
 
 
 class _OfAttempt(Message):
@@ -93,6 +105,15 @@
         self.attempt = attempt
 
 
+class Withdrawn(_OfAttempt):
+    """An attempt that must leave the queue; it was not run and never will be."""
+
+    __slots__ = ("attempt",)
+
+    def __init__(self, attempt: Attempt) -> None:
+        self.attempt = attempt
+
+
 class CallEndpoint(_OfAttempt):
     """An order to the rim: run the attempt at the endpoint, once."""
 
--- a/hawthornyard/sidecar/reply/attach.py
+++ b/hawthornyard/sidecar/reply/attach.py
@@ -4,18 +4,24 @@
 
 from ...core import Clock, Handlers, Message, PeerDown, Tick
 from ...errors import ErrorKind
-from ...frames import Ack, Attach, Cancel, Frame, Refused, Tokens, Unknown
+from ...frames import Ack, Attach, Cancel, Frame, Refused, Replied, Tokens, Unknown
 from ..attempts import Attempts
-from ..messages import Attempt, CancelEndpoint, EndpointFailed
+from ..messages import Attempt, CancelEndpoint, EndpointFailed, Withdrawn
 from ..state import SidecarState
 
 ORPHAN_GRACE_S = 10.0
 RETENTION_S = 60.0
+# Bounds what an age on the gateway's clock may differ from ours.
+AGE_MARGIN_S = 1.0
 
 
 class AttachPeers:
     """Send output from an offset on, and cancel orphans after a while.
 
+    The gateway that dispatched an attempt and those that read it for a caller
+    who came back get its output side by side, so that none can take it from
+    another.
+
     Args:
         state: State of the sidecar.
         attempts: Attempts that are known.
@@ -58,42 +64,75 @@
     def _on_attach(self, msg: Attach) -> Iterator[Message]:
         attempt = self._attempts.get(msg.attempt_id)
         if attempt is None:
-            if not msg.reader:
-                self._attempts.refuse(msg.attempt_id)
-            yield Unknown(msg.attempt_id, self._state.incarnation).at(msg.peer)
+            yield self._unknown(msg)
             return
         if attempt.team != msg.team:
             yield Refused(msg.attempt_id, ErrorKind.FORBIDDEN.value, "").at(msg.peer)
             return
-        attempt.peer = msg.peer
+        if msg.offset > len(attempt.texts):
+            yield self._say_unknown(msg, never_run=False)
+            return
+        if msg.reader:
+            attempt.readers.add(msg.peer)
+        else:
+            attempt.peer = msg.peer
         attempt.orphaned_at = None
-        yield from _rest(attempt, msg.offset)
+        yield from _rest(attempt, msg)
+
+    def _unknown(self, msg: Attach) -> Message:
+        if msg.reader:
+            return self._say_unknown(msg, never_run=False)
+        now = self._clock.now()
+        dispatched_at = now - msg.age_s - AGE_MARGIN_S
+        never_run = self._attempts.is_refused(msg.attempt_id) or (
+            not self._attempts.was_run(msg.attempt_id)
+            and self._attempts.is_complete_since(dispatched_at)
+        )
+        if never_run:
+            self._attempts.refuse(msg.attempt_id, now)
+        return self._say_unknown(msg, never_run=never_run)
+
+    def _say_unknown(self, msg: Attach, *, never_run: bool) -> Message:
+        incarnation = self._state.incarnation
+        return Unknown(msg.attempt_id, incarnation, never_run).at(msg.peer)
 
     def _on_ack(self, msg: Ack) -> Iterator[Message]:
+        attempt = self._attempts.get(msg.attempt_id)
+        if attempt is not None and attempt.end is not None:
+            attempt.is_acknowledged = True
+            # No caller comes back for the answer of a plain service.
+            if isinstance(attempt.end, Replied):
+                self._attempts.forget(msg.attempt_id, self._clock.now())
         yield from ()
 
     def _on_cancel(self, msg: Cancel) -> Iterator[Message]:
         attempt = self._attempts.get(msg.attempt_id)
-        if attempt is None or attempt.peer != msg.peer or attempt.end is not None:
+        if attempt is None or attempt.end is not None:
             return
-        attempt.peer = ""
-        attempt.orphaned_at = self._clock.now()
-        if msg.now:
+        if msg.peer not in attempt.audience:
+            return
+        self._detach(attempt, msg.peer)
+        if msg.now and not attempt.audience:
             yield from self._cancel(attempt)
 
     def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
-        now = self._clock.now()
         for attempt in self._attempts:
-            if attempt.peer == msg.peer:
-                attempt.peer = ""
-                attempt.orphaned_at = now
+            if msg.peer in attempt.audience:
+                self._detach(attempt, msg.peer)
         yield msg
 
+    def _detach(self, attempt: Attempt, peer: str) -> None:
+        attempt.readers.discard(peer)
+        if attempt.peer == peer:
+            attempt.peer = ""
+        if not attempt.audience:
+            attempt.orphaned_at = self._clock.now()
+
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         for attempt in self._attempts:
             if attempt.end is not None:
                 if msg.now - attempt.ended_at > self._retention_s:
-                    self._attempts.refuse(attempt.attempt_id)
+                    self._attempts.forget(attempt.attempt_id, msg.now)
             elif self._is_orphan(attempt, msg.now):
                 yield from self._cancel(attempt)
         yield msg
@@ -104,15 +143,19 @@
         return now - attempt.orphaned_at > self._orphan_grace_s
 
     def _cancel(self, attempt: Attempt) -> Iterator[Message]:
-        if not attempt.idempotent or attempt.begun_at is None:
+        if attempt.begun_at is None:
+            self._attempts.refuse(attempt.attempt_id, self._clock.now())
+            yield Withdrawn(attempt)
+            return
+        if not attempt.idempotent:
             return
         yield CancelEndpoint(attempt.attempt_id)
         yield EndpointFailed(attempt.attempt_id, True, "cancelled")
 
 
-def _rest(attempt: Attempt, offset: int) -> Iterator[Message]:
-    texts = attempt.texts[offset:]
+def _rest(attempt: Attempt, msg: Attach) -> Iterator[Message]:
+    texts = attempt.texts[msg.offset :]
     if texts:
-        yield Tokens(attempt.attempt_id, offset, texts).at(attempt.peer)
+        yield Tokens(attempt.attempt_id, msg.offset, texts).at(msg.peer)
     if isinstance(attempt.end, Frame):
-        yield attempt.end.at(attempt.peer)
+        yield attempt.end.copy_to(msg.peer)
--- a/hawthornyard/sidecar/reply/number.py
+++ b/hawthornyard/sidecar/reply/number.py
@@ -39,8 +39,8 @@
             attempt.first_token_at = self._clock.now()
         offset = len(attempt.texts)
         attempt.texts.extend(msg.texts)
-        if attempt.peer:
-            yield Tokens(msg.attempt_id, offset, msg.texts).at(attempt.peer)
+        for peer in attempt.audience:
+            yield Tokens(msg.attempt_id, offset, msg.texts).at(peer)
 
     def _on_ended(self, msg: EndpointEnded) -> Iterator[Message]:
         attempt = self._running(msg.attempt_id)
@@ -64,6 +64,7 @@
         end: Frame = Failed(msg.attempt_id, kind.value, msg.detail)
         if not msg.ran:
             end = Refused(msg.attempt_id, kind.value, msg.detail)
+            attempt.is_acknowledged = True
         yield from self._end(attempt, end, kind)
 
     def _running(self, attempt_id: str) -> Attempt | None:
@@ -77,8 +78,8 @@
     ) -> Iterator[Message]:
         attempt.end = end
         attempt.ended_at = self._clock.now()
-        if attempt.peer:
-            yield end.at(attempt.peer)
+        for peer in attempt.audience:
+            yield end.copy_to(peer)
         yield Finished(attempt, kind)
 
 
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -14,6 +14,7 @@
     EndpointLoad,
     Finished,
     Permitted,
+    Withdrawn,
 )
 from ..state import SidecarState
 
@@ -52,6 +53,7 @@
             EndpointLoad: self._on_load,
             ConfigChanged: self._on_config,
             Tick: self._on_tick,
+            Withdrawn: self._on_withdrawn,
         }
 
     def _on_permitted(self, msg: Permitted) -> Iterator[Message]:
@@ -64,6 +66,11 @@
         self._queue.push(attempt, attempt.team, priority=priority)
         yield from self._admit()
 
+    def _on_withdrawn(self, msg: Withdrawn) -> Iterator[Message]:
+        self._queue.discard(lambda item: item is msg.attempt)
+        self._state.n_waiting = len(self._queue)
+        yield from ()
+
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
         self._state.n_running -= 1
         attempt = msg.attempt
@@ -121,6 +128,6 @@
         self._state.n_waiting = len(self._queue)
 
     def _refuse(self, attempt: Attempt, kind: ErrorKind) -> Message:
-        self._attempts.refuse(attempt.attempt_id)
+        self._attempts.refuse(attempt.attempt_id, self._clock.now())
         self._state.n_waiting = len(self._queue)
         return Refused(attempt.attempt_id, kind.value, "").at(attempt.peer)
--- a/hawthornyard/sidecar/request/fence.py
+++ b/hawthornyard/sidecar/request/fence.py
@@ -27,6 +27,8 @@
             return
         if self._attempts.get(msg.attempt_id) is not None:
             return
+        if self._attempts.was_run(msg.attempt_id):
+            return
         attempt = Attempt(msg, self._clock.now())
         self._attempts.add(attempt)
         yield Fresh(attempt)
--- a/hawthornyard/sidecar/request/gate.py
+++ b/hawthornyard/sidecar/request/gate.py
@@ -2,24 +2,38 @@
 
 from collections.abc import Iterator
 
-from ...core import Handlers, Message, Stopped, StopRequested, Tick
+from ...core import Clock, Handlers, Message, Stopped, StopRequested, Tick
 from ...errors import ErrorKind
 from ...frames import Refused
 from ..attempts import Attempts
-from ..messages import Fresh, Permitted
+from ..messages import Attempt, ConfigChanged, Fresh, Permitted, Withdrawn
 from ..state import SidecarState
 
+# Gateways need this long to hear that nothing more is taken.
+ANNOUNCE_S = 3.0
+# A final frame that no gateway has read is offered for so long.
+UNREAD_GRACE_S = 10.0
+
 
 class Gate:
-    """The sidecar's own gate; the gateway's view is the other."""
+    """The sidecar's own gate; the gateway's view is the other.
+
+    Args:
+        state: State of the sidecar.
+        attempts: Attempts that are known.
+        clock: Source of time.
+    """
 
-    __slots__ = ("_attempts", "_state", "handlers")
+    __slots__ = ("_attempts", "_clock", "_idle_since", "_state", "handlers")
 
-    def __init__(self, state: SidecarState, attempts: Attempts) -> None:
+    def __init__(self, state: SidecarState, attempts: Attempts, clock: Clock) -> None:
         self._state = state
         self._attempts = attempts
+        self._clock = clock
+        self._idle_since: float | None = None
         self.handlers: Handlers = {
             Fresh: self._on_fresh,
+            ConfigChanged: self._on_config,
             StopRequested: self._on_stop,
             Tick: self._on_tick,
         }
@@ -29,22 +43,47 @@
         if kind is None:
             yield Permitted(msg.attempt)
             return
-        attempt = msg.attempt
-        self._attempts.refuse(attempt.attempt_id)
-        yield Refused(attempt.attempt_id, kind.value, "").at(attempt.peer)
+        yield self._refuse(msg.attempt, kind)
 
-    def _refusal(self) -> ErrorKind | None:
-        if self._state.domain_is_out:
-            return ErrorKind.DOMAIN_OUT
-        if not self._state.is_accepting:
-            return ErrorKind.DRAINING
-        return None
+    def _on_config(self, msg: ConfigChanged) -> Iterator[Message]:
+        yield from self._withdraw_waiting()
+        yield msg
 
     def _on_stop(self, msg: StopRequested) -> Iterator[Message]:
         self._state.draining = True
+        yield from self._withdraw_waiting()
         yield msg
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield msg
-        if self._state.draining and not self._attempts.n_unfinished():
+        if self._state.draining and self._may_stop(msg.now):
             yield Stopped()
+
+    def _refusal(self) -> ErrorKind | None:
+        if self._state.domain_is_out:
+            return ErrorKind.DOMAIN_OUT
+        if not self._state.is_accepting:
+            return ErrorKind.DRAINING
+        return None
+
+    def _withdraw_waiting(self) -> Iterator[Message]:
+        kind = self._refusal()
+        if kind is None:
+            return
+        for attempt in self._attempts:
+            if attempt.begun_at is None and attempt.end is None:
+                yield Withdrawn(attempt)
+                yield self._refuse(attempt, kind)
+
+    def _refuse(self, attempt: Attempt, kind: ErrorKind) -> Message:
+        self._attempts.refuse(attempt.attempt_id, self._clock.now())
+        return Refused(attempt.attempt_id, kind.value, "").at(attempt.peer)
+
+    def _may_stop(self, now: float) -> bool:
+        if self._attempts.n_unfinished():
+            self._idle_since = None
+            return False
+        if self._idle_since is None:
+            self._idle_since = now
+        wait_s = UNREAD_GRACE_S if self._attempts.n_unread() else ANNOUNCE_S
+        return now - self._idle_since >= wait_s
