--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""What the fault scenarios share: history, checker, world, relay, processes."""
+"""What the scenarios share: history, checker, world, relays, processes."""
--- a/features/support/nodes.py
+++ b/features/support/nodes.py
@@ -25,6 +25,7 @@
     Ack,
     Attach,
     Cancel,
+    ConfigPull,
     ConfigPush,
     Dispatch,
     Ended,
@@ -34,11 +35,12 @@
     Refused,
     Replied,
     ServiceCall,
+    Subscribe,
     Tokens,
     Unknown,
 )
 from hawthornyard.gateway.chain import gateway_chain
-from hawthornyard.gateway.fleet import Fleet
+from hawthornyard.gateway.fleet import Fleet, Neighbours
 from hawthornyard.gateway.inflight import InFlight
 from hawthornyard.gateway.messages import (
     AttemptFailed,
@@ -47,6 +49,9 @@
     ClaimSettled,
     Closed,
     ConfigChanged,
+    ConnectionSuspected,
+    HeartbeatsExpected,
+    LinkWanted,
     ReplyEnded,
     ReplyFailed,
     ReplyStarted,
@@ -75,6 +80,8 @@
 from hawthornyard.sidecar.state import SidecarState
 from hawthornyard.standins import MemoryTable
 
+_GATEWAY_FRAMES = (Dispatch, Attach, Cancel, Ack, ConfigPush, ConfigPull, Subscribe)
+
 N_TOKENS = 8
 """Tokens of each generation."""
 
@@ -242,7 +249,7 @@
 class GatewayNode(Node):
     """One gateway with the callers that are connected to it."""
 
-    __slots__ = ("calls", "catalog", "claims", "fleet", "inflight")
+    __slots__ = ("calls", "catalog", "claims", "fleet", "inflight", "suspected")
 
     def __init__(
         self, name: str, clock: ManualClock, seed: int, identifiers: Any, table: Any
@@ -252,11 +259,13 @@
         self.inflight = InFlight()
         self.fleet = Fleet(self.catalog, clock)
         self.calls: dict[str, Caller] = {}
+        self.suspected: set[str] = set()
         self.claims = Claims(self, table)
         chain = gateway_chain(
             self.catalog,
             self.inflight,
             self.fleet,
+            Neighbours(name, (), clock),
             Drain(self.inflight, clock),
             clock,
             random.Random(seed),
@@ -267,7 +276,7 @@
             chain,
             [
                 Feedback(self, AttemptFailed, Closed),
-                FrameSink(sender, Dispatch, Attach, Cancel, Ack, ConfigPush),
+                FrameSink(sender, *_GATEWAY_FRAMES),
                 Quiet(),
                 Discard(
                     Tick,
@@ -278,6 +287,8 @@
                     StopRequested,
                     StopListening,
                     ConfigChanged,
+                    HeartbeatsExpected,
+                    LinkWanted,
                 ),
                 self.claims,
                 self,
@@ -294,8 +305,12 @@
             ReplyEnded: self._on_ended,
             ReplyWhole: self._on_whole,
             ReplyFailed: self._on_failed,
+            ConnectionSuspected: self._on_suspected,
         }
 
+    def _on_suspected(self, msg: ConnectionSuspected) -> None:
+        self.suspected.add(msg.peer)
+
     def _on_started(self, msg: ReplyStarted) -> None:
         if msg.call_id in self.calls:
             self.calls[msg.call_id].endpoint = msg.endpoint
@@ -454,6 +469,7 @@
                     Failed,
                     Heartbeat,
                     Unknown,
+                    ConfigPull,
                 ),
                 self,
                 Quiet(),
--- a/features/support/scene.py
+++ b/features/support/scene.py
@@ -6,6 +6,7 @@
 from features.support.world import World
 from hawthornyard.core import StopRequested
 from hawthornyard.gateway.messages import CallerGone
+from hawthornyard.sidecar.messages import Attempt
 from hawthornyard.sidecar.reply.attach import RETENTION_S
 
 FIRST = "gateway-1"
@@ -15,6 +16,7 @@
 PATIENCE_S = 5.0
 SHORT_S = 4.0
 LONG_S = 20.0
+HIGHEST_PRIORITY = 9
 
 
 class Scene:
@@ -79,7 +81,7 @@
         if self.caller.request_id == UNSENT:
             gateways = self.world.gateways.values()
             self.caller = self.send(next(g.name for g in gateways if g.is_alive))
-        self.world.settle()
+        self.world.settle_all()
 
     def release(self) -> None:
         """Let everything go on that a step held."""
@@ -102,13 +104,22 @@
 
 
 def _before_dispatch(scene: Scene) -> None:
-    for _ in scene.fitting:
+    while _has_room(scene):
         _occupy(scene, SECOND)
-        scene.world.advance(1.5)
+        scene.world.advance(1.2)
     _send(scene)
     assert not scene.caller.endpoint
 
 
+def _has_room(scene: Scene) -> bool:
+    views = scene.world.gateways[FIRST].fleet.views()
+    return any(
+        view.n_free(HIGHEST_PRIORITY)
+        for view in views
+        if view.endpoint in scene.fitting
+    )
+
+
 def _dispatched(scene: Scene) -> None:
     _hold_links(scene)
     _send(scene)
@@ -200,7 +211,7 @@
         link.is_held = True
 
 
-def _attempt(scene: Scene):  # type: ignore[no-untyped-def]
+def _attempt(scene: Scene) -> Attempt:
     attempts = scene.world.sidecars[scene.endpoint].attempts
     return next(a for a in attempts if a.request_id == scene.caller.request_id)
 
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -3,7 +3,7 @@
 import copy
 import json
 from collections import deque
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 
 from features.support.history import Caller, Closure, History
 from features.support.nodes import (
@@ -28,6 +28,8 @@
 TICK_S = 0.1
 SILENCE_S = 2.5
 SETTLE_S = 90.0
+STEP_S = 1.0
+LATE_S = 15.0
 DOMAINS = ("east", "west")
 
 
@@ -164,7 +166,7 @@
         """Start a gateway with the records in force."""
         gateway = GatewayNode(name, self.clock, self._seed, self._ids, self.table)
         self.gateways[name] = gateway
-        gateway.put(ConfigPush(self._revision, self._copy_entries()))
+        gateway.put(self._push())
         for sidecar in self.sidecars.values():
             self.links[name, sidecar.name] = Link(gateway, sidecar)
         return gateway
@@ -209,7 +211,7 @@
             )
         for gateway in self.gateways.values():
             if gateway.name != cut_off:
-                gateway.put(ConfigPush(self._revision, self._copy_entries()))
+                gateway.put(self._push())
 
     def set_domain(self, domain: str, *, in_service: bool, cut_off: str = "") -> None:
         """Take a failure domain out or bring it back."""
@@ -292,21 +294,17 @@
             self._tick()
             self.run()
 
-    def settle(self, seconds: float = SETTLE_S) -> None:
+    def settle(self, seconds: float) -> None:
         """Let time pass with all endpoints at work."""
         self.advance(seconds, emit=True)
 
-    def settle_until(self, condition: Callable[[], bool]) -> None:
-        """Let time pass until a condition holds.
-
-        Raises:
-            TimeoutError: If it does not hold within `SETTLE_S`.
-        """
-        for _ in range(round(SETTLE_S / TICK_S)):
-            if condition():
-                return
-            self.settle(TICK_S)
-        raise TimeoutError("the condition did not hold in time")
+    def settle_all(self) -> None:
+        """Let time pass until all callers are answered, and what is late came."""
+        for _ in range(round(SETTLE_S / STEP_S)):
+            if all(caller.is_answered for caller in self.history.callers):
+                break
+            self.settle(STEP_S)
+        self.settle(LATE_S)
 
     def nodes(self) -> Iterator[Node]:
         """Yield all processes."""
@@ -368,8 +366,10 @@
             link.close()
         if link.gateway.is_frozen:
             return
-        if link.is_open and now - link.heard_at > SILENCE_S:
+        suspected = link.sidecar.name in link.gateway.suspected
+        if link.is_open and (suspected or now - link.heard_at > SILENCE_S):
             link.close()
+        link.gateway.suspected.discard(link.sidecar.name)
         can_open = all(node.is_alive and not node.is_frozen for node in both)
         if not link.is_open and can_open and not self.is_cut:
             link.open(now)
@@ -394,8 +394,8 @@
         self.history.limits[name] = 1
         self.start_sidecar(name)
 
-    def _copy_entries(self) -> list[RecordEntry]:
-        return list(self._entries)
+    def _push(self) -> Message:
+        return ConfigPush(0, self._revision, list(self._entries)).at("")
 
     def _documents(self) -> list[Document]:
         team = {
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -3,16 +3,26 @@
 from collections.abc import Sequence
 
 from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import RetryBudget, TwoChoices
+from ..policy import PrefixAffinity, RetryBudget, TwoChoices
 from ..records import Catalog
 from .budget import TeamBudgets
-from .fleet import ApplyConfig, Fleet, Watch
+from .fleet import (
+    ApplyConfig,
+    Fleet,
+    Greet,
+    Neighbours,
+    ShareLimits,
+    SubscribeHeartbeats,
+    SuspectSilence,
+    Watch,
+)
 from .inflight import InFlight
 from .reply import Meter, Relay, Settle
 from .request import (
     Authenticate,
     Claim,
     Drain,
+    ListModels,
     Resolve,
     Retry,
     Route,
@@ -26,6 +36,7 @@
     catalog: Catalog,
     inflight: InFlight,
     fleet: Fleet,
+    neighbours: Neighbours,
     drain: Drain,
     clock: Clock,
     chance: Chance,
@@ -37,6 +48,7 @@
         catalog: Records in force.
         inflight: Requests that are not answered yet.
         fleet: What is known of the endpoints.
+        neighbours: What is known of the other gateways.
         drain: Tells the program whether it is stopping.
         clock: Source of time.
         chance: Source of randomness.
@@ -44,16 +56,21 @@
     """
     budgets = TeamBudgets(clock)
     return [
-        ApplyConfig(catalog),
+        ApplyConfig(catalog, neighbours),
+        Greet(catalog, neighbours),
+        SubscribeHeartbeats(fleet, neighbours),
+        SuspectSilence(inflight, clock),
+        ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
         drain,
         Authenticate(catalog),
+        ListModels(catalog),
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(inflight, RetryBudget(clock), clock),
         WaitForRoom(fleet, clock),
         Claim(inflight, clock),
-        Route(fleet, TwoChoices(chance)),
+        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
--- a/hawthornyard/gateway/reply/relay.py
+++ b/hawthornyard/gateway/reply/relay.py
@@ -167,7 +167,8 @@
         # A non-idempotent call goes on, so that its outcome is recorded.
         if not request.idempotent and request.attempt_id:
             return
-        if request.attempt_id:
+        # An attempt that another exchange reads by now is still wanted.
+        if self._inflight.by_attempt(request.attempt_id) is request:
             # Without a token the caller has no event id to come back with.
             now = request.n_delivered == 0
             yield Cancel(request.attempt_id, now=now).at(request.endpoint)
--- a/hawthornyard/gateway/request/dispatch.py
+++ b/hawthornyard/gateway/request/dispatch.py
@@ -69,9 +69,9 @@
         older = self._inflight.by_attempt(call.attempt_id)
         if older is not None:
             if older.team.name != msg.team.name:
-                yield ReplyFailed(call.call_id, ErrorKind.UNKNOWN_GENERATION)
+                yield ReplyFailed(call.call_id, ErrorKind.FORBIDDEN)
                 return
-            yield ReplyFailed(older.call_id, ErrorKind.CANCELLED, "resumed elsewhere")
+            yield ReplyFailed(older.call_id, ErrorKind.CANCELLED, "read elsewhere")
         timeout_s = call.timeout_s or RESUMED_TIMEOUT_S
         request = Request(
             call.call_id,
--- a/hawthornyard/policy/view.py
+++ b/hawthornyard/policy/view.py
@@ -2,6 +2,11 @@
 
 from ..core import Message
 
+# Attempts that may wait at a full endpoint, to begin there between reports.
+QUEUE_AHEAD = 1
+# Steps of priority that let one more attempt wait there, ahead of the others.
+PRIORITY_PER_AHEAD = 3
+
 
 class EndpointView(Message):
     """One endpoint as its last heartbeat showed it.
@@ -10,6 +15,7 @@
         endpoint: Name of the endpoint.
         failure_domain: Its failure domain.
         incarnation: Sidecar process that sent the heartbeat.
+        revision: Configuration revision in force there.
         accepting: Whether it takes new work.
         n_running: Attempts at the endpoint.
         n_waiting: Attempts in the sidecar's queue.
@@ -17,12 +23,14 @@
         load: Expected share of memory in use, 0 to 1.
         n_unreported: Own dispatches less own ended attempts since that heartbeat.
         service_s: Smoothed seconds that an attempt takes there, 0 if unknown.
+        token_s: Smoothed seconds that a token takes there, 0 if unknown.
     """
 
     __slots__ = (
         "endpoint",
         "failure_domain",
         "incarnation",
+        "revision",
         "accepting",
         "n_running",
         "n_waiting",
@@ -30,12 +38,14 @@
         "load",
         "n_unreported",
         "service_s",
+        "token_s",
     )
 
     def __init__(self, endpoint: str, failure_domain: str) -> None:
         self.endpoint = endpoint
         self.failure_domain = failure_domain
         self.incarnation = ""
+        self.revision = 0
         self.accepting = False
         self.n_running = 0
         self.n_waiting = 0
@@ -43,13 +53,27 @@
         self.load = 0.0
         self.n_unreported = 0
         self.service_s = 0.0
+        self.token_s = 0.0
 
     @property
     def n_expected(self) -> int:
         """Return the attempts that are there, as far as is known."""
         return max(0, self.n_running + self.n_waiting + self.n_unreported)
 
+    def n_free(self, priority: int) -> int:
+        """Return how many more attempts of a priority may be sent there now."""
+        room = min(self.limit, self.n_fitting) - self.n_expected
+        ahead = QUEUE_AHEAD + priority // PRIORITY_PER_AHEAD
+        return max(0, room + ahead)
+
+    @property
+    def n_fitting(self) -> int:
+        """Return how many attempts of the usual size the memory holds."""
+        if not self.n_running or self.load <= 0.0:
+            return self.limit
+        return int(self.n_running / self.load)
+
     @property
-    def n_free(self) -> int:
-        """Return how many more attempts the endpoint can begin at once."""
-        return max(0, self.limit - self.n_expected)
+    def crowding(self) -> float:
+        """Return the share of what the endpoint can hold that is expected there."""
+        return self.n_expected / max(1, min(self.limit, self.n_fitting))
--- a/hawthornyard/records/catalog.py
+++ b/hawthornyard/records/catalog.py
@@ -1,11 +1,13 @@
 """Hold the accepted records that are in force in a process."""
 
+import bisect
 import json
 from collections.abc import Iterable, Iterator
 
 from ..frames import RecordEntry
 from .build import build_record
 from .record import Endpoint, FailureDomain, Model, Record, Service, Team
+from .upgrade import is_known, upgrade
 
 KINDS = ("service", "failure_domain", "endpoint", "model", "team")
 
@@ -15,21 +17,29 @@
 
     Attributes:
         revision: Highest table revision that is in force.
+        not_understood: Records, as "kind/name", whose accepted form is newer than
+            this program; their last known form stays in force.
     """
 
-    __slots__ = ("revision", "_records", "_entries")
+    __slots__ = ("revision", "not_understood", "_records", "_entries", "_log")
 
     def __init__(self) -> None:
         self.revision = 0
+        self.not_understood: set[str] = set()
         self._records: dict[str, dict[str, Record]] = {kind: {} for kind in KINDS}
         self._entries: dict[tuple[str, str], RecordEntry] = {}
+        self._log: list[RecordEntry] = []
+
+    def misses(self, after: int) -> bool:
+        """Return whether changes from `after` on would leave a gap."""
+        return after > self.revision
 
     def apply(self, revision: int, entries: Iterable[RecordEntry]) -> bool:
         """Take entries over that are newer than those in force.
 
         Args:
             revision: Revision up to which `entries` are complete.
-            entries: Changed records.
+            entries: Changed records, without a gap to the revision in force.
 
         Returns:
             Whether anything changed.
@@ -37,6 +47,10 @@
         fresh = [entry for entry in entries if self._is_newer(entry)]
         for entry in fresh:
             self._put(entry)
+        if fresh:
+            self._log = sorted(
+                filter(self._is_newest, self._log + fresh), key=_revision_of
+            )
         advanced = revision > self.revision
         self.revision = max(self.revision, revision)
         return bool(fresh) or advanced
@@ -46,12 +60,12 @@
     ) -> list[RecordEntry]:
         """Return the entries newer than `revision`, oldest first."""
         wanted = set(kinds)
-        found = [
+        start = bisect.bisect_right(self._log, revision, key=_revision_of)
+        return [
             entry
-            for entry in self._entries.values()
-            if entry.revision > revision and entry.kind in wanted
+            for entry in self._log[start:]
+            if entry.kind in wanted and self._is_newest(entry)
         ]
-        return sorted(found, key=lambda entry: entry.revision)
 
     def service(self, name: str) -> Service | None:
         """Return the service of this name."""
@@ -96,10 +110,22 @@
         held = self._entries.get((entry.kind, entry.name))
         return held is None or entry.revision > held.revision
 
+    def _is_newest(self, entry: RecordEntry) -> bool:
+        return self._entries[entry.kind, entry.name] is entry
+
     def _put(self, entry: RecordEntry) -> None:
         self._entries[entry.kind, entry.name] = entry
-        records = self._records[entry.kind]
-        if not entry.document:
-            records.pop(entry.name, None)
+        label = f"{entry.kind}/{entry.name}"
+        self.not_understood.discard(label)
+        document = json.loads(entry.document) if entry.document else None
+        if document is None:
+            self._records.get(entry.kind, {}).pop(entry.name, None)
+            return
+        if not is_known(document):
+            self.not_understood.add(label)
             return
-        records[entry.name] = build_record(json.loads(entry.document))
+        self._records[entry.kind][entry.name] = build_record(upgrade(document))
+
+
+def _revision_of(entry: RecordEntry) -> int:
+    return entry.revision
--- a/hawthornyard/sidecar/attempts.py
+++ b/hawthornyard/sidecar/attempts.py
@@ -55,9 +55,13 @@
         """Return whether every attempt that ended since then is remembered."""
         return moment > self._complete_since
 
+    def unfinished(self) -> list[Attempt]:
+        """Return the attempts that have not ended."""
+        return [item for item in self._attempts.values() if item.end is None]
+
     def n_unfinished(self) -> int:
         """Return the number of attempts that have not ended."""
-        return sum(attempt.end is None for attempt in self._attempts.values())
+        return len(self.unfinished())
 
     def n_unread(self) -> int:
         """Return the number of ended attempts that no gateway acknowledged."""
