--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -224,7 +224,9 @@
     "text in place of a number": lambda: _ext(6, ["a1", "7"]),
     "a number in place of text": lambda: _ext(6, [7, 7]),
     "true in place of a number": lambda: _ext(6, ["a1", True]),
-    "an offset that is no number": lambda: _ENCODE(Attach("a1", "kiosk", 1.5, False)),
+    "an offset that is no number": lambda: _ENCODE(
+        Attach("a1", "kiosk", 1.5, False, 0.0)
+    ),
     "a list with a wrong item": lambda: _ENCODE(ConfigPush(0, 1, ["record"])),
     "work of an unknown type": lambda: _ENCODE(_dispatch("write minutes")),
     "a record in place of work": lambda: _ENCODE(
