--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -6,8 +6,10 @@
 
 import json
 import os
+import select
 import subprocess
 import sys
+import time
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -17,24 +19,40 @@
 FEATURE_TIMEOUT_S = 900
 
 
+class Run:
+    """One behave process that runs a feature.
+
+    Attributes:
+        feature: Path of the feature file.
+        process: The process.
+        handle: File descriptor that becomes readable when it exits.
+        deadline: Monotonic seconds when it is killed.
+    """
+
+    __slots__ = ("deadline", "feature", "handle", "process")
+
+    def __init__(self, feature: Path) -> None:
+        self.feature = feature
+        self.process = _start(feature)
+        self.handle = os.pidfd_open(self.process.pid)
+        self.deadline = time.monotonic() + FEATURE_TIMEOUT_S
+
+
 def main(args: list[str]) -> int:
     """Run the features named in `args`, all by default."""
     REPORTS.mkdir(exist_ok=True)
-    features = [Path(arg) for arg in args] or sorted(ROOT.glob("features/*.feature"))
+    waiting = [Path(arg) for arg in args] or sorted(ROOT.glob("features/*.feature"))
+    running: list[Run] = []
     results: list[tuple[str, str]] = []
-    for start in range(0, len(features), N_WORKERS):
-        results.extend(_run_group(features[start : start + N_WORKERS]))
+    while waiting or running:
+        while waiting and len(running) < N_WORKERS:
+            running.append(Run(waiting.pop(0)))
+        for run in _wait(running):
+            running.remove(run)
+            results.extend(_finish(run))
     return _report(results)
 
 
-def _run_group(features: list[Path]) -> list[tuple[str, str]]:
-    running = [(feature, _start(feature)) for feature in features]
-    results = []
-    for feature, process in running:
-        results.extend(_finish(feature, process))
-    return results
-
-
 def _start(feature: Path) -> subprocess.Popen[bytes]:
     # A run that breaks off must not be taken for an earlier one.
     _json_path(feature).unlink(missing_ok=True)
@@ -49,23 +67,36 @@
     )
 
 
-def _finish(feature: Path, process: subprocess.Popen[bytes]) -> list[tuple[str, str]]:
-    try:
-        process.wait(FEATURE_TIMEOUT_S)
-    except subprocess.TimeoutExpired:
-        process.kill()
-        return [(f"{feature.stem}: the whole feature", "timed out")]
+def _wait(running: list[Run]) -> list[Run]:
+    first = min(run.deadline for run in running)
+    handles = [run.handle for run in running]
+    ready, _, _ = select.select(handles, [], [], max(0.0, first - time.monotonic()))
+    if ready:
+        return [run for run in running if run.handle in ready]
+    late = [run for run in running if run.deadline <= time.monotonic()]
+    for run in late:
+        run.process.kill()
+    return late
+
+
+def _finish(run: Run) -> list[tuple[str, str]]:
+    os.close(run.handle)
+    name = run.feature.stem
+    if run.process.wait() < 0:
+        return [(f"{name}: the whole feature", "killed, or over its time")]
     try:
-        report = json.loads(_json_path(feature).read_text())
+        report = json.loads(_json_path(run.feature).read_text())
     except (OSError, ValueError):
-        return [(f"{feature.stem}: the whole feature", "no report")]
+        return [(f"{name}: the whole feature", "no report")]
     results = [
-        (f"{feature.stem}: {element['name']}", element.get("status", "untested"))
+        (f"{name}: {element['name']}", element.get("status", "untested"))
         for part in report
         for element in part.get("elements", ())
         if element["type"] == "scenario"
     ]
-    return results or [(f"{feature.stem}: the whole feature", "no scenario ran")]
+    n_passed = sum(status == "passed" for _, status in results)
+    print(f"{name}: {n_passed} of {len(results)} passed", flush=True)
+    return results or [(f"{name}: the whole feature", "no scenario ran")]
 
 
 def _json_path(feature: Path) -> Path:
