Serve metrics of gateways and sidecars

Cause: /metrics was empty and sidecars had none.

Filters in the pipe measure what passes: at the head the arrival of a call, before Settle the replies while their service is known, at a sidecar's tail the attempts. Labels are services, error kinds and decision names only. Ruled out: a label for the team (24,000 of them) and for the endpoint at the gateway (600); a sidecar tells its own.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -125,6 +125,7 @@
             name="scribe-1",
             endpoint=f"http://{LOOPBACK}:{engine_port}",
             protocol="generation",
+            metrics=ANY_PORT,
         )
         return self.start("sidecar", "sidecar")
 
--- /dev/null
+++ b/hawthornyard/front/metrics.py
@@ -0,0 +1,27 @@
+"""Serve metrics where no callers are served."""
+
+from collections.abc import Callable, Iterable
+
+from .exchange import Environ, StartResponse
+from .probe import METRICS_TYPE
+
+
+class MetricsApplication:
+    """A WSGI application that answers /metrics.
+
+    Args:
+        read: Returns the metrics in the Prometheus text format.
+    """
+
+    __slots__ = ("_read",)
+
+    def __init__(self, read: Callable[[], bytes]) -> None:
+        self._read = read
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request."""
+        if environ["PATH_INFO"] != "/metrics":
+            start("404 Not Found", [("Content-Type", "text/plain")])
+            return [b"no such path\n"]
+        start("200 OK", [METRICS_TYPE])
+        return [self._read()]
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -41,6 +41,9 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    *,
+    at_head: Sequence[Filter] = (),
+    before_settle: Sequence[Filter] = (),
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -53,9 +56,12 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        at_head: Filters that see calls as they come.
+        before_settle: Filters that see replies while their requests are known.
     """
     budgets = TeamBudgets(clock)
     return [
+        *at_head,
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
         SubscribeHeartbeats(fleet, neighbours),
@@ -74,5 +80,6 @@
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
+        *before_settle,
         Settle(inflight, fleet, clock),
     ]
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -50,6 +50,8 @@
     split_address,
 )
 from ..rim.claims import ClaimWriter
+from ..rim.gateway_metrics import CallTimes, MeasureReplies, NoteArrivals
+from ..rim.metrics import ProgramMetrics
 from ..settings import GatewaySettings
 from .chain import gateway_chain
 from .fleet import MISSED_HEARTBEATS, Fleet, Neighbours, Subset
@@ -164,6 +166,8 @@
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
         neighbours = Neighbours(settings.name, settings.peers, self._clock)
+        self._metrics = ProgramMetrics(self._clock)
+        times = CallTimes()
         chain = gateway_chain(
             self.catalog,
             self.inflight,
@@ -173,7 +177,12 @@
             self._clock,
             random.Random(),
             identifiers,
+            at_head=[NoteArrivals(times, self._clock)],
+            before_settle=[
+                MeasureReplies(self._metrics, times, self.inflight, self._clock)
+            ],
         )
+        self._add_gauges(connections, replies)
         app = Application(self._inbox, replies, identifiers, self)
         self._server = HttpServer(split_address(settings.listen), app)
         self._pipeline = Pipeline(
@@ -231,7 +240,28 @@
 
     def metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
-        return b""
+        return self._metrics.text()
+
+    def _add_gauges(self, connections: Connections, replies: Replies) -> None:
+        add = self._metrics.gauge
+        add("requests_in_flight", "Requests not yet answered.", self.inflight.__len__)
+        add("callers_waiting", "Exchanges that wait for replies.", replies.__len__)
+        add("peer_connections", "Connections to peers.", connections.__len__)
+        add(
+            "config_revision",
+            "Configuration revision in force.",
+            lambda: self.catalog.revision,
+        )
+        add(
+            "endpoints_accepting",
+            "Endpoints that take new work.",
+            lambda: sum(view.accepting for view in self.fleet.views()),
+        )
+        add(
+            "endpoints_limit",
+            "Attempts that all endpoints may run.",
+            lambda: sum(view.limit for view in self.fleet.views()),
+        )
 
     def status(self) -> dict[str, Any]:
         """Return the fleet as this gateway sees it."""
--- a/hawthornyard/rim/connection.py
+++ b/hawthornyard/rim/connection.py
@@ -93,6 +93,9 @@
         self._by_peer: dict[str, Connection] = {}
         self._inbox = inbox
 
+    def __len__(self) -> int:
+        return len(self._by_peer)
+
     def add(self, conn: Connection) -> None:
         """Take a connection in; an older one of the same peer is replaced."""
         older = self._by_peer.pop(conn.peer, None)
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -81,6 +81,7 @@
             "description": "generation for a model engine, http for a plain service",
         },
         "log_level": _LEVEL,
+        "metrics": _about(_ADDRESS, "where the metrics are served"),
     },
 }
 
@@ -146,6 +147,7 @@
         protocol: "generation" or "http".
         peer_key: Shared secret of the deployment's processes.
         log_level: Least severe level that is logged.
+        metrics: "address:port" where the metrics are served, empty for nowhere.
     """
 
     __slots__ = (
@@ -153,6 +155,7 @@
         "failure_domain",
         "listen",
         "log_level",
+        "metrics",
         "name",
         "peer_key",
         "protocol",
@@ -168,6 +171,7 @@
         peer_key: bytes,
         *,
         log_level: str = "INFO",
+        metrics: str = "",
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -176,6 +180,7 @@
         self.protocol = protocol
         self.peer_key = peer_key
         self.log_level = log_level
+        self.metrics = metrics
 
 
 def load_settings(
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -25,6 +25,7 @@
     Tokens,
     Unknown,
 )
+from ..front import HttpServer, MetricsApplication
 from ..records import GENERATION, Catalog
 from ..rim import (
     Connections,
@@ -42,7 +43,9 @@
 )
 from ..rim.endpoint import EndpointClient, EndpointSink
 from ..rim.engine import EngineClient
+from ..rim.metrics import ProgramMetrics
 from ..rim.service import ServiceClient
+from ..rim.sidecar_metrics import MeasureOutput
 from ..settings import SidecarSettings
 from .attempts import Attempts
 from .chain import sidecar_chain
@@ -67,9 +70,15 @@
             settings.name, settings.failure_domain, incarnation, Catalog()
         )
         connections = Connections(self._inbox)
+        self._metrics = ProgramMetrics(self._clock)
+        self._add_gauges(connections)
+        self._metrics_server = self._serve_metrics()
         self._client = _client(settings)
         self._pipeline = Pipeline(
-            sidecar_chain(self.state, Attempts(), self._clock),
+            [
+                *sidecar_chain(self.state, Attempts(), self._clock),
+                MeasureOutput(self._metrics),
+            ],
             [
                 FrameSink(
                     connections,
@@ -103,6 +112,11 @@
         """Return the port for gateways."""
         return self._listener.port
 
+    @property
+    def metrics_port(self) -> int:
+        """Return the port of the metrics, 0 if they are not served."""
+        return self._metrics_server.port if self._metrics_server is not None else 0
+
     def start(self) -> Any:
         """Start all green threads.
 
@@ -112,6 +126,8 @@
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
         eventlet.spawn_n(self._client.watch, self._inbox)
+        if self._metrics_server is not None:
+            self._metrics_server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
     def run(self) -> None:
@@ -119,7 +135,11 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self.stop())
         loop = self.start()
-        logger.bind(process=self._settings.name, port=self.port).info("started")
+        logger.bind(
+            process=self._settings.name,
+            port=self.port,
+            metrics_port=self.metrics_port,
+        ).info("started")
         loop.wait()
         logger.bind(process=self._settings.name).info("stopped")
 
@@ -127,6 +147,27 @@
         """Refuse new work, finish what is held, then end the loop."""
         self._inbox.put(StopRequested())
 
+    def _serve_metrics(self) -> HttpServer | None:
+        if not self._settings.metrics:
+            return None
+        app = MetricsApplication(self._metrics.text)
+        return HttpServer(split_address(self._settings.metrics), app)
+
+    def _add_gauges(self, connections: Connections) -> None:
+        add = self._metrics.gauge
+        state = self.state
+        add("attempts_running", "Attempts at the endpoint.", lambda: state.n_running)
+        add("attempts_waiting", "Attempts in the queue.", lambda: state.n_waiting)
+        add("attempts_limit", "Attempts that may run now.", lambda: state.limit)
+        add("memory_load_ratio", "Expected memory in use.", lambda: state.load)
+        add("accepting", "Whether new work is taken.", lambda: state.is_accepting)
+        add("peer_connections", "Connections to peers.", connections.__len__)
+        add(
+            "config_revision",
+            "Configuration revision in force.",
+            lambda: state.catalog.revision,
+        )
+
 
 def _client(settings: SidecarSettings) -> EndpointClient:
     if settings.protocol == GENERATION:
