--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -23,6 +23,9 @@
     Generation,
     Heartbeat,
     Hello,
+    Loaded,
+    PlanEntry,
+    PlanPush,
     Portion,
     Proof,
     RecordEntry,
@@ -62,6 +65,9 @@
     21: Generation,
     22: ServiceCall,
     23: Subscribe,
+    24: PlanPush,
+    25: Loaded,
+    26: PlanEntry,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 _CHECKERS = {tag: FieldChecker(cls) for tag, cls in _TYPES.items()}
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -24,6 +24,7 @@
     Tokens,
     Unknown,
 )
+from .plan import Loaded, PlanEntry, PlanPush
 from .work import Generation, ServiceCall, Work
 
 __all__ = [
@@ -42,6 +43,9 @@
     "Generation",
     "Heartbeat",
     "Hello",
+    "Loaded",
+    "PlanEntry",
+    "PlanPush",
     "Portion",
     "Proof",
     "RecordEntry",
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -9,11 +9,14 @@
 from .fleet import (
     ApplyConfig,
     Fleet,
+    FollowHosts,
     Greet,
     Neighbours,
+    PushPlan,
     ShareLimits,
     SubscribeHeartbeats,
     SuspectSilence,
+    TrackLoaded,
     Watch,
 )
 from .inflight import InFlight
@@ -41,6 +44,7 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    planner: Sequence[Filter] = (),
     *,
     at_head: Sequence[Filter] = (),
     before_settle: Sequence[Filter] = (),
@@ -56,6 +60,7 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        planner: Filters of the planner's duty.
         at_head: Filters that see calls as they come.
         before_settle: Filters that see replies while their requests are known.
     """
@@ -68,6 +73,10 @@
         SuspectSilence(inflight, clock),
         ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
+        TrackLoaded(fleet.loaded),
+        FollowHosts(fleet.leaving),
+        *planner,
+        PushPlan(),
         drain,
         Authenticate(catalog),
         ListModels(catalog),
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -27,11 +27,13 @@
     Dispatch,
     GatewayBeat,
     Heartbeat,
+    PlanPush,
     Portion,
     Subscribe,
 )
 from ..front import Application, HttpServer, Replies
-from ..platform import TableStore
+from ..planner import Duty, FollowDemand, planner_chain
+from ..platform import HttpHosts, TableStore
 from ..records import Catalog
 from ..rim import (
     ConfigPoll,
@@ -49,12 +51,15 @@
     run_timer,
     split_address,
 )
+from ..rim.calendar import UtcCalendar
 from ..rim.claims import ClaimWriter
 from ..rim.gateway_metrics import CallTimes, MeasureReplies, NoteArrivals
+from ..rim.host_poll import HostPoll
 from ..rim.metrics import ProgramMetrics
+from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import MISSED_HEARTBEATS, Fleet, Neighbours, Subset
+from .fleet import MISSED_HEARTBEATS, Fleet, FleetSurveyor, Neighbours, Subset
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
@@ -134,6 +139,7 @@
     Demand,
     Portion,
     Subscribe,
+    PlanPush,
 )
 
 
@@ -166,6 +172,15 @@
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
         neighbours = Neighbours(settings.name, settings.peers, self._clock)
+        self._plan_table = PlanTable(table, self._inbox, self._clock)
+        self._host_poll = _host_poll(settings, self._inbox)
+        holder = f"{settings.name}/{identifiers.new()}"
+        self.duty = Duty(
+            holder,
+            self._clock,
+            identifiers,
+            duration_s=settings.planner_lease_s,
+        )
         self._metrics = ProgramMetrics(self._clock)
         times = CallTimes()
         chain = gateway_chain(
@@ -177,6 +192,21 @@
             self._clock,
             random.Random(),
             identifiers,
+            planner_chain(
+                self.duty,
+                FleetSurveyor(
+                    self.catalog,
+                    self.fleet,
+                    self.inflight,
+                    UtcCalendar(),
+                    self._clock,
+                ),
+                FollowDemand(
+                    self._clock, weight_bytes_per_s=settings.weight_bytes_per_s
+                ),
+                self._clock,
+                random.Random(),
+            ),
             at_head=[NoteArrivals(times, self._clock)],
             before_settle=[
                 MeasureReplies(self._metrics, times, self.inflight, self._clock)
@@ -195,6 +225,7 @@
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
                 replies,
                 self._claims,
+                self._plan_table,
                 ListenerSink(self._server),
                 self._stop,
             ],
@@ -217,6 +248,9 @@
         self._link_sink.refresh()
         if self._listener is not None:
             eventlet.spawn_n(self._listener.run)
+        self._plan_table.start()
+        if self._host_poll is not None:
+            eventlet.spawn_n(self._host_poll.run)
         self._server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
@@ -286,6 +320,12 @@
         }
 
 
+def _host_poll(settings: GatewaySettings, inbox: EventletInbox) -> HostPoll | None:
+    if not settings.hosts:
+        return None
+    return HostPoll(HttpHosts(settings.hosts), inbox)
+
+
 def _peer_listener(
     settings: GatewaySettings,
     codec: MsgpackCodec,
--- a/hawthornyard/rim/inbox.py
+++ b/hawthornyard/rim/inbox.py
@@ -19,3 +19,7 @@
     def get(self) -> Message:
         """Wait for the next message and take it."""
         return self._mailbox.take()
+
+    def is_empty(self) -> bool:
+        """Return whether no message waits."""
+        return not len(self._mailbox)
--- a/hawthornyard/settings.py
+++ b/hawthornyard/settings.py
@@ -14,6 +14,7 @@
     report,
 )
 from .errors import SettingsError
+from .planner import DEFAULT_WEIGHT_BYTES_PER_S, LEASE_DURATION_S
 
 PEER_KEY_VARIABLE = "HAWTHORNYARD_PEER_KEY"
 MIN_PEER_KEY_CHARS = 16
@@ -56,6 +57,20 @@
         "failure_domain": _DOMAIN,
         "listen": _about(_ADDRESS, "where callers connect"),
         "table": _about(_URL, "the platform's table service"),
+        "hosts": _about(_URL, "the platform's host list"),
+        "objects": _about(_URL, "the platform's object store"),
+        "weights": _about(_URL, "the platform's weight store"),
+        "weight_bytes_per_s": {
+            "type": "number",
+            "exclusiveMinimum": 0,
+            "description": "rate of the weight store for all endpoints together",
+        },
+        "planner_lease_s": {
+            "type": "number",
+            "minimum": 1,
+            "maximum": 600,
+            "description": "how long the planner's lease holds",
+        },
         "log_level": _LEVEL,
         "peer_listen": _about(_ADDRESS, "where other gateways connect"),
         "peers": {
@@ -101,17 +116,27 @@
         log_level: Least severe level that is logged.
         peer_listen: "address:port" for other gateways, empty for none.
         peers: "address:port" of the other gateways by name.
+        hosts: URL of the platform's host list, empty for none.
+        objects: URL of the platform's object store, empty for none.
+        weights: URL of the platform's weight store, empty for none.
+        weight_bytes_per_s: Rate at which the weight store serves all endpoints.
+        planner_lease_s: How long the planner's lease holds.
     """
 
     __slots__ = (
         "failure_domain",
+        "hosts",
         "listen",
         "log_level",
         "name",
+        "objects",
         "peer_key",
         "peer_listen",
         "peers",
+        "planner_lease_s",
         "table",
+        "weight_bytes_per_s",
+        "weights",
     )
 
     def __init__(
@@ -125,6 +150,11 @@
         log_level: str = "INFO",
         peer_listen: str = "",
         peers: Mapping[str, str] | None = None,
+        hosts: str = "",
+        objects: str = "",
+        weights: str = "",
+        weight_bytes_per_s: float = DEFAULT_WEIGHT_BYTES_PER_S,
+        planner_lease_s: float = LEASE_DURATION_S,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -134,6 +164,11 @@
         self.peers = dict(peers or {})
         self.peer_key = peer_key
         self.log_level = log_level
+        self.hosts = hosts
+        self.objects = objects
+        self.weights = weights
+        self.weight_bytes_per_s = weight_bytes_per_s
+        self.planner_lease_s = planner_lease_s
 
 
 class SidecarSettings:
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -6,6 +6,7 @@
 from ..policy import BackoffPredictor, LengthPredictor, MemoryLimit
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
+from .orders import Reconcile
 from .reply import AttachPeers, NumberOutput
 from .request import Admit, Begin, Fence, Gate
 from .state import SidecarState
@@ -31,6 +32,7 @@
     predictor = predictor or BackoffPredictor()
     return [
         TakeConfig(state.catalog),
+        Reconcile(state.name, clock),
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -20,6 +20,7 @@
     Ended,
     Failed,
     Heartbeat,
+    Loaded,
     Refused,
     Replied,
     Tokens,
@@ -44,6 +45,7 @@
 from ..rim.endpoint import EndpointClient, EndpointSink
 from ..rim.engine import EngineClient
 from ..rim.metrics import ProgramMetrics
+from ..rim.orders import EngineOrders, NoOrders, OrderClient, OrderSink
 from ..rim.service import ServiceClient
 from ..rim.sidecar_metrics import MeasureOutput
 from ..settings import SidecarSettings
@@ -74,6 +76,7 @@
         self._add_gauges(connections)
         self._metrics_server = self._serve_metrics()
         self._client = _client(settings)
+        self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             [
                 *sidecar_chain(self.state, Attempts(), self._clock),
@@ -89,10 +92,12 @@
                     Replied,
                     Failed,
                     Heartbeat,
+                    Loaded,
                     Unknown,
                     ConfigPull,
                 ),
                 EndpointSink(self._client, self._inbox),
+                self._orders,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
                 self._stop,
@@ -125,6 +130,7 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
+        self._orders.start()
         eventlet.spawn_n(self._client.watch, self._inbox)
         if self._metrics_server is not None:
             self._metrics_server.start()
@@ -173,3 +179,9 @@
     if settings.protocol == GENERATION:
         return EngineClient(settings.endpoint)
     return ServiceClient(settings.endpoint)
+
+
+def _order_client(settings: SidecarSettings) -> OrderClient:
+    if settings.protocol == GENERATION:
+        return EngineOrders(settings.endpoint)
+    return NoOrders()
