Tell callers the length of their prompts, and drop frames that go astray

Cause: usage said 0 prompt tokens whatever was sent; a frame of a type that only sidecars send, sent to a sidecar, passed its whole pipe and returned to the sender (seen in features/peers: the test's own heartbeat came back).

The engine's final event carries n_prompt_tokens, as a trailing field with a default through Ended, so that older peers still understand. DropStray stands first in both chains and logs a fault.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -73,6 +73,8 @@
 def check_whole_answers(context: Context, n_tokens: int) -> None:
     chat, completion = context.chat, context.completion
     assert chat.usage.completion_tokens == n_tokens
+    assert chat.usage.prompt_tokens == completion.usage.prompt_tokens > 1
+    assert chat.usage.total_tokens == chat.usage.prompt_tokens + n_tokens
     assert completion.usage.completion_tokens == n_tokens
     assert chat.choices[0].message.role == "assistant"
     assert chat.choices[0].message.content == completion.choices[0].text
--- a/features/steps/peers.py
+++ b/features/steps/peers.py
@@ -38,6 +38,7 @@
 
 NAME = "gateway-9"
 WRONG_KEY = b"not the key of this deployment"
+STRAY_INCARNATION = "stray"
 NONCE = b"n" * NONCE_BYTES
 
 
@@ -238,15 +239,18 @@
 @when("an authenticated peer sends a sidecar a frame for gateways")
 def send_wrong_way(context: Context) -> None:
     context.peer = _connect_peer(context)
-    context.peer.send(Heartbeat("scribe-1", "i", 1, True, 0, 0, 1, 0.0))
+    context.peer.send(Heartbeat("scribe-1", STRAY_INCARNATION, 1, True, 0, 0, 1, 0.0))
 
 
 @then("the peer still gets heartbeats")
 def check_heartbeats(context: Context) -> None:
     # Sidecars send other news as well; a closed connection raises.
-    n_beats = 0
-    while n_beats < 3:
-        n_beats += isinstance(context.peer.reader.read_one(), Heartbeat)
+    beats: list[Heartbeat] = []
+    while len(beats) < 3:
+        frame = context.peer.reader.read_one()
+        if isinstance(frame, Heartbeat):
+            beats.append(frame)
+    assert STRAY_INCARNATION not in {beat.incarnation for beat in beats}, beats
     context.peer.sock.close()
 
 
--- a/hawthornyard/frames/frame.py
+++ b/hawthornyard/frames/frame.py
@@ -196,14 +196,18 @@
         attempt_id: The attempt.
         n_tokens: Tokens in the whole output.
         reason: Finish reason of the engine ("stop", "length").
+        n_prompt_tokens: Tokens in the prompt, 0 if the engine does not tell.
     """
 
-    __slots__ = ("attempt_id", "n_tokens", "reason")
+    __slots__ = ("attempt_id", "n_tokens", "reason", "n_prompt_tokens")
 
-    def __init__(self, attempt_id: str, n_tokens: int, reason: str) -> None:
+    def __init__(
+        self, attempt_id: str, n_tokens: int, reason: str, n_prompt_tokens: int = 0
+    ) -> None:
         self.attempt_id = attempt_id
         self.n_tokens = n_tokens
         self.reason = reason
+        self.n_prompt_tokens = n_prompt_tokens
 
 
 class Replied(Frame):
--- a/hawthornyard/front/encode.py
+++ b/hawthornyard/front/encode.py
@@ -208,7 +208,7 @@
 
 def _usage(end: ReplyEnded) -> dict[str, int]:
     return {
-        "prompt_tokens": 0,
+        "prompt_tokens": end.n_prompt_tokens,
         "completion_tokens": end.n_tokens,
-        "total_tokens": end.n_tokens,
+        "total_tokens": end.n_prompt_tokens + end.n_tokens,
     }
--- a/hawthornyard/gateway/messages.py
+++ b/hawthornyard/gateway/messages.py
@@ -378,12 +378,15 @@
 class ReplyEnded(Message):
     """The whole generation was delivered."""
 
-    __slots__ = ("call_id", "n_tokens", "reason")
+    __slots__ = ("call_id", "n_tokens", "reason", "n_prompt_tokens")
 
-    def __init__(self, call_id: str, n_tokens: int, reason: str) -> None:
+    def __init__(
+        self, call_id: str, n_tokens: int, reason: str, n_prompt_tokens: int = 0
+    ) -> None:
         self.call_id = call_id
         self.n_tokens = n_tokens
         self.reason = reason
+        self.n_prompt_tokens = n_prompt_tokens
 
 
 class ReplyWhole(Message):
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -57,6 +57,7 @@
 from ..rim.host_poll import HostPoll
 from ..rim.metrics import ProgramMetrics
 from ..rim.plan_table import PlanTable
+from ..rim.stray import DropStray
 from ..settings import GatewaySettings
 from .chain import gateway_chain
 from .fleet import MISSED_HEARTBEATS, Fleet, FleetSurveyor, Neighbours, Subset
@@ -128,17 +129,14 @@
         self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
 
 
+_TO_SIDECARS = (Dispatch, Attach, Cancel, Ack, Subscribe)
 _SENT = (
-    Dispatch,
-    Attach,
-    Cancel,
-    Ack,
+    *_TO_SIDECARS,
     ConfigPush,
     ConfigPull,
     GatewayBeat,
     Demand,
     Portion,
-    Subscribe,
     PlanPush,
 )
 
@@ -207,7 +205,7 @@
                 self._clock,
                 random.Random(),
             ),
-            at_head=[NoteArrivals(times, self._clock)],
+            at_head=[DropStray(*_TO_SIDECARS), NoteArrivals(times, self._clock)],
             before_settle=[
                 MeasureReplies(self._metrics, times, self.inflight, self._clock)
             ],
--- a/hawthornyard/gateway/reply/relay.py
+++ b/hawthornyard/gateway/reply/relay.py
@@ -116,7 +116,7 @@
             yield _attach(request)
             return
         yield Ack(msg.attempt_id, msg.n_tokens).at(request.endpoint)
-        yield ReplyEnded(request.call_id, msg.n_tokens, msg.reason)
+        yield ReplyEnded(request.call_id, msg.n_tokens, msg.reason, msg.n_prompt_tokens)
 
     def _on_replied(self, msg: Replied) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
--- a/hawthornyard/rim/engine.py
+++ b/hawthornyard/rim/engine.py
@@ -109,8 +109,7 @@
                         n_tokens += 1
                         inbox.put(EndpointTokens(attempt.attempt_id, [event["token"]]))
                     if event.get("finish_reason"):
-                        reason = event["finish_reason"]
-                        inbox.put(EndpointEnded(attempt.attempt_id, reason))
+                        inbox.put(_ended(attempt, event))
                         return
                 detail = "the stream ended without a final event"
             except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
@@ -154,6 +153,14 @@
         )
 
 
+def _ended(attempt: Attempt, event: dict[str, Any]) -> EndpointEnded:
+    n_prompt_tokens = event.get("n_prompt_tokens")
+    if type(n_prompt_tokens) is not int or n_prompt_tokens < 0:
+        n_prompt_tokens = 0
+    reason = str(event["finish_reason"])
+    return EndpointEnded(attempt.attempt_id, reason, n_prompt_tokens)
+
+
 def _order(attempt: Attempt) -> dict[str, Any]:
     work = attempt.work
     assert isinstance(work, Generation)
--- a/hawthornyard/sidecar/messages.py
+++ b/hawthornyard/sidecar/messages.py
@@ -124,11 +124,12 @@
 class EndpointEnded(Message):
     """The engine finished a generation."""
 
-    __slots__ = ("attempt_id", "reason")
+    __slots__ = ("attempt_id", "reason", "n_prompt_tokens")
 
-    def __init__(self, attempt_id: str, reason: str) -> None:
+    def __init__(self, attempt_id: str, reason: str, n_prompt_tokens: int = 0) -> None:
         self.attempt_id = attempt_id
         self.reason = reason
+        self.n_prompt_tokens = n_prompt_tokens
 
 
 class EndpointReplied(Message):
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -48,12 +48,26 @@
 from ..rim.orders import EngineOrders, NoOrders, OrderClient, OrderSink
 from ..rim.service import ServiceClient
 from ..rim.sidecar_metrics import MeasureOutput
+from ..rim.stray import DropStray
 from ..settings import SidecarSettings
 from .attempts import Attempts
 from .chain import sidecar_chain
 from .messages import ConfigChanged, Finished
 from .state import SidecarState
 
+_SENT = (
+    Accepted,
+    Refused,
+    Tokens,
+    Ended,
+    Replied,
+    Failed,
+    Heartbeat,
+    Loaded,
+    Unknown,
+    ConfigPull,
+)
+
 
 class Sidecar:
     """One sidecar process; also runs beside others within a demo.
@@ -79,23 +93,12 @@
         self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             [
+                DropStray(*_SENT),
                 *sidecar_chain(self.state, Attempts(), self._clock),
                 MeasureOutput(self._metrics),
             ],
             [
-                FrameSink(
-                    connections,
-                    Accepted,
-                    Refused,
-                    Tokens,
-                    Ended,
-                    Replied,
-                    Failed,
-                    Heartbeat,
-                    Loaded,
-                    Unknown,
-                    ConfigPull,
-                ),
+                FrameSink(connections, *_SENT),
                 EndpointSink(self._client, self._inbox),
                 self._orders,
                 DecisionLog(settings.name),
--- a/hawthornyard/sidecar/reply/number.py
+++ b/hawthornyard/sidecar/reply/number.py
@@ -46,7 +46,7 @@
         attempt = self._running(msg.attempt_id)
         if attempt is None:
             return
-        end = Ended(msg.attempt_id, len(attempt.texts), msg.reason)
+        end = Ended(msg.attempt_id, len(attempt.texts), msg.reason, msg.n_prompt_tokens)
         yield from self._end(attempt, end, None)
 
     def _on_replied(self, msg: EndpointReplied) -> Iterator[Message]:
--- a/hawthornyard/standins/engine.py
+++ b/hawthornyard/standins/engine.py
@@ -115,7 +115,10 @@
             for index in stream.read(offset):
                 yield _event({"token": token_text(order, index)})
             if not stream.was_cancelled:
-                yield _event({"finish_reason": stream.reason})
+                n_prompt = n_prompt_tokens(order)
+                yield _event(
+                    {"finish_reason": stream.reason, "n_prompt_tokens": n_prompt}
+                )
         finally:
             eventlet.spawn_after(self._abandoned_after_s, self._abandon, sequence_id)
 
@@ -165,6 +168,11 @@
     return min(int(body["max_tokens"]), length)
 
 
+def n_prompt_tokens(body: dict[str, Any]) -> int:
+    """Return the length of the prompt."""
+    return 1 + len(body["prompt"]) // CHARACTERS_PER_TOKEN
+
+
 def token_text(body: dict[str, Any], index: int) -> str:
     """Return the token at an index, a function of attempt and index alone."""
     digest = hashlib.sha256(f"{body['prompt']}/{index}".encode()).digest()
@@ -178,7 +186,7 @@
     return Sequence(
         body["id"],
         output_length(body),
-        n_prompt=1 + len(prompt) // CHARACTERS_PER_TOKEN,
+        n_prompt=n_prompt_tokens(body),
         priority=int(body.get("priority", 0)),
         prefix=name,
         n_prefix=len(prefix) // CHARACTERS_PER_TOKEN,
