--- a/benchmarks/wire_process.py
+++ b/benchmarks/wire_process.py
@@ -70,7 +70,7 @@
 
     def _wait_for_port(self) -> int:
         deadline = time.monotonic() + START_TIMEOUT_S
-        while time.monotonic() < deadline:
+        while time.monotonic() < deadline and self._process.poll() is None:
             for line in Path(self._log.name).read_text().splitlines():
                 if '"event": "started"' in line:
                     return int(json.loads(line)["port"])
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.peers import KeepingInbox
 from hawthornyard.core import ManualClock
 from hawthornyard.errors import ConflictError, HawthornyardError, PlatformError
 from hawthornyard.frames import Generation, Heartbeat, RecordEntry
@@ -14,7 +15,6 @@
 from hawthornyard.gateway.messages import Request
 from hawthornyard.platform import Condition, HttpHosts, Put
 from hawthornyard.records import Catalog, Service, Team
-from hawthornyard.rim import EventletInbox
 from hawthornyard.rim.host_poll import HostPoll
 from hawthornyard.standins import HostStandIn, WeightModel
 
@@ -243,11 +243,11 @@
 @when("the host list is down for a while")
 def lose_hosts(context: Context) -> None:
     _set_faults(context, "hosts", {"is_down": True})
-    inbox = EventletInbox()
+    inbox = KeepingInbox()
     poll = HostPoll(HttpHosts(context.platform.urls["hosts"]), inbox)
     for _ in range(3):
         poll.poll()
-    assert inbox.is_empty()
+    assert not inbox.kept, inbox.kept
 
 
 @then("the endpoint gets new work: {expected}")
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -2,8 +2,15 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import PrefixAffinity, RetryBudget, TwoChoices
+from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
+from ..frames import GATEWAY_TO_SIDECAR
+from ..policy import (
+    LengthPredictor,
+    PrefixAffinity,
+    RetryBudget,
+    RoutingPolicy,
+    TwoChoices,
+)
 from ..records import Catalog
 from .budget import TeamBudgets
 from .fleet import (
@@ -48,6 +55,8 @@
     *,
     at_head: Sequence[Filter] = (),
     before_settle: Sequence[Filter] = (),
+    predictor: LengthPredictor | None = None,
+    routing: RoutingPolicy | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -63,9 +72,13 @@
         planner: Filters of the planner's duty.
         at_head: Filters that see calls as they come.
         before_settle: Filters that see replies while their requests are known.
+        predictor: Predicts output lengths.
+        routing: Chooses among endpoints that fit.
     """
+    routing = routing or TwoChoices(chance, affinity=PrefixAffinity())
     budgets = TeamBudgets(clock)
     return [
+        DropUnexpected(*GATEWAY_TO_SIDECAR),
         *at_head,
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
@@ -83,9 +96,9 @@
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(RetryBudget(), clock),
-        WaitForRoom(fleet, clock),
+        WaitForRoom(fleet, clock, predictor=predictor),
         Claim(inflight),
-        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
+        Route(fleet, routing),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -17,20 +17,7 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Ack,
-    Attach,
-    Cancel,
-    ConfigPull,
-    ConfigPush,
-    Demand,
-    Dispatch,
-    GatewayBeat,
-    Heartbeat,
-    PlanPush,
-    Portion,
-    Subscribe,
-)
+from ..frames import SENT_BY_GATEWAY, Heartbeat
 from ..front import Application, HttpServer, Replies
 from ..planner import Duty, FollowDemand, planner_chain
 from ..platform import HttpHosts, TableStore
@@ -57,7 +44,6 @@
 from ..rim.host_poll import HostPoll
 from ..rim.metrics import ProgramMetrics
 from ..rim.plan_table import PlanTable
-from ..rim.stray import DropStray
 from ..settings import GatewaySettings
 from .chain import gateway_chain
 from .fleet import MISSED_HEARTBEATS, Fleet, FleetSurveyor, Neighbours, Subset
@@ -129,18 +115,6 @@
         self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
 
 
-_TO_SIDECARS = (Dispatch, Attach, Cancel, Ack, Subscribe)
-_SENT = (
-    *_TO_SIDECARS,
-    ConfigPush,
-    ConfigPull,
-    GatewayBeat,
-    Demand,
-    Portion,
-    PlanPush,
-)
-
-
 class Gateway:
     """One gateway process; also runs beside others within a demo.
 
@@ -205,7 +179,7 @@
                 self._clock,
                 random.Random(),
             ),
-            at_head=[DropStray(*_TO_SIDECARS), NoteArrivals(times, self._clock)],
+            at_head=[NoteArrivals(times, self._clock)],
             before_settle=[
                 MeasureReplies(self._metrics, times, self.inflight, self._clock)
             ],
@@ -217,7 +191,7 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, *_SENT),
+                FrameSink(connections, *SENT_BY_GATEWAY),
                 self._link_sink,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -14,18 +14,7 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Accepted,
-    ConfigPull,
-    Ended,
-    Failed,
-    Heartbeat,
-    Loaded,
-    Refused,
-    Replied,
-    Tokens,
-    Unknown,
-)
+from ..frames import SENT_BY_SIDECAR
 from ..front import HttpServer, MetricsApplication
 from ..records import GENERATION, Catalog
 from ..rim import (
@@ -48,26 +37,12 @@
 from ..rim.orders import EngineOrders, NoOrders, OrderClient, OrderSink
 from ..rim.service import ServiceClient
 from ..rim.sidecar_metrics import MeasureOutput
-from ..rim.stray import DropStray
 from ..settings import SidecarSettings
 from .attempts import Attempts
 from .chain import sidecar_chain
 from .messages import ConfigChanged, Finished
 from .state import SidecarState
 
-_SENT = (
-    Accepted,
-    Refused,
-    Tokens,
-    Ended,
-    Replied,
-    Failed,
-    Heartbeat,
-    Loaded,
-    Unknown,
-    ConfigPull,
-)
-
 
 class Sidecar:
     """One sidecar process; also runs beside others within a demo.
@@ -93,12 +68,11 @@
         self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             [
-                DropStray(*_SENT),
                 *sidecar_chain(self.state, Attempts(), self._clock),
                 MeasureOutput(self._metrics),
             ],
             [
-                FrameSink(connections, *_SENT),
+                FrameSink(connections, *SENT_BY_SIDECAR),
                 EndpointSink(self._client, self._inbox),
                 self._orders,
                 DecisionLog(settings.name),
