--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -44,10 +44,17 @@
     __slots__ = ("_folder", "_processes", "engine", "gateway", "lines", "relay")
     __slots__ += ("sidecar", "table")
 
-    def __init__(self, folder: Path, step_s: float) -> None:
+    def __init__(self, folder: Path) -> None:
         self._folder = folder
         self.lines: list[str] = []
         self._processes: list[BenchProcess] = []
+
+    def start(self, step_s: float) -> None:
+        """Start all processes.
+
+        Args:
+            step_s: Seconds between tokens of a stream.
+        """
         self.engine = self._run("-m", "benchmarks.wire_engine", str(step_s))
         engine_url = f"http://{LOOPBACK}:{self.engine.port}"
         self.relay = self._run(
@@ -113,8 +120,9 @@
 def main() -> int:
     """Run the benchmark; the exit code tells whether the targets are met."""
     with tempfile.TemporaryDirectory() as folder:
-        bench = Bench(Path(folder), STEP_S)
+        bench = Bench(Path(folder))
         try:
+            bench.start(STEP_S)
             is_met = run(bench)
         finally:
             bench.kill()
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -53,6 +53,8 @@
     identifiers: Identifiers,
     planner: Sequence[Filter] = (),
     *,
+    at_head: Sequence[Filter] = (),
+    before_settle: Sequence[Filter] = (),
     predictor: LengthPredictor | None = None,
     routing: RoutingPolicy | None = None,
 ) -> Sequence[Filter]:
@@ -68,6 +70,8 @@
         chance: Source of randomness.
         identifiers: Source of attempt ids.
         planner: Filters of the planner's duty.
+        at_head: Filters that see calls as they come.
+        before_settle: Filters that see replies while their requests are known.
         predictor: Predicts output lengths.
         routing: Chooses among endpoints that fit.
     """
@@ -75,6 +79,7 @@
     budgets = TeamBudgets(clock)
     return [
         DropUnexpected(*GATEWAY_TO_SIDECAR),
+        *at_head,
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
         SubscribeHeartbeats(fleet, neighbours),
@@ -97,5 +102,6 @@
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
+        *before_settle,
         Settle(inflight, fleet, clock),
     ]
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -40,7 +40,9 @@
 )
 from ..rim.calendar import UtcCalendar
 from ..rim.claims import ClaimWriter
+from ..rim.gateway_metrics import CallTimes, MeasureReplies, NoteArrivals
 from ..rim.host_poll import HostPoll
+from ..rim.metrics import ProgramMetrics
 from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
 from .chain import gateway_chain
@@ -151,6 +153,8 @@
             identifiers,
             duration_s=settings.planner_lease_s,
         )
+        self._metrics = ProgramMetrics(self._clock)
+        times = CallTimes()
         chain = gateway_chain(
             self.catalog,
             self.inflight,
@@ -175,7 +179,12 @@
                 self._clock,
                 random.Random(),
             ),
+            at_head=[NoteArrivals(times, self._clock)],
+            before_settle=[
+                MeasureReplies(self._metrics, times, self.inflight, self._clock)
+            ],
         )
+        self._add_gauges(connections, replies)
         app = Application(self._inbox, replies, identifiers, self)
         self._server = HttpServer(split_address(settings.listen), app)
         self._pipeline = Pipeline(
@@ -237,7 +246,28 @@
 
     def metrics(self) -> bytes:
         """Return the metrics in the Prometheus text format."""
-        return b""
+        return self._metrics.text()
+
+    def _add_gauges(self, connections: Connections, replies: Replies) -> None:
+        add = self._metrics.gauge
+        add("requests_in_flight", "Requests not yet answered.", self.inflight.__len__)
+        add("callers_waiting", "Exchanges that wait for replies.", replies.__len__)
+        add("peer_connections", "Connections to peers.", connections.__len__)
+        add(
+            "config_revision",
+            "Configuration revision in force.",
+            lambda: self.catalog.revision,
+        )
+        add(
+            "endpoints_accepting",
+            "Endpoints that take new work.",
+            lambda: sum(view.accepting for view in self.fleet.views()),
+        )
+        add(
+            "endpoints_limit",
+            "Attempts that all endpoints may run.",
+            lambda: sum(view.limit for view in self.fleet.views()),
+        )
 
     def status(self) -> dict[str, Any]:
         """Return the fleet as this gateway sees it."""
