--- /dev/null
+++ b/features/policy.feature
@@ -0,0 +1,60 @@
+Feature: The policy keeps its targets under load
+
+  Every bound is a stated target; none is taken from a measurement.
+
+  Scenario: At load 0.8 callers get the first token and the next in time
+    When Kingston runs at load 0.8 with seeds 1 and 2
+    Then 95 in 100 first tokens arrive within 1.2 s
+    And 95 in 100 gaps between tokens are at most 53 ms
+
+  Scenario: At load 1.0 preemptions are at most a tenth of the best baseline's
+    When Kingston runs at load 1.0 with seeds 1 and 2, baselines as well
+    Then preemptions are at most 0.1 of the best baseline's
+
+  Scenario: At load 1.0 goodput is no lower than the best baseline's
+    When Kingston runs at load 1.0 with seeds 1 and 2, baselines as well
+    Then goodput is at least 1.0 of the best baseline's
+
+  Scenario: At load 1.0 stall time is at most a third of the best baseline's
+    When Kingston runs at load 1.0 with seeds 1 and 2, baselines as well
+    Then stall time is at most 0.3333 of the best baseline's
+
+  Scenario: At load 1.0 stall time is within 1.3 of the oracle's
+    When Kingston runs at load 1.0 with seeds 1 and 2, baselines as well
+    Then stall time is at most 1.3 of the oracle's
+
+  Scenario: A failure domain leaves at load 0.6 and returns
+    When Kingston's first failure domain leaves and returns with seeds 1 and 2
+    Then no request is refused or lost
+    And no cold runner has more to bear than it can
+
+  Scenario: The fair queue serves teams by work done, whatever their request count
+    Given a queue in which "large" waits with 40 items and "small" with 40 items
+    And an item of "large" costs 4 and one of "small" costs 1
+    When 25 items are taken
+    Then "small" was given 20 items and "large" 5
+
+  Scenario: A low priority is not starved
+    Given a queue in which an item of priority 3 waits and items of priority 9 keep coming
+    When items are taken for 60 seconds
+    Then the item of priority 3 was taken
+
+  Scenario: A team that was idle gets no credit for that time
+    Given a queue that served "large" 1000 items while "small" was idle
+    When both wait with 20 items and 20 items are taken
+    Then "small" was given 10 items and "large" 10
+
+  Scenario: A queue of 2000 asks only for the first item of each priority
+    Given a queue of 2000 items of 100 teams in one lane and 2 priorities
+    When an item is asked for and none can begin
+    Then 2 items were asked about
+
+  Scenario: A suspected cold endpoint returns to its initial limit
+    Given an endpoint whose limit has grown to its maximum
+    When the time between tokens grows five times
+    Then its limit is the initial one
+
+  Scenario: A generation is predicted longer the longer it has run
+    Given lengths drawn from a heavy tail
+    Then the median remaining length grows with the tokens so far
+    And the stated 0.9 quantile holds for 0.85 to 0.95 of fresh lengths
