--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -62,6 +62,7 @@
         "_running",
         "_since",
         "_state",
+        "_was_accepting",
         "handlers",
     )
 
@@ -90,6 +91,7 @@
         self._occupants: dict[str, Occupant] = {}
         self._running: dict[str, Attempt] = {}
         self._n_preempted = 0
+        self._was_accepting = False
         self._reported_at = clock.now()
         self.handlers: Handlers = {
             Permitted: self._on_permitted,
@@ -160,6 +162,11 @@
         if record is not None and self._state.limit == 0:
             self._limit = SlowStart(record.initial_limit, record.max_limit)
             self._state.limit = self._limit.limit
+        if self._state.is_accepting and not self._was_accepting:
+            # What comes back into service may have been restarted meanwhile.
+            self._limit.reset()
+            self._state.limit = self._limit.limit
+        self._was_accepting = self._state.is_accepting
         yield msg
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
