Let two urgent attempts wait ahead at a full endpoint, not four

Cause: short calls waited 4.1 s (95th percentile) in the sidecar's queue and 2.1 s at the gateway, which could still have sent them elsewhere.

--- a/hawthornyard/policy/view.py
+++ b/hawthornyard/policy/view.py
@@ -5,7 +5,7 @@
 # Attempts that may wait at a full endpoint, to begin there between reports.
 QUEUE_AHEAD = 1
 # Steps of priority that let one more attempt wait there, ahead of the others.
-PRIORITY_PER_AHEAD = 3
+PRIORITY_PER_AHEAD = 5
 
 
 class EndpointView(Message):
