--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -1,5 +1,11 @@
 """Define the protocol between gateways and sidecars."""
 
+from .direction import (
+    GATEWAY_TO_SIDECAR,
+    SENT_BY_GATEWAY,
+    SENT_BY_SIDECAR,
+    SIDECAR_TO_GATEWAY,
+)
 from .frame import (
     Accepted,
     Ack,
@@ -24,9 +30,14 @@
     Tokens,
     Unknown,
 )
+from .plan import Loaded, PlanEntry, PlanPush
 from .work import Generation, ServiceCall, Work
 
 __all__ = [
+    "GATEWAY_TO_SIDECAR",
+    "SENT_BY_GATEWAY",
+    "SENT_BY_SIDECAR",
+    "SIDECAR_TO_GATEWAY",
     "Accepted",
     "Ack",
     "Attach",
@@ -42,6 +53,9 @@
     "Generation",
     "Heartbeat",
     "Hello",
+    "Loaded",
+    "PlanEntry",
+    "PlanPush",
     "Portion",
     "Proof",
     "RecordEntry",
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, Filter, Identifiers
+from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
+from ..frames import GATEWAY_TO_SIDECAR
 from ..policy import (
     LengthPredictor,
     PrefixAffinity,
@@ -15,11 +16,14 @@
 from .fleet import (
     ApplyConfig,
     Fleet,
+    FollowHosts,
     Greet,
     Neighbours,
+    PushPlan,
     ShareLimits,
     SubscribeHeartbeats,
     SuspectSilence,
+    TrackLoaded,
     Watch,
 )
 from .inflight import InFlight
@@ -47,6 +51,7 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    planner: Sequence[Filter] = (),
     *,
     predictor: LengthPredictor | None = None,
     routing: RoutingPolicy | None = None,
@@ -62,18 +67,24 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        planner: Filters of the planner's duty.
         predictor: Predicts output lengths.
         routing: Chooses among endpoints that fit.
     """
     routing = routing or TwoChoices(chance, affinity=PrefixAffinity())
     budgets = TeamBudgets(clock)
     return [
+        DropUnexpected(*GATEWAY_TO_SIDECAR),
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
         SubscribeHeartbeats(fleet, neighbours),
         SuspectSilence(inflight, clock),
         ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
+        TrackLoaded(fleet.loaded),
+        FollowHosts(fleet.leaving),
+        *planner,
+        PushPlan(),
         drain,
         Authenticate(catalog),
         ListModels(catalog),
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -7,6 +7,8 @@
 from ...policy import EndpointView
 from ...records import Catalog, Service
 from ..messages import Request
+from .hosts import LeavingHosts
+from .loaded import LoadedModels
 
 MISSED_HEARTBEATS = 3
 DEFAULT_INTERVAL_S = 1.0
@@ -23,6 +25,8 @@
 
     Attributes:
         heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
+        leaving: Hosts that the platform is about to reclaim.
+        loaded: Models that the endpoints have ready.
     """
 
     __slots__ = (
@@ -33,6 +37,8 @@
         "_offers_at",
         "_views",
         "heartbeat_interval_s",
+        "leaving",
+        "loaded",
     )
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
@@ -43,6 +49,8 @@
         self._offers: dict[str, list[EndpointView]] = {}
         self._offers_at = 0
         self.heartbeat_interval_s = DEFAULT_INTERVAL_S
+        self.leaving = LeavingHosts()
+        self.loaded = LoadedModels()
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
         """Take the state of an endpoint over."""
@@ -120,7 +128,11 @@
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
         for view in self._offering(request.service, request.model):
-            if view.accepting and self._is_live(view.endpoint):
+            if not view.accepting or not self._is_live(view.endpoint):
+                continue
+            if self._is_leaving(view.endpoint):
+                continue
+            if self.loaded.serves(view.endpoint, request.model):
                 yield view
 
     def _offering(self, service: Service, model: str) -> list[EndpointView]:
@@ -143,6 +155,10 @@
             return False
         return endpoint.serves(service, model)
 
+    def _is_leaving(self, name: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        return endpoint is not None and self.leaving.holds(endpoint)
+
     def _is_live(self, endpoint: str) -> bool:
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
