--- a/features/support/__init__.py
+++ b/features/support/__init__.py
@@ -1,1 +1,1 @@
-"""What the scenarios share: stand-ins, processes, relays, checkers."""
+"""What the scenarios share: history, checker, world, relays, processes."""
--- a/hawthornyard/rim/service.py
+++ b/hawthornyard/rim/service.py
@@ -9,6 +9,10 @@
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
 MAX_ANSWER_BYTES = 2 * 1024 * 1024
+_NOT_CONNECTED = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 
 
 class ServiceClient:
@@ -31,7 +35,7 @@
         assert isinstance(work, ServiceCall)
         try:
             inbox.put(self._call(attempt, work))
-        except urllib3.exceptions.NewConnectionError as exc:
+        except _NOT_CONNECTED as exc:
             inbox.put(EndpointFailed(attempt.attempt_id, False, str(exc)))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             inbox.put(EndpointFailed(attempt.attempt_id, True, str(exc)))
--- a/hawthornyard/sidecar/fleet/beat.py
+++ b/hawthornyard/sidecar/fleet/beat.py
@@ -95,7 +95,8 @@
 
     def _active_peers(self) -> set[str]:
         unfinished = self._attempts.unfinished()
-        return {item.peer for item in unfinished if item.peer in self._due_at}
+        peers = {peer for item in unfinished for peer in item.audience}
+        return peers & self._due_at.keys()
 
     def _on_change(self, msg: Message) -> Iterator[Message]:
         yield from self._beat_on_change()
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -22,6 +22,7 @@
     EndpointLoad,
     Finished,
     Permitted,
+    Withdrawn,
 )
 from ..state import SidecarState
 from .outside import OutsideLoad
@@ -99,6 +100,7 @@
             EndpointLoad: self._on_load,
             ConfigChanged: self._on_config,
             Tick: self._on_tick,
+            Withdrawn: self._on_withdrawn,
         }
 
     def _on_permitted(self, msg: Permitted) -> Iterator[Message]:
@@ -114,6 +116,11 @@
         self._costs[attempt.attempt_id] = cost
         yield from self._admit()
 
+    def _on_withdrawn(self, msg: Withdrawn) -> Iterator[Message]:
+        self._queue.discard(lambda item: item is msg.attempt)
+        self._drop(msg.attempt)
+        yield from ()
+
     def _on_finished(self, msg: Finished) -> Iterator[Message]:
         attempt = msg.attempt
         expected = self._costs.pop(attempt.attempt_id, 0.0)
@@ -239,10 +246,13 @@
     def _refuse(
         self, attempt: Attempt, kind: ErrorKind, detail: str
     ) -> Iterator[Message]:
+        self._attempts.refuse(attempt.attempt_id, self._clock.now())
+        self._drop(attempt)
+        if attempt.peer:
+            yield Refused(attempt.attempt_id, kind.value, detail).at(attempt.peer)
+
+    def _drop(self, attempt: Attempt) -> None:
         self._since.pop(attempt.attempt_id, None)
         self._costs.pop(attempt.attempt_id, None)
         self._occupants.pop(attempt.attempt_id, None)
-        self._attempts.refuse(attempt.attempt_id)
         self._state.n_waiting = len(self._queue)
-        if attempt.peer:
-            yield Refused(attempt.attempt_id, kind.value, detail).at(attempt.peer)
