--- a/features/support/world.py
+++ b/features/support/world.py
@@ -16,6 +16,7 @@
 from hawthornyard.core import ManualClock, Message, PeerDown, PeerUp, Tick
 from hawthornyard.frames import (
     ConfigPush,
+    Dispatch,
     Frame,
     Generation,
     RecordEntry,
@@ -31,6 +32,7 @@
 STEP_S = 1.0
 LATE_S = 15.0
 DOMAINS = ("east", "west")
+MORE_ENGINES = ("engine2", "engine3")
 
 
 class Counter:
@@ -138,9 +140,17 @@
         sidecars: Sidecars by name.
         endpoints: Endpoints by name.
         is_cut: Whether no new connection can be opened.
+        n_dispatched: Dispatches that gateways sent.
     """
 
-    def __init__(self, *, seed: int = 1, n_gateways: int = 2) -> None:
+    def __init__(
+        self,
+        *,
+        seed: int = 1,
+        n_gateways: int = 2,
+        n_engines: int = 1,
+        limit: int = 1,
+    ) -> None:
         self.clock = ManualClock()
         self.history = History()
         self.table = FaultyTable()
@@ -149,14 +159,17 @@
         self.endpoints: dict[str, FakeEndpoint] = {}
         self.links: dict[tuple[str, str], Link] = {}
         self.is_cut = False
+        self.n_dispatched = 0
+        self._limit = limit
         self._ids = Counter()
         self._seed = seed
         self._revision = 0
+        self._started: list[Node] = []
         self._entries: list[RecordEntry] = []
         self._key, self._key_hash = new_key("kiosk")
         for domain in DOMAINS:
-            for kind in ("engine", "service"):
-                self._add_endpoint(f"{kind}-{domain}", domain)
+            for kind in ("engine", "service", *MORE_ENGINES[: n_engines - 1]):
+                self._add_endpoint(f"{kind}-{domain}")
         self.apply(self._documents())
         for index in range(1, n_gateways + 1):
             self.add_gateway(f"gateway-{index}")
@@ -166,6 +179,7 @@
         """Start a gateway with the records in force."""
         gateway = GatewayNode(name, self.clock, self._seed, self._ids, self.table)
         self.gateways[name] = gateway
+        self._started.append(gateway)
         gateway.put(self._push())
         for sidecar in self.sidecars.values():
             self.links[name, sidecar.name] = Link(gateway, sidecar)
@@ -177,6 +191,7 @@
         domain = name.split("-")[1]
         sidecar = SidecarNode(endpoint, domain, self._ids.new(), self.clock)
         endpoint.attach(sidecar)
+        self._started.append(sidecar)
         self.sidecars[name] = sidecar
         for link in self.links_of(name):
             link.close()
@@ -328,6 +343,7 @@
     def _post(self, node: Node) -> None:
         while node.outbox:
             frame = node.outbox.popleft()
+            self.n_dispatched += isinstance(frame, Dispatch)
             pair = (node.name, frame.peer)
             if pair in self.links:
                 link, queue = self.links[pair], self.links[pair].to_sidecar
@@ -344,7 +360,8 @@
         if isinstance(node, SidecarNode):
             catalog = node.state.catalog
         assert catalog is not None
-        seen = self.history.revisions.setdefault(f"{node.name}/{id(node)}", [])
+        process = f"{node.name}/{self._started.index(node)}"
+        seen = self.history.revisions.setdefault(process, [])
         if not seen or seen[-1] != catalog.revision:
             seen.append(catalog.revision)
 
@@ -389,9 +406,9 @@
         )
         node.put(msg)
 
-    def _add_endpoint(self, name: str, domain: str) -> None:
+    def _add_endpoint(self, name: str) -> None:
         self.endpoints[name] = FakeEndpoint(name, self.clock, self.history)
-        self.history.limits[name] = 1
+        self.history.limits[name] = self._limit
         self.start_sidecar(name)
 
     def _push(self) -> Message:
@@ -423,15 +440,15 @@
         spec = {
             "failure_domain": domain,
             "sidecar": "127.0.0.1:1",
-            "protocol": "generation" if kind == "engine" else "http",
-            "initial_limit": 1,
-            "max_limit": 1,
+            "protocol": "http" if kind == "service" else "generation",
+            "initial_limit": self._limit,
+            "max_limit": self._limit,
             "leaving": leaving,
         }
-        if kind == "engine":
-            spec["models"] = ["scribe"]
-        else:
+        if kind == "service":
             spec["services"] = ["frontdesk"]
+        else:
+            spec["models"] = ["scribe"]
         return _document("endpoint", name, spec)
 
 
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -4,7 +4,7 @@
 
 from ...core import Clock
 from ...frames import Heartbeat
-from ...policy import EndpointView
+from ...policy import EndpointView, PauseDetector
 from ...records import Catalog, Service
 from ..messages import Request
 
@@ -31,6 +31,7 @@
         "_heard_at",
         "_offers",
         "_offers_at",
+        "_pause",
         "_views",
         "heartbeat_interval_s",
     )
@@ -42,6 +43,7 @@
         self._heard_at: dict[str, float] = {}
         self._offers: dict[str, list[EndpointView]] = {}
         self._offers_at = 0
+        self._pause = PauseDetector(clock)
         self.heartbeat_interval_s = DEFAULT_INTERVAL_S
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
@@ -65,6 +67,10 @@
         view.n_unreported = 0
         self._heard_at[endpoint.name] = self._clock.now()
 
+    def on_tick(self) -> None:
+        """Note that the loop runs."""
+        self._pause.on_tick()
+
     def on_lost(self, endpoint: str) -> None:
         """Stop routing to an endpoint whose connection is lost."""
         self._heard_at.pop(endpoint, None)
@@ -119,6 +125,8 @@
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
+        if self._pause.is_catching_up():
+            return
         for view in self._offering(request.service, request.model):
             if view.accepting and self.is_live(view.endpoint):
                 yield view
--- a/hawthornyard/gateway/fleet/watch.py
+++ b/hawthornyard/gateway/fleet/watch.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ...core import Handlers, Message, PeerDown
+from ...core import Handlers, Message, PeerDown, Tick
 from ...frames import Heartbeat
 from .fleet import Fleet
 
@@ -17,6 +17,7 @@
         self.handlers: Handlers = {
             Heartbeat: self._on_heartbeat,
             PeerDown: self._on_peer_down,
+            Tick: self._on_tick,
         }
 
     def _on_heartbeat(self, msg: Heartbeat) -> Iterator[Message]:
@@ -26,3 +27,7 @@
     def _on_peer_down(self, msg: PeerDown) -> Iterator[Message]:
         self._fleet.on_lost(msg.peer)
         yield msg
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        self._fleet.on_tick()
+        yield msg
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -13,6 +13,7 @@
     quantile,
 )
 from .memory import ExpectedMemory, MemoryLimit, Occupant
+from .pause import PauseDetector
 from .portion import divide
 from .rendezvous import rank, spread_subset
 from .retry import RetryBudget
@@ -33,6 +34,7 @@
     "LengthSource",
     "MemoryLimit",
     "Occupant",
+    "PauseDetector",
     "PrefixAffinity",
     "Queue",
     "RetryBudget",
--- a/hawthornyard/sidecar/request/gate.py
+++ b/hawthornyard/sidecar/request/gate.py
@@ -5,8 +5,17 @@
 from ...core import Clock, Handlers, Message, Stopped, StopRequested, Tick
 from ...errors import ErrorKind
 from ...frames import Refused
+from ...policy import PauseDetector
 from ..attempts import Attempts
-from ..messages import Attempt, ConfigChanged, Fresh, Permitted, Withdrawn
+from ..messages import (
+    Attempt,
+    ConfigChanged,
+    EndpointLoad,
+    Finished,
+    Fresh,
+    Permitted,
+    Withdrawn,
+)
 from ..state import SidecarState
 
 # Gateways need this long to hear that nothing more is taken.
@@ -24,15 +33,25 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_attempts", "_clock", "_idle_since", "_state", "handlers")
+    __slots__ = (
+        "_attempts",
+        "_clock",
+        "_idle_since",
+        "_pause",
+        "_state",
+        "handlers",
+    )
 
     def __init__(self, state: SidecarState, attempts: Attempts, clock: Clock) -> None:
         self._state = state
         self._attempts = attempts
         self._clock = clock
         self._idle_since: float | None = None
+        self._pause = PauseDetector(clock)
         self.handlers: Handlers = {
             Fresh: self._on_fresh,
+            Finished: self._on_news,
+            EndpointLoad: self._on_news,
             ConfigChanged: self._on_config,
             StopRequested: self._on_stop,
             Tick: self._on_tick,
@@ -45,6 +64,11 @@
             return
         yield self._refuse(msg.attempt, kind)
 
+    def _on_news(self, msg: Message) -> Iterator[Message]:
+        if self._pause.is_catching_up():
+            yield from self._withdraw_waiting()
+        yield msg
+
     def _on_config(self, msg: ConfigChanged) -> Iterator[Message]:
         yield from self._withdraw_waiting()
         yield msg
@@ -55,6 +79,9 @@
         yield msg
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        if self._pause.is_catching_up():
+            yield from self._withdraw_waiting()
+        self._pause.on_tick()
         yield msg
         if self._state.draining and self._may_stop(msg.now):
             yield Stopped()
@@ -64,6 +91,8 @@
             return ErrorKind.DOMAIN_OUT
         if not self._state.is_accepting:
             return ErrorKind.DRAINING
+        if self._pause.is_catching_up():
+            return ErrorKind.OVERLOADED
         return None
 
     def _withdraw_waiting(self) -> Iterator[Message]:
