--- a/features/support/nodes.py
+++ b/features/support/nodes.py
@@ -21,23 +21,11 @@
 )
 from hawthornyard.errors import ConflictError, PlatformError
 from hawthornyard.frames import (
-    Accepted,
-    Ack,
-    Attach,
-    Cancel,
-    ConfigPull,
-    ConfigPush,
-    Dispatch,
-    Ended,
-    Failed,
+    SENT_BY_GATEWAY,
+    SENT_BY_SIDECAR,
     Frame,
     Heartbeat,
-    Refused,
-    Replied,
     ServiceCall,
-    Subscribe,
-    Tokens,
-    Unknown,
 )
 from hawthornyard.gateway.chain import gateway_chain
 from hawthornyard.gateway.fleet import Fleet, Neighbours
@@ -77,11 +65,10 @@
     EndpointTokens,
     Finished,
 )
+from hawthornyard.sidecar.orders.messages import AskState, SendOrder
 from hawthornyard.sidecar.state import SidecarState
 from hawthornyard.standins import MemoryTable
 
-_GATEWAY_FRAMES = (Dispatch, Attach, Cancel, Ack, ConfigPush, ConfigPull, Subscribe)
-
 N_TOKENS = 8
 """Tokens of each generation."""
 
@@ -276,7 +263,7 @@
             chain,
             [
                 Feedback(self, AttemptFailed, Closed),
-                FrameSink(sender, *_GATEWAY_FRAMES),
+                FrameSink(sender, *SENT_BY_GATEWAY),
                 Quiet(),
                 Discard(
                     Tick,
@@ -459,18 +446,7 @@
         self.pipeline = Pipeline(
             sidecar_chain(self.state, self.attempts, clock),
             [
-                FrameSink(
-                    sender,
-                    Accepted,
-                    Refused,
-                    Tokens,
-                    Ended,
-                    Replied,
-                    Failed,
-                    Heartbeat,
-                    Unknown,
-                    ConfigPull,
-                ),
+                FrameSink(sender, *SENT_BY_SIDECAR),
                 self,
                 Quiet(),
                 Discard(
@@ -480,6 +456,8 @@
                     StopRequested,
                     sidecar_messages.ConfigChanged,
                     Finished,
+                    AskState,
+                    SendOrder,
                 ),
                 self.stop,
             ],
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -2,18 +2,28 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, Filter, Identifiers
-from ..policy import PrefixAffinity, RetryBudget, TwoChoices
+from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
+from ..frames import GATEWAY_TO_SIDECAR
+from ..policy import (
+    LengthPredictor,
+    PrefixAffinity,
+    RetryBudget,
+    RoutingPolicy,
+    TwoChoices,
+)
 from ..records import Catalog
 from .budget import TeamBudgets
 from .fleet import (
     ApplyConfig,
     Fleet,
+    FollowHosts,
     Greet,
     Neighbours,
+    PushPlan,
     ShareLimits,
     SubscribeHeartbeats,
     SuspectSilence,
+    TrackLoaded,
     Watch,
 )
 from .inflight import InFlight
@@ -41,6 +51,10 @@
     clock: Clock,
     chance: Chance,
     identifiers: Identifiers,
+    planner: Sequence[Filter] = (),
+    *,
+    predictor: LengthPredictor | None = None,
+    routing: RoutingPolicy | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway, head first.
 
@@ -53,24 +67,33 @@
         clock: Source of time.
         chance: Source of randomness.
         identifiers: Source of attempt ids.
+        planner: Filters of the planner's duty.
+        predictor: Predicts output lengths.
+        routing: Chooses among endpoints that fit.
     """
+    routing = routing or TwoChoices(chance, affinity=PrefixAffinity())
     budgets = TeamBudgets(clock)
     return [
+        DropUnexpected(*GATEWAY_TO_SIDECAR),
         ApplyConfig(catalog, neighbours),
         Greet(catalog, neighbours),
         SubscribeHeartbeats(fleet, neighbours),
         SuspectSilence(inflight, clock),
         ShareLimits(catalog, budgets, neighbours, clock),
         Watch(fleet),
+        TrackLoaded(fleet.loaded),
+        FollowHosts(fleet.leaving),
+        *planner,
+        PushPlan(),
         drain,
         Authenticate(catalog),
         ListModels(catalog),
         Resolve(catalog, inflight, clock),
         TeamLimit(budgets),
         Retry(inflight, RetryBudget(clock), clock),
-        WaitForRoom(fleet, clock),
+        WaitForRoom(fleet, clock, predictor=predictor),
         Claim(inflight, clock),
-        Route(fleet, TwoChoices(chance, affinity=PrefixAffinity())),
+        Route(fleet, routing),
         SendAttempt(inflight, fleet, clock, identifiers),
         Relay(inflight, fleet, clock),
         Meter(inflight, budgets),
--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -7,6 +7,8 @@
 from ...policy import EndpointView, PauseDetector
 from ...records import Catalog, Service
 from ..messages import Request
+from .hosts import LeavingHosts
+from .loaded import LoadedModels
 
 MISSED_HEARTBEATS = 3
 DEFAULT_INTERVAL_S = 1.0
@@ -23,6 +25,8 @@
 
     Attributes:
         heartbeat_interval_s: Seconds between the heartbeats of an endpoint.
+        leaving: Hosts that the platform is about to reclaim.
+        loaded: Models that the endpoints have ready.
     """
 
     __slots__ = (
@@ -34,6 +38,8 @@
         "_pause",
         "_views",
         "heartbeat_interval_s",
+        "leaving",
+        "loaded",
     )
 
     def __init__(self, catalog: Catalog, clock: Clock) -> None:
@@ -45,6 +51,8 @@
         self._offers_at = 0
         self._pause = PauseDetector(clock)
         self.heartbeat_interval_s = DEFAULT_INTERVAL_S
+        self.leaving = LeavingHosts()
+        self.loaded = LoadedModels()
 
     def on_heartbeat(self, beat: Heartbeat) -> None:
         """Take the state of an endpoint over."""
@@ -128,7 +136,11 @@
         if self._pause.is_catching_up():
             return
         for view in self._offering(request.service, request.model):
-            if view.accepting and self.is_live(view.endpoint):
+            if not view.accepting or not self.is_live(view.endpoint):
+                continue
+            if self._is_leaving(view.endpoint):
+                continue
+            if self.loaded.serves(view.endpoint, request.model):
                 yield view
 
     def _offering(self, service: Service, model: str) -> list[EndpointView]:
@@ -151,6 +163,10 @@
             return False
         return endpoint.serves(service, model)
 
+    def _is_leaving(self, name: str) -> bool:
+        endpoint = self._catalog.endpoint(name)
+        return endpoint is not None and self.leaving.holds(endpoint)
+
     def is_live(self, endpoint: str) -> bool:
         """Return whether an endpoint was heard of lately."""
         heard_at = self._heard_at.get(endpoint)
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -17,21 +17,10 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Ack,
-    Attach,
-    Cancel,
-    ConfigPull,
-    ConfigPush,
-    Demand,
-    Dispatch,
-    GatewayBeat,
-    Heartbeat,
-    Portion,
-    Subscribe,
-)
+from ..frames import SENT_BY_GATEWAY, Heartbeat
 from ..front import Application, HttpServer, Replies
-from ..platform import TableStore
+from ..planner import Duty, FollowDemand, planner_chain
+from ..platform import HttpHosts, TableStore
 from ..records import Catalog
 from ..rim import (
     ConfigPoll,
@@ -49,10 +38,13 @@
     run_timer,
     split_address,
 )
+from ..rim.calendar import UtcCalendar
 from ..rim.claims import ClaimWriter
+from ..rim.host_poll import HostPoll
+from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import MISSED_HEARTBEATS, Fleet, Neighbours, Subset
+from .fleet import MISSED_HEARTBEATS, Fleet, FleetSurveyor, Neighbours, Subset
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
@@ -121,20 +113,6 @@
         self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
 
 
-_SENT = (
-    Dispatch,
-    Attach,
-    Cancel,
-    Ack,
-    ConfigPush,
-    ConfigPull,
-    GatewayBeat,
-    Demand,
-    Portion,
-    Subscribe,
-)
-
-
 class Gateway:
     """One gateway process; also runs beside others within a demo.
 
@@ -164,6 +142,15 @@
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoll(table, self._inbox)
         neighbours = Neighbours(settings.name, settings.peers, self._clock)
+        self._plan_table = PlanTable(table, self._inbox, self._clock)
+        self._host_poll = _host_poll(settings, self._inbox)
+        holder = f"{settings.name}/{identifiers.new()}"
+        self.duty = Duty(
+            holder,
+            self._clock,
+            identifiers,
+            duration_s=settings.planner_lease_s,
+        )
         chain = gateway_chain(
             self.catalog,
             self.inflight,
@@ -173,6 +160,21 @@
             self._clock,
             random.Random(),
             identifiers,
+            planner_chain(
+                self.duty,
+                FleetSurveyor(
+                    self.catalog,
+                    self.fleet,
+                    self.inflight,
+                    UtcCalendar(),
+                    self._clock,
+                ),
+                FollowDemand(
+                    self._clock, weight_bytes_per_s=settings.weight_bytes_per_s
+                ),
+                self._clock,
+                random.Random(),
+            ),
         )
         app = Application(self._inbox, replies, identifiers, self)
         self._server = HttpServer(split_address(settings.listen), app)
@@ -180,12 +182,13 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, *_SENT),
+                FrameSink(connections, *SENT_BY_GATEWAY),
                 self._link_sink,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
                 replies,
                 self._claims,
+                self._plan_table,
                 ListenerSink(self._server),
                 self._stop,
             ],
@@ -208,6 +211,9 @@
         self._link_sink.refresh()
         if self._listener is not None:
             eventlet.spawn_n(self._listener.run)
+        self._plan_table.start()
+        if self._host_poll is not None:
+            eventlet.spawn_n(self._host_poll.run)
         self._server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
@@ -256,6 +262,12 @@
         }
 
 
+def _host_poll(settings: GatewaySettings, inbox: EventletInbox) -> HostPoll | None:
+    if not settings.hosts:
+        return None
+    return HostPoll(HttpHosts(settings.hosts), inbox)
+
+
 def _peer_listener(
     settings: GatewaySettings,
     codec: MsgpackCodec,
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Sequence
 
-from ..core import Clock, Filter
+from ..core import Clock, DropUnexpected, Filter
+from ..frames import SIDECAR_TO_GATEWAY
 from ..policy import BackoffPredictor, LengthPredictor, MemoryLimit
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
+from .orders import Reconcile
 from .reply import AttachPeers, NumberOutput
 from .request import Admit, Begin, Fence, Gate
 from .state import SidecarState
@@ -30,7 +32,9 @@
     """
     predictor = predictor or BackoffPredictor()
     return [
+        DropUnexpected(*SIDECAR_TO_GATEWAY),
         TakeConfig(state.catalog),
+        Reconcile(state.name, clock),
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -14,17 +14,7 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Accepted,
-    ConfigPull,
-    Ended,
-    Failed,
-    Heartbeat,
-    Refused,
-    Replied,
-    Tokens,
-    Unknown,
-)
+from ..frames import SENT_BY_SIDECAR
 from ..records import GENERATION, Catalog
 from ..rim import (
     Connections,
@@ -42,6 +32,7 @@
 )
 from ..rim.endpoint import EndpointClient, EndpointSink
 from ..rim.engine import EngineClient
+from ..rim.orders import EngineOrders, NoOrders, OrderClient, OrderSink
 from ..rim.service import ServiceClient
 from ..settings import SidecarSettings
 from .attempts import Attempts
@@ -68,22 +59,13 @@
         )
         connections = Connections(self._inbox)
         self._client = _client(settings)
+        self._orders = OrderSink(_order_client(settings), self._inbox)
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
             [
-                FrameSink(
-                    connections,
-                    Accepted,
-                    Refused,
-                    Tokens,
-                    Ended,
-                    Replied,
-                    Failed,
-                    Heartbeat,
-                    Unknown,
-                    ConfigPull,
-                ),
+                FrameSink(connections, *SENT_BY_SIDECAR),
                 EndpointSink(self._client, self._inbox),
+                self._orders,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, StopRequested, ConfigChanged, Finished),
                 self._stop,
@@ -111,6 +93,7 @@
         """
         eventlet.spawn_n(run_timer, self._inbox, self._clock)
         eventlet.spawn_n(self._listener.run)
+        self._orders.start()
         eventlet.spawn_n(self._client.watch, self._inbox)
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
@@ -132,3 +115,9 @@
     if settings.protocol == GENERATION:
         return EngineClient(settings.endpoint)
     return ServiceClient(settings.endpoint)
+
+
+def _order_client(settings: SidecarSettings) -> OrderClient:
+    if settings.protocol == GENERATION:
+        return EngineOrders(settings.endpoint)
+    return NoOrders()
--- a/hawthornyard/standins/__init__.py
+++ b/hawthornyard/standins/__init__.py
@@ -4,21 +4,33 @@
 from .engine_cache import CacheEvent
 from .engine_load import Load
 from .engine_model import EngineModel, Step
+from .engine_orders import EngineOrderRoutes, OrderModel
 from .engine_profile import EngineProfile
 from .engine_sequence import Sequence
+from .faults import Faults
+from .hosts import HostStandIn
+from .objects import ObjectStandIn
 from .service import ServiceStandIn
 from .table import TableStandIn
 from .table_model import MemoryTable
+from .weights import WeightModel, WeightStandIn
 
 __all__ = [
     "CacheEvent",
     "EngineModel",
+    "EngineOrderRoutes",
     "EngineProfile",
     "EngineStandIn",
+    "Faults",
+    "HostStandIn",
     "Load",
     "MemoryTable",
+    "ObjectStandIn",
+    "OrderModel",
     "Sequence",
     "ServiceStandIn",
     "Step",
     "TableStandIn",
+    "WeightModel",
+    "WeightStandIn",
 ]
--- a/hawthornyard/standins/engine.py
+++ b/hawthornyard/standins/engine.py
@@ -9,6 +9,7 @@
 from eventlet.queue import LightQueue
 
 from .engine_model import EngineModel
+from .engine_orders import EngineOrderRoutes, OrderModel
 from .engine_sequence import Sequence
 from .engine_stream import TokenStream
 from .web import WebAnswer, WebApp, WebRequest
@@ -24,9 +25,11 @@
 
     Args:
         model: Decides which sequences advance.
+        orders: Takes orders; an engine without models by default.
         abandoned_after_s: How long a generation runs and is kept unread.
 
     Attributes:
+        orders: Routes of the orders.
         ran: Request id and attempt id of every generation that was begun.
     """
 
@@ -37,13 +40,19 @@
         "_work",
         "app",
         "model",
+        "orders",
         "ran",
     )
 
     def __init__(
-        self, model: EngineModel, *, abandoned_after_s: float = ABANDONED_AFTER_S
+        self,
+        model: EngineModel,
+        orders: OrderModel | None = None,
+        *,
+        abandoned_after_s: float = ABANDONED_AFTER_S,
     ) -> None:
         self.model = model
+        self.orders = EngineOrderRoutes(orders or OrderModel())
         self._abandoned_after_s = abandoned_after_s
         self._streams: dict[str, TokenStream] = {}
         self._orders: dict[str, dict[str, Any]] = {}
@@ -57,6 +66,7 @@
                 "GET /v1/load": self._load,
                 "GET /v1/cache/events": self._cache_events,
                 "GET /ran": self._ran,
+                **self.orders.routes,
             }
         )
 
