Placement: spread new endpoints, bound the time of a decision, drop the dwell

Cause, by trials on scratch copies and a measurement: - the scenarios did not see the rule of failure domains: with endpoints named by domain, a new endpoint was seated by need alone.

--- a/features/ordering.py
+++ b/features/ordering.py
@@ -37,6 +37,7 @@
 ENDPOINT = "scribe-1"
 GATEWAY = "gateway-1"
 TICK_S = 0.1
+MAX_DELIVERIES_PER_TICK = 8
 
 
 class OrderWorld:
@@ -78,6 +79,7 @@
         """Start a new incarnation of the sidecar."""
         self.waiting.clear()
         self._floor = 0
+        self._has_read = False
         self.pipeline = Pipeline([Reconcile(ENDPOINT, self.clock)], [self])
         self.pipeline.push(PeerUp(GATEWAY))
 
@@ -111,7 +113,7 @@
         """Run without faults until the endpoint should have reached the plan."""
         for _ in range(round(seconds / TICK_S)):
             self.tick()
-            while self.waiting:
+            for _ in range(MAX_DELIVERIES_PER_TICK):
                 self.deliver()
             self.engine.advance()
 
@@ -121,6 +123,8 @@
 
     def _on_order(self, msg: SendOrder) -> None:
         number = msg.order.fencing_number
+        if not self._has_read:
+            self.violations.append(f"ordered {number} before the state was read")
         if number < self._floor:
             self.violations.append(f"ordered with {number}, below {self._floor}")
         self._floor = max(self._floor, number)
@@ -135,6 +139,7 @@
 
     def _note(self, answer: Message) -> None:
         if isinstance(answer, StateAnswered) and answer.state is not None:
+            self._has_read = True
             self._floor = max(self._floor, answer.state.fencing_number)
 
 
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -37,8 +37,8 @@
       When an order 15 of another hand arrives late
       Then the endpoint refused it
 
-    Scenario: A sidecar that was restarted never orders below what its endpoint reports
-      Given a sidecar beside an endpoint that checks the fencing number
+    Scenario Outline: A restarted sidecar never orders below what its endpoint reports
+      Given a sidecar beside an endpoint that <checking> the fencing number
       And the endpoint has reached plan 20 with model scribe
       When the sidecar restarts
       And plan 10 with model radgjafi is pushed
@@ -46,6 +46,11 @@
       Then the endpoint holds scribe by order 20
       And no order went below a number acted on
 
+      Examples:
+        | checking |
+        | checks   |
+        | ignores  |
+
     Scenario: An order that is in effect is not sent again
       Given a sidecar beside an endpoint that checks the fencing number
       And the endpoint has reached plan 20 with model scribe
--- a/features/planner.feature
+++ b/features/planner.feature
@@ -57,7 +57,8 @@
     Scenario: While the table is down the last plan stays in force
       Given the first planner holds the lease and has written a plan
       When the table is down for 120 seconds
-      Then no planner holds the lease
+      Then each planner tried to write at most 100 times
+      And no planner holds the lease
       And every planner still has the last plan in force
       When the table is back and all planners run for 60 seconds
       Then one of them holds the lease
@@ -65,6 +66,13 @@
       And the table was written at most 60 times meanwhile
       And no promise was broken
 
+    @fixture.planners
+    Scenario: A plan that changed under its holder is not overwritten
+      Given the first planner holds the lease and has written a plan
+      When its next plan is decided and the plan's row changes before it is sent
+      Then the row keeps the change
+      And the first planner runs for 10 seconds and builds on the change
+
     @fixture.planners
     Scenario: A new planner waits out the old lease and the longest order
       Given the first planner holds the lease and has written a plan
@@ -99,6 +107,7 @@
         | 6           | 3         | scribe, radgjafi             | every model has at least 2 replicas       |
         | 6           | 3         | scribe, radgjafi             | every open model is in 2 failure domains  |
         | 2           | 2         | scribe, radgjafi, vision     | every model has at least 1 replicas       |
+        | 4           | 2         | scribe, radgjafi             | every open model is in 2 failure domains  |
         | 4           | 2         | scribe, closed radgjafi      | every open model is in 2 failure domains  |
         | 4           | 2         | scribe, radgjafi             | a second plan moves 0 endpoints           |
 
@@ -116,6 +125,13 @@
         | both are saturated    | 2.0    | 2.0      | 0     | 0    |
         | busy, below the bound | 0.8    | 0.1      | 0     | 0    |
 
+    Scenario: Endpoints that move are taken from all failure domains
+      Given 12 idle endpoints in 3 failure domains
+      And the models scribe, radgjafi
+      When a plan is made
+      And the utilisation of scribe is 1.5 and of radgjafi 0.1 for 20 plans
+      Then the replicas of scribe differ by at most 1 between failure domains
+
     Scenario: Load that swings moves few endpoints
       Given 12 idle endpoints in 3 failure domains
       And the models scribe, radgjafi
--- a/features/planning.py
+++ b/features/planning.py
@@ -53,8 +53,10 @@
         self.is_down = False
         self.lose_next = False
         self.n_writes = 0
+        self.n_tries = 0
 
     def transact(self, conditions, puts):
+        self.n_tries += 1
         if self.is_down:
             raise PlatformError("down")
         self.n_writes += 1
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -100,8 +100,9 @@
 
 @when("an older plan {number:d} is pushed late")
 def fault_old_push(context: Context, number: int) -> None:
+    context.orders.push_plan(number, "vision")
     _until_order(context.orders)
-    context.orders.push_plan(number, "scribe")
+    context.orders.push_plan(number, "vision")
 
 
 @when("an order {number:d} of another hand arrives late")
--- a/hawthornyard/planner/board.py
+++ b/hawthornyard/planner/board.py
@@ -64,6 +64,13 @@
         """Return models with the one first that needs an endpoint most."""
         return sorted(models, key=self._need_key)
 
+    def by_need_in(self, domain: str, models: Iterable[str]) -> list[str]:
+        """Return models by need, those first that a failure domain lacks."""
+        counts = self._domains
+        return sorted(
+            self.by_need(models), key=lambda model: counts[model].get(domain, 0)
+        )
+
     def can_spare(self, seat: Seat) -> bool:
         """Return whether all models of an endpoint can do without it."""
         return all(
--- a/hawthornyard/planner/place.py
+++ b/hawthornyard/planner/place.py
@@ -13,8 +13,9 @@
 
 HIGH_UTILISATION = 0.85
 BALANCE_RATIO = 0.75
-MIN_DWELL_S = 300.0
 MAX_MOVES = 16
+# The search for each takes a while in the loop that relays tokens.
+MAX_TRANSFERS = 4
 DEFAULT_WEIGHT_BYTES_PER_S = 2e9
 
 
@@ -31,30 +32,27 @@
 
     An open model keeps a least number of replicas in different failure
     domains. Beyond that, a model over a high utilisation gets an endpoint from
-    one that stays clearly less utilised without it; the two bounds lie apart
-    and a moved endpoint stays for a while, so that a plan does not swing. An
-    endpoint that nobody else needs keeps what it holds. Loads of weights are
-    begun no faster than the weight store gives them.
+    one that stays clearly less utilised without it. Those bounds lie apart and
+    a falling load is believed slowly, so that a plan does not swing. An endpoint
+    that nobody else needs keeps what it holds. Loads of weights are begun no
+    faster than the weight store gives them.
 
     Args:
         clock: Source of time.
         weight_bytes_per_s: Rate of the weight store for all endpoints together.
     """
 
-    __slots__ = ("_clock", "_estimate", "_last", "_moved_at", "_weights")
+    __slots__ = ("_clock", "_estimate", "_weights")
 
     def __init__(
         self, clock: Clock, *, weight_bytes_per_s: float = DEFAULT_WEIGHT_BYTES_PER_S
     ) -> None:
         self._clock = clock
         self._estimate = LoadEstimate()
-        self._moved_at: dict[str, float] = {}
-        self._last: Plan | None = None
         self._weights = TokenBucket(weight_bytes_per_s, clock)
 
     def place(self, situation: Situation, plan: Plan | None) -> Draft:
         """Return a draft of the next plan; see `PlacementPolicy.place`."""
-        self._note_moves(plan)
         draft = Draft(plan, situation.needs)
         self._drop_retired(situation, draft)
         loads = self._estimate.update(situation, draft)
@@ -65,14 +63,6 @@
         self._refresh(board)
         return draft
 
-    def _note_moves(self, plan: Plan | None) -> None:
-        last, self._last = self._last, plan
-        if last is None or plan is None or last.revision == plan.revision:
-            return
-        for endpoint, entry in plan.entries.items():
-            if last.entries.get(endpoint) != entry:
-                self._moved_at[endpoint] = self._clock.now()
-
     def _drop_retired(self, situation: Situation, draft: Draft) -> None:
         seats = {seat.endpoint: seat for seat in situation.seats}
         for endpoint in draft.endpoints():
@@ -87,7 +77,7 @@
         for seat in board.available():
             if board.draft.holds(seat.endpoint):
                 continue
-            models = board.by_need(board.known(seat.allowed))
+            models = board.by_need_in(seat.failure_domain, board.known(seat.allowed))
             held = [model for model in models if model in seat.loaded]
             short = [model for model in models if board.is_short(model)]
             wanted = [model for model in held if model in short] or short
@@ -116,17 +106,19 @@
             self._move(board, seat, models, "no endpoint can be spared for it")
 
     def _relieve(self, board: Board) -> None:
-        for model in board.by_need(board.loads):
-            while board.loads[model].utilisation() > HIGH_UTILISATION:
-                seat = board.donor(model, self._is_gain(board))
-                if seat is None:
-                    break
-                if not self._move(board, seat, [model], "high utilisation"):
-                    break
+        for _ in range(MAX_TRANSFERS):
+            if not any(self._relieve_one(board, model) for model in _busy(board)):
+                return
+
+    def _relieve_one(self, board: Board, model: str) -> bool:
+        seat = board.donor(model, self._is_gain(board))
+        if seat is None:
+            return False
+        return self._move(board, seat, [model], "high utilisation")
 
     def _is_gain(self, board: Board) -> SeatTest:
         def is_gain(seat: Seat, model: str) -> bool:
-            if self._has_moved(seat) or not board.can_spare(seat):
+            if not board.can_spare(seat):
                 return False
             after = board.loads[model].utilisation(less=-seat.capacity)
             return board.utilisation_without(seat) <= BALANCE_RATIO * after
@@ -141,10 +133,6 @@
                 models = board.models_of(seat)
                 self._move(board, seat, models, "the records name other weights")
 
-    def _has_moved(self, seat: Seat) -> bool:
-        moved_at = self._moved_at.get(seat.endpoint)
-        return moved_at is not None and self._clock.now() - moved_at < MIN_DWELL_S
-
     def _move(
         self, board: Board, seat: Seat, models: Sequence[str], reason: str
     ) -> bool:
@@ -156,3 +144,11 @@
         self._weights.charge(n_bytes)
         board.move(seat, models, reason)
         return True
+
+
+def _busy(board: Board) -> list[str]:
+    return [
+        model
+        for model in board.by_need(board.loads)
+        if board.loads[model].utilisation() > HIGH_UTILISATION
+    ]
