--- a/features/support/peers.py
+++ b/features/support/peers.py
@@ -14,26 +14,38 @@
 PEER_NAME = "scribe-1"
 
 
+class KeepingInbox:
+    """Keep all messages that are put into it."""
+
+    def __init__(self) -> None:
+        self.kept: list[Message] = []
+
+    def put(self, msg: Message) -> None:
+        """Keep a message."""
+        self.kept.append(msg)
+
+
 class PeerPair:
     """A listening peer and what a link to it puts into its inbox."""
 
     def __init__(self) -> None:
         self.key = b"the key of the deployment"
-        self.kept: list[Message] = []
+        self._inbox = KeepingInbox()
         self.n_accepted = 0
         self.n_closed = 0
         self._sock = eventlet.listen(("127.0.0.1", 0))
         self.addresses = {PEER_NAME: f"127.0.0.1:{self._sock.getsockname()[1]}"}
         eventlet.spawn_n(self._accept)
 
-    def put(self, msg: Message) -> None:
-        """Keep a message, as an inbox does."""
-        self.kept.append(msg)
+    @property
+    def kept(self) -> list[Message]:
+        """Return the messages that links put into their inbox."""
+        return self._inbox.kept
 
     def links(self, key: bytes) -> PeerLinks:
         """Return links that use a key."""
-        connections = Connections(self)
-        return PeerLinks("gateway-1", key, MsgpackCodec(), connections, self)
+        connections = Connections(self._inbox)
+        return PeerLinks("gateway-1", key, MsgpackCodec(), connections, self._inbox)
 
     def _accept(self) -> None:
         while True:
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -17,20 +17,7 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Ack,
-    Attach,
-    Cancel,
-    ConfigPull,
-    ConfigPush,
-    Demand,
-    Dispatch,
-    GatewayBeat,
-    Heartbeat,
-    PlanPush,
-    Portion,
-    Subscribe,
-)
+from ..frames import SENT_BY_GATEWAY, Heartbeat
 from ..front import Application, HttpServer, Replies
 from ..planner import Duty, FollowDemand, planner_chain
 from ..platform import HttpHosts, TableStore
@@ -126,21 +113,6 @@
         self._links.set_silence(MISSED_HEARTBEATS * msg.interval_s)
 
 
-_SENT = (
-    Dispatch,
-    Attach,
-    Cancel,
-    Ack,
-    ConfigPush,
-    ConfigPull,
-    GatewayBeat,
-    Demand,
-    Portion,
-    Subscribe,
-    PlanPush,
-)
-
-
 class Gateway:
     """One gateway process; also runs beside others within a demo.
 
@@ -210,7 +182,7 @@
             chain,
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                FrameSink(connections, *_SENT),
+                FrameSink(connections, *SENT_BY_GATEWAY),
                 self._link_sink,
                 DecisionLog(settings.name),
                 Discard(Tick, PeerUp, PeerDown, Heartbeat, CallerGone, StopRequested),
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Sequence
 
-from ..core import Clock, Filter
+from ..core import Clock, DropUnexpected, Filter
+from ..frames import SIDECAR_TO_GATEWAY
 from ..policy import BackoffPredictor, LengthPredictor, MemoryLimit
 from .attempts import Attempts
 from .fleet import Beat, TakeConfig
@@ -31,6 +32,7 @@
     """
     predictor = predictor or BackoffPredictor()
     return [
+        DropUnexpected(*SIDECAR_TO_GATEWAY),
         TakeConfig(state.catalog),
         Reconcile(state.name, clock),
         AttachPeers(state, attempts, clock),
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -14,18 +14,7 @@
     StopRequested,
     Tick,
 )
-from ..frames import (
-    Accepted,
-    ConfigPull,
-    Ended,
-    Failed,
-    Heartbeat,
-    Loaded,
-    Refused,
-    Replied,
-    Tokens,
-    Unknown,
-)
+from ..frames import SENT_BY_SIDECAR
 from ..records import GENERATION, Catalog
 from ..rim import (
     Connections,
@@ -74,19 +63,7 @@
         self._pipeline = Pipeline(
             sidecar_chain(self.state, Attempts(), self._clock),
             [
-                FrameSink(
-                    connections,
-                    Accepted,
-                    Refused,
-                    Tokens,
-                    Ended,
-                    Replied,
-                    Failed,
-                    Heartbeat,
-                    Loaded,
-                    Unknown,
-                    ConfigPull,
-                ),
+                FrameSink(connections, *SENT_BY_SIDECAR),
                 EndpointSink(self._client, self._inbox),
                 self._orders,
                 DecisionLog(settings.name),
