--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -11,7 +11,14 @@
 from hawthornyard.codec import MsgpackCodec
 from hawthornyard.core import ManualClock
 from hawthornyard.frames import Loaded, PlanPush
-from hawthornyard.planner import FollowDemand, Lease, ModelNeed, Plan, Seat, Situation
+from hawthornyard.planner import (
+    Candidate,
+    FollowDemand,
+    Lease,
+    ModelNeed,
+    Plan,
+    Situation,
+)
 from hawthornyard.platform import Row
 from hawthornyard.rim.plan_rows import lease_value, plan_of, plan_value
 
@@ -29,7 +36,7 @@
         n_models: Models, all of them open.
     """
 
-    __slots__ = ("chance", "clock", "models", "needs", "plan", "policy", "seats")
+    __slots__ = ("chance", "clock", "models", "needs", "plan", "policy", "candidates")
 
     def __init__(self, n_endpoints: int, n_models: int) -> None:
         self.clock = ManualClock()
@@ -39,8 +46,8 @@
             model: ModelNeed(model, f"{model}-weights-v1", 1, True, 0)
             for model in self.models
         }
-        self.seats = [
-            Seat(
+        self.candidates = [
+            Candidate(
                 f"runner-{index:03}",
                 f"domain-{index % 6}",
                 self.models,
@@ -56,24 +63,24 @@
 
     def decide(self) -> tuple[int, float]:
         """Decide once; return the moves and the milliseconds it took."""
-        situation = Situation(self.clock.now(), self.seats, self.needs)
+        situation = Situation(self.clock.now(), self.candidates, self.needs)
         begun = time.process_time()
         draft = self.policy.place(situation, self.plan)
         spent_ms = (time.process_time() - begun) * 1000
         if draft.moves:
             self.plan = Plan(self.plan.revision + 1, draft.plan().entries)
-        for seat in self.seats:
-            seat.loaded = list(draft.models_of(seat.endpoint))
+        for candidate in self.candidates:
+            candidate.loaded = list(draft.models_of(candidate.endpoint))
         self.clock.advance(PLAN_INTERVAL_S)
         return len(draft.moves), spent_ms
 
     def load(self, index: int) -> None:
         """Make every model half busy, and two of them overloaded in turn."""
         hot = {self.models[(index // 10 + step) % len(self.models)] for step in (0, 1)}
-        for seat in self.seats:
-            busy = index >= N_DECISIONS // 2 and hot & set(seat.loaded)
+        for candidate in self.candidates:
+            busy = index >= N_DECISIONS // 2 and hot & set(candidate.loaded)
             low, high = (28, 40) if busy else (8, 20)
-            seat.n_busy = self.chance.randint(low, high)
+            candidate.n_busy = self.chance.randint(low, high)
 
 
 def main(n_endpoints: int, n_models: int) -> None:
--- a/features/planning.py
+++ b/features/planning.py
@@ -15,13 +15,13 @@
 from hawthornyard.frames import PlanEntry
 from hawthornyard.planner import (
     AskPlanTable,
+    Candidate,
     Draft,
     Duty,
     ModelNeed,
     Plan,
     PlanChanged,
     PlanTableSeen,
-    Seat,
     Situation,
     WritePlanTable,
     planner_chain,
@@ -89,7 +89,7 @@
         draft.move("scribe-1", [model], "test")
         return draft
 
-    def survey(self) -> Situation:
+    def situation(self) -> Situation:
         return Situation(0.0, [], {})
 
 
@@ -249,9 +249,11 @@
             self.violations.append(f"{writer} planned after {waited} s")
 
 
-def seat(name, *, domain="a", allowed=("scribe",), loaded=(), busy=0, available=True):
+def candidate(
+    name, *, domain="a", allowed=("scribe",), loaded=(), busy=0, available=True
+):
     """Return one endpoint for the placement policy."""
-    return Seat(name, domain, list(allowed), list(loaded), 10, busy, available)
+    return Candidate(name, domain, list(allowed), list(loaded), 10, busy, available)
 
 
 def need(model, *, version="v1", n_bytes=1, is_open=True, n_waiting=0):
@@ -274,5 +276,5 @@
     "PlannerWorld",
     "entry",
     "need",
-    "seat",
+    "candidate",
 ]
--- a/features/steps/planner.py
+++ b/features/steps/planner.py
@@ -13,9 +13,9 @@
     LONGEST_ORDER_S,
     TICK_S,
     PlannerWorld,
+    candidate,
     entry,
     need,
-    seat,
 )
 from hawthornyard.core import ManualClock, StopRequested
 from hawthornyard.planner import (
@@ -403,13 +403,13 @@
 
 
 @given("{n_endpoints:d} idle endpoints in {n_domains:d} failure domains")
-def make_seats(context: Context, n_endpoints: int, n_domains: int) -> None:
+def make_candidates(context: Context, n_endpoints: int, n_domains: int) -> None:
     context.clock = ManualClock()
     context.policy = FollowDemand(context.clock)
     context.plan = None
     context.n_moves = 0
-    context.seats = [
-        seat(f"e-{index:02}", domain=f"d-{index * n_domains // n_endpoints}")
+    context.candidates = [
+        candidate(f"e-{index:02}", domain=f"d-{index * n_domains // n_endpoints}")
         for index in range(n_endpoints)
     ]
 
@@ -421,7 +421,7 @@
         closed = name.startswith("closed ")
         model = name.removeprefix("closed ")
         context.needs[model] = need(model, is_open=not closed)
-    for item in context.seats:
+    for item in context.candidates:
         item.allowed = list(context.needs)
 
 
@@ -433,7 +433,7 @@
 
 
 def _plan(context):
-    situation = Situation(context.clock.now(), context.seats, context.needs)
+    situation = Situation(context.clock.now(), context.candidates, context.needs)
     draft = context.policy.place(situation, context.plan)
     revision = context.plan.revision if context.plan else 0
     if draft.moves:
@@ -449,7 +449,7 @@
 
 
 def _load(context):
-    for item in context.seats:
+    for item in context.candidates:
         held = context.plan.entries.get(item.endpoint)
         item.loaded = list(held.models) if held else []
 
@@ -457,7 +457,7 @@
 def _replicas(context):
     return Counter(
         model
-        for item in context.seats
+        for item in context.candidates
         if item.available
         for model in context.plan.entries[item.endpoint].models
     )
@@ -465,7 +465,7 @@
 
 @then("all endpoints hold {model}")
 def check_all_hold(context: Context, model: str) -> None:
-    assert _replicas(context)[model] == len(context.seats)
+    assert _replicas(context)[model] == len(context.candidates)
 
 
 @then("every model has at least {least:d} replicas")
@@ -479,7 +479,7 @@
     for model, item in context.needs.items():
         domains = {
             item.failure_domain
-            for item in context.seats
+            for item in context.candidates
             if model in context.plan.entries[item.endpoint].models
         }
         assert not item.is_open or len(domains) >= n_domains, (model, domains)
@@ -492,7 +492,7 @@
 
 def _set_load(context, loads):
     replicas = _replicas(context)
-    for item in context.seats:
+    for item in context.candidates:
         models = context.plan.entries[item.endpoint].models
         item.n_busy = sum(
             round(loads[model] / replicas[model] / len(models) * 10) for model in models
@@ -512,7 +512,7 @@
     " for {n_plans:d} plans"
 )
 def load_models(context: Context, scribe: float, radgjafi: float, n_plans: int) -> None:
-    half = len(context.seats) / 2
+    half = len(context.candidates) / 2
     loads = {"scribe": scribe * half, "radgjafi": radgjafi * half}
     _run_load(context, n_plans, lambda index: loads)
 
@@ -523,7 +523,7 @@
 
     def load_at(index):
         share = 0.5 + (0.35 if index // 3 % 2 else -0.35) * chance.random()
-        n_total = 0.75 * len(context.seats)
+        n_total = 0.75 * len(context.candidates)
         return {"scribe": share * n_total, "radgjafi": (1 - share) * n_total}
 
     _run_load(context, n_plans, load_at)
@@ -531,8 +531,8 @@
 
 @then("the replicas of {model} differ by at most {most:d} between failure domains")
 def check_spread(context: Context, model: str, most: int) -> None:
-    counts = Counter({item.failure_domain: 0 for item in context.seats})
-    for item in context.seats:
+    counts = Counter({item.failure_domain: 0 for item in context.candidates})
+    for item in context.candidates:
         counts[item.failure_domain] += (
             model in context.plan.entries[item.endpoint].models
         )
@@ -547,7 +547,7 @@
 @when("plans are made every 5 seconds until all endpoints are planned")
 def plan_all(context: Context) -> None:
     for _ in range(MAX_TICKS):
-        if context.plan and len(context.plan.entries) == len(context.seats):
+        if context.plan and len(context.plan.entries) == len(context.candidates):
             return
         _plan(context)
         context.clock.advance(PLAN_INTERVAL_S)
@@ -590,19 +590,19 @@
 def domain_out(context: Context, model: str) -> None:
     holding = [
         item
-        for item in context.seats
+        for item in context.candidates
         if model in context.plan.entries[item.endpoint].models
     ]
     kept = holding[-1].failure_domain
     lost = {item.failure_domain for item in holding} - {kept}
     domain = sorted(lost)[0]
-    for item in context.seats:
+    for item in context.candidates:
         item.available = item.failure_domain != domain
 
 
 @when("an endpoint is retired")
 def retire(context: Context) -> None:
-    context.seats.pop()
+    context.candidates.pop()
 
 
 @then("the plan has {n_endpoints:d} endpoints")
--- a/hawthornyard/gateway/fleet/__init__.py
+++ b/hawthornyard/gateway/fleet/__init__.py
@@ -10,15 +10,15 @@
 from .plan import PushPlan
 from .share import ShareLimits
 from .silence import SuspectSilence
+from .situation import FleetSituation
 from .subscribe import SubscribeHeartbeats
-from .survey import FleetSurveyor
 from .watch import Watch
 
 __all__ = [
     "MISSED_HEARTBEATS",
     "ApplyConfig",
     "Fleet",
-    "FleetSurveyor",
+    "FleetSituation",
     "FollowHosts",
     "Greet",
     "HostsListed",
--- a/hawthornyard/gateway/fleet/survey.py
+++ b/hawthornyard/gateway/fleet/situation.py
@@ -4,14 +4,14 @@
 from collections.abc import Iterator, Mapping
 
 from ...core import Clock
-from ...planner import Calendar, ModelNeed, Seat, Situation, is_open
+from ...planner import Calendar, Candidate, ModelNeed, Situation, is_open
 from ...policy import EndpointView
 from ...records import GENERATION, Catalog, Endpoint
 from ..inflight import InFlight
 from .fleet import Fleet
 
 
-class FleetSurveyor:
+class FleetSituation:
     """Draw the situation from records, heartbeats and own requests.
 
     Requests that wait in other gateways are not seen; that their model lacks
@@ -41,24 +41,24 @@
         self._calendar = calendar
         self._clock = clock
 
-    def survey(self) -> Situation:
-        """Return the situation; see `Surveyor.survey`."""
+    def situation(self) -> Situation:
+        """Return the situation; see `SituationSource.situation`."""
         views = {view.endpoint: view for view in self._fleet.views()}
-        seats = [
-            self._seat(endpoint, views.get(endpoint.name))
+        candidates = [
+            self._candidate(endpoint, views.get(endpoint.name))
             for endpoint in self._catalog.endpoints()
             if endpoint.protocol == GENERATION
         ]
-        return Situation(self._clock.now(), seats, self._needs())
+        return Situation(self._clock.now(), candidates, self._needs())
 
-    def _seat(self, endpoint: Endpoint, view: EndpointView | None) -> Seat:
+    def _candidate(self, endpoint: Endpoint, view: EndpointView | None) -> Candidate:
         available = (
             view is not None
             and view.accepting
             and self._catalog.in_service(endpoint)
             and not self._fleet.leaving.holds(endpoint)
         )
-        return Seat(
+        return Candidate(
             endpoint.name,
             endpoint.failure_domain,
             endpoint.models,
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -44,7 +44,7 @@
 from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
 from .chain import gateway_chain
-from .fleet import MISSED_HEARTBEATS, Fleet, FleetSurveyor, Neighbours, Subset
+from .fleet import MISSED_HEARTBEATS, Fleet, FleetSituation, Neighbours, Subset
 from .inflight import InFlight
 from .messages import (
     AttemptFailed,
@@ -162,7 +162,7 @@
             identifiers,
             planner_chain(
                 self.duty,
-                FleetSurveyor(
+                FleetSituation(
                     self.catalog,
                     self.fleet,
                     self.inflight,
--- a/hawthornyard/planner/__init__.py
+++ b/hawthornyard/planner/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from .chain import planner_chain
-from .demand import ModelNeed, Seat, Situation, Surveyor
+from .demand import Candidate, ModelNeed, Situation, SituationSource
 from .draft import Draft, Move
 from .duty import LEASE_DURATION_S, Duty
 from .follow import FollowPlan
@@ -50,9 +50,9 @@
     "PlanTableSeen",
     "PlanTableUnknown",
     "PlanTableWritten",
-    "Seat",
+    "Candidate",
     "Situation",
-    "Surveyor",
+    "SituationSource",
     "WeekTime",
     "WritePlanTable",
     "is_open",
--- a/hawthornyard/planner/board.py
+++ b/hawthornyard/planner/balance.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Sequence
 
-from .demand import ModelNeed, Seat, Situation
+from .demand import Candidate, ModelNeed, Situation
 from .draft import Draft
 from .load import ModelLoad
 
@@ -10,10 +10,10 @@
 MIN_OPEN_REPLICAS = 2
 UNKNOWN_WEIGHT_BYTES = 10_000_000_000
 
-SeatTest = Callable[[Seat, str], bool]
+CandidateTest = Callable[[Candidate, str], bool]
 
 
-class Board:
+class Balance:
     """The situation, the draft and the loads under it.
 
     Args:
@@ -22,33 +22,42 @@
         loads: Load of each model under the draft.
     """
 
-    __slots__ = ("_domains", "_n_open_replicas", "_needs", "_seats", "draft", "loads")
+    __slots__ = (
+        "_domains",
+        "_n_open_replicas",
+        "_needs",
+        "_candidates",
+        "draft",
+        "loads",
+    )
 
     def __init__(
         self, situation: Situation, draft: Draft, loads: dict[str, ModelLoad]
     ) -> None:
         self._needs = situation.needs
-        self._seats = [seat for seat in situation.seats if seat.available]
+        self._candidates = [
+            candidate for candidate in situation.candidates if candidate.available
+        ]
         self.draft = draft
         self.loads = loads
         n_open = sum(need.is_open for need in self._needs.values())
-        plenty = len(self._seats) >= MIN_OPEN_REPLICAS * n_open
+        plenty = len(self._candidates) >= MIN_OPEN_REPLICAS * n_open
         self._n_open_replicas = MIN_OPEN_REPLICAS if plenty else 1
         self._domains: dict[str, dict[str, int]] = {model: {} for model in loads}
-        for seat in self._seats:
-            self._count(seat, 1)
+        for candidate in self._candidates:
+            self._count(candidate, 1)
 
-    def available(self) -> Sequence[Seat]:
+    def available(self) -> Sequence[Candidate]:
         """Return the endpoints that can be planned with."""
-        return self._seats
+        return self._candidates
 
     def known(self, models: Iterable[str]) -> list[str]:
         """Return those models that have a record."""
         return [model for model in models if model in self._needs]
 
-    def models_of(self, seat: Seat) -> Sequence[str]:
+    def models_of(self, candidate: Candidate) -> Sequence[str]:
         """Return the models that an endpoint holds under the draft."""
-        return self.draft.models_of(seat.endpoint)
+        return self.draft.models_of(candidate.endpoint)
 
     def least_replicas(self, model: str) -> int:
         """Return how many replicas a model keeps at least."""
@@ -71,25 +80,25 @@
             self.by_need(models), key=lambda model: counts[model].get(domain, 0)
         )
 
-    def can_spare(self, seat: Seat) -> bool:
+    def can_spare(self, candidate: Candidate) -> bool:
         """Return whether all models of an endpoint can do without it."""
         return all(
             self.loads[model].n_replicas > self.least_replicas(model)
-            for model in self.models_of(seat)
+            for model in self.models_of(candidate)
         )
 
-    def utilisation_without(self, seat: Seat) -> float:
+    def utilisation_without(self, candidate: Candidate) -> float:
         """Return the highest utilisation of an endpoint's models without it."""
-        models = self.models_of(seat)
+        models = self.models_of(candidate)
         return max(
             (
-                self.loads[model].utilisation(less=seat.capacity / len(models))
+                self.loads[model].utilisation(less=candidate.capacity / len(models))
                 for model in models
             ),
             default=0.0,
         )
 
-    def donor(self, model: str, test: SeatTest) -> Seat | None:
+    def donor(self, model: str, test: CandidateTest) -> Candidate | None:
         """Return the endpoint that is best given to a model, if any may be.
 
         Args:
@@ -97,38 +106,40 @@
             test: Whether an endpoint may be given to the model.
         """
         fitting = [
-            seat
-            for seat in self._seats
-            if model in seat.allowed
-            and self.draft.holds(seat.endpoint)
-            and model not in self.models_of(seat)
-            and test(seat, model)
+            candidate
+            for candidate in self._candidates
+            if model in candidate.allowed
+            and self.draft.holds(candidate.endpoint)
+            and model not in self.models_of(candidate)
+            and test(candidate, model)
         ]
-        return min(fitting, key=lambda seat: self._cost(seat, model), default=None)
+        return min(
+            fitting, key=lambda candidate: self._cost(candidate, model), default=None
+        )
 
-    def bytes_to_load(self, seat: Seat, models: Sequence[str]) -> int:
+    def bytes_to_load(self, candidate: Candidate, models: Sequence[str]) -> int:
         """Return the bytes of weights that a move makes an endpoint load."""
-        held = set(seat.loaded) if models != self.models_of(seat) else set()
+        held = set(candidate.loaded) if models != self.models_of(candidate) else set()
         return sum(_size(self._needs[model]) for model in models if model not in held)
 
-    def move(self, seat: Seat, models: Sequence[str], reason: str) -> None:
+    def move(self, candidate: Candidate, models: Sequence[str], reason: str) -> None:
         """Give an endpoint other models and follow the loads."""
-        self._count(seat, -1)
-        self._account(seat, -1)
-        self.draft.move(seat.endpoint, models, reason)
-        self._account(seat, 1)
-        self._count(seat, 1)
-
-    def _account(self, seat: Seat, sign: int) -> None:
-        models = self.models_of(seat)
+        self._count(candidate, -1)
+        self._account(candidate, -1)
+        self.draft.move(candidate.endpoint, models, reason)
+        self._account(candidate, 1)
+        self._count(candidate, 1)
+
+    def _account(self, candidate: Candidate, sign: int) -> None:
+        models = self.models_of(candidate)
         for model in models:
-            self.loads[model].capacity += sign * seat.capacity / len(models)
+            self.loads[model].capacity += sign * candidate.capacity / len(models)
             self.loads[model].n_replicas += sign
 
-    def _count(self, seat: Seat, sign: int) -> None:
-        for model in self.models_of(seat):
+    def _count(self, candidate: Candidate, sign: int) -> None:
+        for model in self.models_of(candidate):
             counts = self._domains[model]
-            domain = seat.failure_domain
+            domain = candidate.failure_domain
             counts[domain] = counts.get(domain, 0) + sign
 
     def _need_key(self, model: str) -> tuple[bool, float, int, str]:
@@ -140,13 +151,15 @@
             model,
         )
 
-    def _cost(self, seat: Seat, model: str) -> tuple[bool, int, float, int, str]:
+    def _cost(
+        self, candidate: Candidate, model: str
+    ) -> tuple[bool, int, float, int, str]:
         return (
-            model not in seat.loaded,
-            self._domains[model].get(seat.failure_domain, 0),
-            self.utilisation_without(seat),
-            seat.n_busy,
-            seat.endpoint,
+            model not in candidate.loaded,
+            self._domains[model].get(candidate.failure_domain, 0),
+            self.utilisation_without(candidate),
+            candidate.n_busy,
+            candidate.endpoint,
         )
 
 
--- a/hawthornyard/planner/chain.py
+++ b/hawthornyard/planner/chain.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Chance, Clock, Filter
-from .demand import Surveyor
+from .demand import SituationSource
 from .duty import Duty
 from .follow import FollowPlan
 from .lease import LONGEST_ORDER_S, HoldLease
@@ -13,7 +13,7 @@
 
 def planner_chain(
     duty: Duty,
-    surveyor: Surveyor,
+    source: SituationSource,
     policy: PlacementPolicy,
     clock: Clock,
     chance: Chance,
@@ -25,7 +25,7 @@
 
     Args:
         duty: State that the filters share.
-        surveyor: Tells what to plan for.
+        source: Tells what to plan for.
         policy: Decides on plans.
         clock: Source of time.
         chance: Source of randomness.
@@ -35,5 +35,5 @@
     return [
         HoldLease(duty, clock, chance, longest_order_s=longest_order_s),
         FollowPlan(duty),
-        MakePlan(duty, surveyor, policy, clock, interval_s=interval_s),
+        MakePlan(duty, source, policy, clock, interval_s=interval_s),
     ]
--- a/hawthornyard/planner/demand.py
+++ b/hawthornyard/planner/demand.py
@@ -6,7 +6,7 @@
 from ..core import Message
 
 
-class Seat(Message):
+class Candidate(Message):
     """One endpoint as the planner sees it.
 
     Attributes:
@@ -81,23 +81,26 @@
 
     Attributes:
         now: Monotonic seconds.
-        seats: All endpoints that can hold models.
+        candidates: All endpoints that can hold models.
         needs: Models by name.
     """
 
-    __slots__ = ("now", "seats", "needs")
+    __slots__ = ("now", "candidates", "needs")
 
     def __init__(
-        self, now: float, seats: Sequence[Seat], needs: Mapping[str, ModelNeed]
+        self,
+        now: float,
+        candidates: Sequence[Candidate],
+        needs: Mapping[str, ModelNeed],
     ) -> None:
         self.now = now
-        self.seats = seats
+        self.candidates = candidates
         self.needs = needs
 
 
-class Surveyor(Protocol):
+class SituationSource(Protocol):
     """Tell the planner what it plans for."""
 
-    def survey(self) -> Situation:
+    def situation(self) -> Situation:
         """Return the situation as this process sees it."""
         ...
--- a/hawthornyard/planner/load.py
+++ b/hawthornyard/planner/load.py
@@ -45,15 +45,15 @@
     def update(self, situation: Situation, draft: Draft) -> dict[str, ModelLoad]:
         """Return the load of each model under a draft of the plan."""
         raw = {need.model: float(need.n_waiting) for need in situation.needs.values()}
-        for seat in situation.seats:
-            models = _known(draft.models_of(seat.endpoint), raw)
+        for candidate in situation.candidates:
+            models = _known(draft.models_of(candidate.endpoint), raw)
             for model in models:
-                raw[model] += seat.n_busy / len(models)
+                raw[model] += candidate.n_busy / len(models)
         loads = {model: ModelLoad(self._smooth(model, raw[model])) for model in raw}
-        for seat in situation.seats:
-            models = _known(draft.models_of(seat.endpoint), raw)
-            for model in models if seat.available else ():
-                loads[model].capacity += seat.capacity / len(models)
+        for candidate in situation.candidates:
+            models = _known(draft.models_of(candidate.endpoint), raw)
+            for model in models if candidate.available else ():
+                loads[model].capacity += candidate.capacity / len(models)
                 loads[model].n_replicas += 1
         return loads
 
--- a/hawthornyard/planner/make.py
+++ b/hawthornyard/planner/make.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator, Sequence
 
 from ..core import Clock, Decision, Handlers, Message, Tick
-from .demand import Surveyor
+from .demand import SituationSource
 from .draft import Move
 from .duty import Duty
 from .messages import PlanTableWritten
@@ -17,7 +17,7 @@
 
     Args:
         duty: State shared with the other planner filters.
-        surveyor: Tells what to plan for.
+        source: Tells what to plan for.
         policy: Decides.
         clock: Source of time.
         interval_s: Seconds between decisions.
@@ -30,21 +30,21 @@
         "_interval_s",
         "_moves",
         "_policy",
-        "_surveyor",
+        "_source",
         "handlers",
     )
 
     def __init__(
         self,
         duty: Duty,
-        surveyor: Surveyor,
+        source: SituationSource,
         policy: PlacementPolicy,
         clock: Clock,
         *,
         interval_s: float = PLAN_INTERVAL_S,
     ) -> None:
         self._duty = duty
-        self._surveyor = surveyor
+        self._source = source
         self._policy = policy
         self._clock = clock
         self._interval_s = interval_s
@@ -62,7 +62,7 @@
         yield msg
 
     def _plan(self) -> Iterator[Message]:
-        draft = self._policy.place(self._surveyor.survey(), self._duty.plan)
+        draft = self._policy.place(self._source.situation(), self._duty.plan)
         if not draft.moves:
             return
         self._moves = draft.moves
--- a/hawthornyard/planner/place.py
+++ b/hawthornyard/planner/place.py
@@ -5,8 +5,8 @@
 
 from ..core import Clock
 from ..policy import TokenBucket
-from .board import Board, SeatTest
-from .demand import Seat, Situation
+from .balance import Balance, CandidateTest
+from .demand import Candidate, Situation
 from .draft import Draft
 from .load import LoadEstimate
 from .plan import Plan
@@ -56,99 +56,111 @@
         draft = Draft(plan, situation.needs)
         self._drop_retired(situation, draft)
         loads = self._estimate.update(situation, draft)
-        board = Board(situation, draft, loads)
-        self._seat_new(board)
-        self._fill_shortages(board)
-        self._relieve(board)
-        self._refresh(board)
+        balance = Balance(situation, draft, loads)
+        self._place_new(balance)
+        self._fill_shortages(balance)
+        self._relieve(balance)
+        self._refresh(balance)
         return draft
 
     def _drop_retired(self, situation: Situation, draft: Draft) -> None:
-        seats = {seat.endpoint: seat for seat in situation.seats}
+        candidates = {
+            candidate.endpoint: candidate for candidate in situation.candidates
+        }
         for endpoint in draft.endpoints():
-            seat = seats.get(endpoint)
+            candidate = candidates.get(endpoint)
             models = draft.models_of(endpoint)
-            if seat is None:
+            if candidate is None:
                 draft.drop(endpoint, "the endpoint was retired")
-            elif not set(models) <= set(seat.allowed) & set(situation.needs):
+            elif not set(models) <= set(candidate.allowed) & set(situation.needs):
                 draft.drop(endpoint, "the records no longer allow it")
 
-    def _seat_new(self, board: Board) -> None:
-        for seat in board.available():
-            if board.draft.holds(seat.endpoint):
+    def _place_new(self, balance: Balance) -> None:
+        for candidate in balance.available():
+            if balance.draft.holds(candidate.endpoint):
                 continue
-            models = board.by_need_in(seat.failure_domain, board.known(seat.allowed))
-            held = [model for model in models if model in seat.loaded]
-            short = [model for model in models if board.is_short(model)]
+            models = balance.by_need_in(
+                candidate.failure_domain, balance.known(candidate.allowed)
+            )
+            held = [model for model in models if model in candidate.loaded]
+            short = [model for model in models if balance.is_short(model)]
             wanted = [model for model in held if model in short] or short
             for model in (wanted or held or models)[:1]:
-                self._move(board, seat, [model], "a new endpoint")
-
-    def _fill_shortages(self, board: Board) -> None:
-        for model in board.by_need(filter(board.is_short, board.loads)):
-            while board.is_short(model):
-                seat = board.donor(model, lambda seat, _: board.can_spare(seat))
-                if seat is None:
-                    self._share(board, model)
+                self._move(balance, candidate, [model], "a new endpoint")
+
+    def _fill_shortages(self, balance: Balance) -> None:
+        for model in balance.by_need(filter(balance.is_short, balance.loads)):
+            while balance.is_short(model):
+                candidate = balance.donor(
+                    model, lambda candidate, _: balance.can_spare(candidate)
+                )
+                if candidate is None:
+                    self._share(balance, model)
                     break
                 reason = "an open model has too few replicas"
-                if not self._move(board, seat, [model], reason):
+                if not self._move(balance, candidate, [model], reason):
                     break
 
-    def _share(self, board: Board, model: str) -> None:
-        if board.loads[model].n_replicas:
+    def _share(self, balance: Balance, model: str) -> None:
+        if balance.loads[model].n_replicas:
             return
-        seats = [seat for seat in board.available() if model in seat.allowed]
-        seats = [seat for seat in seats if board.draft.holds(seat.endpoint)]
-        if seats:
-            seat = min(seats, key=lambda item: len(board.models_of(item)))
-            models = [*board.models_of(seat), model]
-            self._move(board, seat, models, "no endpoint can be spared for it")
-
-    def _relieve(self, board: Board) -> None:
+        candidates = [
+            candidate for candidate in balance.available() if model in candidate.allowed
+        ]
+        candidates = [
+            candidate
+            for candidate in candidates
+            if balance.draft.holds(candidate.endpoint)
+        ]
+        if candidates:
+            candidate = min(candidates, key=lambda item: len(balance.models_of(item)))
+            models = [*balance.models_of(candidate), model]
+            self._move(balance, candidate, models, "no endpoint can be spared for it")
+
+    def _relieve(self, balance: Balance) -> None:
         for _ in range(MAX_TRANSFERS):
-            if not any(self._relieve_one(board, model) for model in _busy(board)):
+            if not any(self._relieve_one(balance, model) for model in _busy(balance)):
                 return
 
-    def _relieve_one(self, board: Board, model: str) -> bool:
-        seat = board.donor(model, self._is_gain(board))
-        if seat is None:
+    def _relieve_one(self, balance: Balance, model: str) -> bool:
+        candidate = balance.donor(model, self._is_gain(balance))
+        if candidate is None:
             return False
-        return self._move(board, seat, [model], "high utilisation")
+        return self._move(balance, candidate, [model], "high utilisation")
 
-    def _is_gain(self, board: Board) -> SeatTest:
-        def is_gain(seat: Seat, model: str) -> bool:
-            if not board.can_spare(seat):
+    def _is_gain(self, balance: Balance) -> CandidateTest:
+        def is_gain(candidate: Candidate, model: str) -> bool:
+            if not balance.can_spare(candidate):
                 return False
-            after = board.loads[model].utilisation(less=-seat.capacity)
-            return board.utilisation_without(seat) <= BALANCE_RATIO * after
+            after = balance.loads[model].utilisation(less=-candidate.capacity)
+            return balance.utilisation_without(candidate) <= BALANCE_RATIO * after
 
         return is_gain
 
-    def _refresh(self, board: Board) -> None:
-        for seat in board.available():
-            if not board.draft.holds(seat.endpoint):
+    def _refresh(self, balance: Balance) -> None:
+        for candidate in balance.available():
+            if not balance.draft.holds(candidate.endpoint):
                 continue
-            if board.draft.is_outdated(seat.endpoint):
-                models = board.models_of(seat)
-                self._move(board, seat, models, "the records name other weights")
+            if balance.draft.is_outdated(candidate.endpoint):
+                models = balance.models_of(candidate)
+                self._move(balance, candidate, models, "the records name other weights")
 
     def _move(
-        self, board: Board, seat: Seat, models: Sequence[str], reason: str
+        self, balance: Balance, candidate: Candidate, models: Sequence[str], reason: str
     ) -> bool:
-        if len(board.draft.moves) >= MAX_MOVES:
+        if len(balance.draft.moves) >= MAX_MOVES:
             return False
-        n_bytes = board.bytes_to_load(seat, models)
+        n_bytes = balance.bytes_to_load(candidate, models)
         if n_bytes and not self._weights.is_positive():
             return False
         self._weights.charge(n_bytes)
-        board.move(seat, models, reason)
+        balance.move(candidate, models, reason)
         return True
 
 
-def _busy(board: Board) -> list[str]:
+def _busy(balance: Balance) -> list[str]:
     return [
         model
-        for model in board.by_need(board.loads)
-        if board.loads[model].utilisation() > HIGH_UTILISATION
+        for model in balance.by_need(balance.loads)
+        if balance.loads[model].utilisation() > HIGH_UTILISATION
     ]
