--- a/hawthornyard/gateway/fleet/fleet.py
+++ b/hawthornyard/gateway/fleet/fleet.py
@@ -123,12 +123,12 @@
     def views(self) -> Iterator[EndpointView]:
         """Yield the view of every endpoint heard of lately."""
         for view in self._views.values():
-            if self._is_live(view.endpoint):
+            if self.is_live(view.endpoint):
                 yield view
 
     def _fitting(self, request: Request) -> Iterator[EndpointView]:
         for view in self._offering(request.service, request.model):
-            if not view.accepting or not self._is_live(view.endpoint):
+            if not view.accepting or not self.is_live(view.endpoint):
                 continue
             if self._is_leaving(view.endpoint):
                 continue
@@ -159,7 +159,8 @@
         endpoint = self._catalog.endpoint(name)
         return endpoint is not None and self.leaving.holds(endpoint)
 
-    def _is_live(self, endpoint: str) -> bool:
+    def is_live(self, endpoint: str) -> bool:
+        """Return whether an endpoint was heard of lately."""
         heard_at = self._heard_at.get(endpoint)
         if heard_at is None:
             return False
--- a/hawthornyard/sidecar/chain.py
+++ b/hawthornyard/sidecar/chain.py
@@ -38,7 +38,7 @@
         AttachPeers(state, attempts, clock),
         NumberOutput(attempts, clock),
         Fence(attempts, clock),
-        Gate(state, attempts),
+        Gate(state, attempts, clock),
         Admit(state, attempts, clock, predictor, memory=memory),
         Begin(clock),
         Beat(state, attempts, clock),
