--- a/features/promise_at_most_once.feature
+++ b/features/promise_at_most_once.feature
@@ -28,7 +28,7 @@
       | connection cut                  | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
       | connection silent               | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
       | silent, endpoint killed         | whole   | whole   | whole    | whole   | whole   | whole    | unknown | whole   |
-      | connection delayed              | whole   | whole   | refused  | whole   | whole   | whole    | whole   | whole   |
+      | connection delayed              | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
       | network parted for 20 s         | whole   | refused | refused  | unknown | unknown | unknown  | unknown | unknown |
       | platform down                   | refused | whole   | refused  | whole   | whole   | whole    | whole   | whole   |
       | platform slow                   | whole   | whole   | whole    | whole   | whole   | whole    | whole   | whole   |
--- a/features/promise_stream.feature
+++ b/features/promise_stream.feature
@@ -22,11 +22,11 @@
       | sidecar frozen for 4 s          | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
       | sidecar frozen for 20 s         | whole  | whole    | whole   | whole   | whole    | lost  | lost  | lost  | whole |
       | sidecar frozen, domain out      | whole  | whole    | whole   | whole   | whole    | lost  | lost  | lost  | whole |
-      | frozen sidecar replaced         | whole  | lost     | whole   | whole   | whole    | lost  | lost  | lost  | whole |
+      | frozen sidecar replaced         | whole  | whole    | whole   | whole   | whole    | lost  | lost  | lost  | whole |
       | connection cut                  | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
       | connection silent               | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
       | silent, endpoint killed         | whole  | whole    | whole   | whole   | whole    | lost  | lost  | lost  | whole |
-      | connection delayed              | whole  | refused  | whole   | whole   | whole    | whole | whole | whole | whole |
+      | connection delayed              | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
       | network parted for 20 s         | whole  | refused  | unknown | unknown | unknown  | lost  | lost  | lost  | lost  |
       | platform down                   | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
       | platform slow                   | whole  | whole    | whole   | whole   | whole    | whole | whole | whole | whole |
