Connect to an endpoint outside the subset when a caller comes back for it

Cause: a gateway links only to its subset, so a caller that came back at another gateway could name an endpoint that it never connects to.

Change: the reattach asks the rim for a link; names that no record holds are ignored.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -34,3 +34,9 @@
   Scenario: The heartbeats of many links stay within the control budget
     Given a gateway with 96 links
     Then it asks for at most 10 heartbeats a second in all
+
+  Scenario: A caller that comes back to a gateway without a link makes it connect
+    Given a gateway with no link to the endpoint
+    When a caller comes back for a generation at that endpoint
+    Then the gateway wants a link to that endpoint
+    And a link to an endpoint that no record names is never made
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -7,6 +7,7 @@
 
 from hawthornyard.core import Decision, ManualClock, Message, PeerUp, Pipeline, Tick
 from hawthornyard.frames import (
+    Attach,
     Dispatch,
     Generation,
     Heartbeat,
@@ -25,9 +26,15 @@
 from hawthornyard.gateway.messages import (
     ConnectionSuspected,
     HeartbeatsExpected,
+    LinkWanted,
+    Reattached,
+    Reconnect,
+    ReplyStarted,
     Request,
 )
+from hawthornyard.gateway.request import SendAttempt
 from hawthornyard.records import GENERATION, Catalog, Service, Team
+from hawthornyard.rim import RandomIdentifiers
 from hawthornyard.sidecar.attempts import Attempts
 from hawthornyard.sidecar.fleet import Beat
 from hawthornyard.sidecar.messages import Attempt
@@ -221,3 +228,37 @@
     name = f"runner-{index:03d}"
     document = {"kind": "endpoint", "schema": 1, "name": name, "spec": spec}
     return RecordEntry("endpoint", name, 1, json.dumps(document))
+
+
+@given("a gateway with no link to the endpoint")
+def start_without_link(context: Context) -> None:
+    clock = ManualClock(100.0)
+    context.catalog = Catalog()
+    context.catalog.apply(1, [_endpoint_entry(0)])
+    fleet = Fleet(context.catalog, clock)
+    context.tail = Tail(ReplyStarted, Attach, LinkWanted)
+    send = SendAttempt(InFlight(), fleet, clock, RandomIdentifiers())
+    context.pipeline = Pipeline([send], [context.tail])
+
+
+@when("a caller comes back for a generation at that endpoint")
+def come_back(context: Context) -> None:
+    call = Reconnect("c-1", "r-1", "", "runner-000", "a-1", 5)
+    context.pipeline.push(Reattached(call, Team("kiosk", "")))
+
+
+@then("the gateway wants a link to that endpoint")
+def check_wanted(context: Context) -> None:
+    wanted = [msg.endpoint for msg in context.tail.of(LinkWanted)]
+    assert wanted == ["runner-000"], wanted
+    subset = Subset(GATEWAY, context.catalog, size=0)
+    assert not subset.addresses()
+    subset.want(wanted[0])
+    assert list(subset.addresses()) == wanted
+
+
+@then("a link to an endpoint that no record names is never made")
+def check_unnamed(context: Context) -> None:
+    subset = Subset(GATEWAY, context.catalog, size=0)
+    subset.want("nobody")
+    assert not subset.addresses()
--- a/hawthornyard/gateway/fleet/links.py
+++ b/hawthornyard/gateway/fleet/links.py
@@ -31,7 +31,8 @@
 
     def want(self, endpoint: str) -> None:
         """Add an endpoint that a reconnecting caller needs."""
-        self._wanted.add(endpoint)
+        if self._catalog.endpoint(endpoint) is not None:
+            self._wanted.add(endpoint)
 
     def addresses(self) -> Mapping[str, str]:
         """Return "address:port" of the chosen sidecars by endpoint name."""
--- a/hawthornyard/gateway/request/dispatch.py
+++ b/hawthornyard/gateway/request/dispatch.py
@@ -10,6 +10,7 @@
 from ..inflight import InFlight
 from ..messages import (
     AttemptFailed,
+    LinkWanted,
     Reattached,
     ReplyFailed,
     ReplyStarted,
@@ -89,6 +90,7 @@
         request.accepted = True
         if not self._fleet.is_live(call.endpoint):
             request.detached_at = self._clock.now()
+            yield LinkWanted(call.endpoint)
         yield ReplyStarted(call.call_id, call.endpoint, call.attempt_id)
         yield Attach(call.attempt_id, msg.team.name, call.offset, True, 0.0).at(
             call.endpoint
