Kill and freeze real processes; one concept a module for messages and frames

Change: nine scenarios kill (SIGKILL), freeze (SIGSTOP) and wake real gateways, sidecars, the engine and the table, in mid-stream and during a badge issue. gateway/messages and frames are packages by concept; nothing else in them changed.

Ruled out: waiting for "connection_suspected" in the log. The silent socket may be given up first, by the bound in the rim; the scenario waits for what both lead to.

--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -259,3 +259,15 @@
     )
     host.sidecar.start()
     deployment.apply(two_model_documents(deployment))
+
+
+@fixture
+def wide_processes(context: Context) -> Iterator[Processes]:
+    """Two gateways, an engine and a slow plain service, each a process."""
+    with temporary_folder() as folder:
+        context.processes = Processes(Path(folder))
+        try:
+            context.processes.start_wide()
+            yield context.processes
+        finally:
+            context.processes.kill()
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from typing import Any
 
+import urllib3
 import yaml
 
 from hawthornyard.demo.deployment import LOOPBACK, wait_until
@@ -15,7 +16,7 @@
 from hawthornyard.platform import HttpTable
 from hawthornyard.records import Document, hash_secret
 
-ROOT = Path(__file__).resolve().parent.parent
+ROOT = Path(__file__).resolve().parents[2]
 PEER_KEY = "a-secret-of-the-processes"
 TEAM_KEY = "hy.kiosk.secret-of-the-kiosk"
 ANY_PORT = f"{LOOPBACK}:0"
@@ -71,13 +72,32 @@
 class Processes:
     """A table, an engine, its sidecar and a gateway, each a process.
 
+    With `start_wide` also a plain service, its sidecar and a second gateway.
+
     Attributes:
+        engine: The stand-in engine.
         gateway: The gateway.
+        other_gateway: The second gateway.
+        service: The stand-in plain service.
+        service_sidecar: The sidecar of the plain service.
+        table: The stand-in table service.
         sidecar: The sidecar.
         settings: Settings file by program.
     """
 
-    __slots__ = ("_daemons", "_folder", "_table_url", "gateway", "settings", "sidecar")
+    __slots__ = (
+        "_daemons",
+        "_folder",
+        "_table_url",
+        "engine",
+        "gateway",
+        "other_gateway",
+        "service",
+        "service_sidecar",
+        "settings",
+        "sidecar",
+        "table",
+    )
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
@@ -85,17 +105,45 @@
         self.settings: dict[str, Path] = {}
 
     def start_all(self, *, step_s: float = 0.02) -> None:
-        table = self._run("table", "standin", "table", "--listen", ANY_PORT)
-        engine = self._run(
+        self.table = self._run("table", "standin", "table", "--listen", ANY_PORT)
+        self.engine = self._run(
             "engine", "standin", "engine", "--listen", ANY_PORT, "--step-s", str(step_s)
         )
-        self._table_url = f"http://{LOOPBACK}:{table.port()}"
-        self.sidecar = self._start_sidecar(engine.port())
+        self._table_url = f"http://{LOOPBACK}:{self.table.port()}"
+        self.sidecar = self._start_sidecar(self.engine.port())
         self.gateway = self._start_gateway()
         apply_documents(HttpTable(self._table_url), self._documents())
         wait_until(lambda: bool(self.gateway.events("config_in_force")))
         wait_until(lambda: bool(self.sidecar.events("config_in_force")))
 
+    def start_wide(self, *, delay_s: float = 1.0) -> None:
+        """Start all, a slow plain service and a second gateway."""
+        self.start_all()
+        self.service = self._run(
+            "service",
+            "standin",
+            "service",
+            "--listen",
+            ANY_PORT,
+            "--delay-s",
+            str(delay_s),
+        )
+        self._write(
+            "service-sidecar",
+            program="sidecar",
+            name="frontdesk-1",
+            endpoint=f"http://{LOOPBACK}:{self.service.port()}",
+            protocol="http",
+        )
+        self.service_sidecar = self.start("sidecar", "service-sidecar")
+        self._write(
+            "other-gateway", program="gateway", name="gateway-2", table=self._table_url
+        )
+        self.other_gateway = self.start("gateway", "other-gateway")
+        apply_documents(HttpTable(self._table_url), self._wide_documents())
+        for gateway in (self.gateway, self.other_gateway):
+            wait_until(lambda gateway=gateway: n_accepting(gateway) == 2)
+
     def url(self) -> str:
         return f"http://{LOOPBACK}:{self.gateway.port()}"
 
@@ -104,7 +152,7 @@
             daemon.kill()
 
     def start(self, program: str, name: str, *, key: str = PEER_KEY) -> Daemon:
-        path = str(self.settings[program])
+        path = str(self.settings.get(name, self.settings[program]))
         return self._run(name, program, "--config", path, key=key)
 
     def fix_port(self, program: str, port: int) -> None:
@@ -133,16 +181,40 @@
         self._write("gateway", name="gateway-1", table=self._table_url)
         return self.start("gateway", "gateway")
 
-    def _write(self, program: str, **fields: str) -> None:
+    def _write(self, file: str, **fields: str) -> None:
         document = {
-            "program": program,
+            "program": file,
             "failure_domain": "new-kingston",
             "listen": ANY_PORT,
             **fields,
         }
-        path = self._folder / f"{program}.yaml"
+        path = self._folder / f"{file}.yaml"
         path.write_text(yaml.safe_dump(document))
-        self.settings[program] = path
+        self.settings[file] = path
+
+    def _wide_documents(self) -> list[Document]:
+        service = {"protocol": "http", "deadline_s": 20}
+        service["operations"] = [
+            {"method": "POST", "path": "/badges", "idempotent": False}
+        ]
+        endpoint = {"failure_domain": "new-kingston", "protocol": "http"}
+        endpoint["sidecar"] = f"{LOOPBACK}:{self.service_sidecar.port()}"
+        endpoint["services"] = ["frontdesk"]
+        return [
+            _document("service", "frontdesk", **service, schema=2),
+            _document("endpoint", "frontdesk-1", **endpoint),
+            self._team(["summaries", "frontdesk"]),
+        ]
+
+    def _team(self, services: list[str]) -> Document:
+        return _document(
+            "team",
+            "kiosk",
+            key_hash=hash_secret(TEAM_KEY.rpartition(".")[2]),
+            services=services,
+            requests_per_s=100,
+            tokens_per_s=100000,
+        )
 
     def _documents(self) -> list[Document]:
         address = f"{LOOPBACK}:{self.sidecar.port()}"
@@ -164,14 +236,7 @@
                 protocol="generation",
                 models=["scribe"],
             ),
-            _document(
-                "team",
-                "kiosk",
-                key_hash=hash_secret(TEAM_KEY.rpartition(".")[2]),
-                services=["summaries"],
-                requests_per_s=100,
-                tokens_per_s=100000,
-            ),
+            self._team(["summaries"]),
         ]
 
 
@@ -180,5 +245,24 @@
     return tempfile.TemporaryDirectory(prefix="hawthornyard-")
 
 
-def _document(kind: str, name: str, **spec: Any) -> Document:
-    return {"kind": kind, "schema": 1, "name": name, "spec": spec}
+def ran(daemon: Daemon) -> list[list[str]]:
+    """Return what a stand-in says that it ran."""
+    answer = json.loads(_get(daemon, "/ran"))
+    return list(answer["ran"])
+
+
+def n_accepting(gateway: Daemon) -> int:
+    """Return the endpoints that a gateway hears and that take new work."""
+    status = json.loads(_get(gateway, "/v1/status"))
+    return sum(endpoint["accepting"] for endpoint in status["endpoints"])
+
+
+def _get(daemon: Daemon, path: str) -> bytes:
+    url = f"http://{LOOPBACK}:{daemon.port()}{path}"
+    timeout = urllib3.Timeout(connect=2.0, read=5.0)
+    with urllib3.PoolManager() as pool:
+        return pool.request("GET", url, retries=False, timeout=timeout).data
+
+
+def _document(kind: str, name: str, *, schema: int = 1, **spec: Any) -> Document:
+    return {"kind": kind, "schema": schema, "name": name, "spec": spec}
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -1,35 +1,29 @@
 """Define the protocol between gateways and sidecars."""
 
-from .direction import (
-    GATEWAY_TO_SIDECAR,
-    SENT_BY_GATEWAY,
-    SENT_BY_SIDECAR,
-    SIDECAR_TO_GATEWAY,
-)
-from .frame import (
+from .attempt import (
     Accepted,
     Ack,
     Attach,
     Cancel,
-    ConfigPull,
-    ConfigPush,
-    Demand,
     Dispatch,
     Ended,
     Failed,
-    Frame,
-    GatewayBeat,
-    Heartbeat,
-    Hello,
-    Portion,
-    Proof,
-    RecordEntry,
     Refused,
     Replied,
-    Subscribe,
     Tokens,
     Unknown,
 )
+from .config import ConfigPull, ConfigPush, RecordEntry
+from .direction import (
+    GATEWAY_TO_SIDECAR,
+    SENT_BY_GATEWAY,
+    SENT_BY_SIDECAR,
+    SIDECAR_TO_GATEWAY,
+)
+from .frame import Frame
+from .greeting import Hello, Proof
+from .heartbeat import GatewayBeat, Heartbeat, Subscribe
+from .limit import Demand, Portion
 from .plan import Loaded, PlanEntry, PlanPush
 from .work import Generation, ServiceCall, Work
 
--- a/hawthornyard/frames/direction.py
+++ b/hawthornyard/frames/direction.py
@@ -1,26 +1,22 @@
 """List the frames that each program sends."""
 
-from .frame import (
+from .attempt import (
     Accepted,
     Ack,
     Attach,
     Cancel,
-    ConfigPull,
-    ConfigPush,
-    Demand,
     Dispatch,
     Ended,
     Failed,
-    Frame,
-    GatewayBeat,
-    Heartbeat,
-    Portion,
     Refused,
     Replied,
-    Subscribe,
     Tokens,
     Unknown,
 )
+from .config import ConfigPull, ConfigPush
+from .frame import Frame
+from .heartbeat import GatewayBeat, Heartbeat, Subscribe
+from .limit import Demand, Portion
 from .plan import Loaded, PlanPush
 
 FrameTypes = tuple[type[Frame], ...]
--- /dev/null
+++ b/hawthornyard/frames/heartbeat.py
@@ -0,0 +1,77 @@
+"""Define the frames that tell who is alive and how."""
+
+from .frame import Frame
+
+
+class Heartbeat(Frame):
+    """Sidecar to gateway: the state of an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint record.
+        incarnation: Identifier of the sidecar process.
+        revision: Configuration revision in force.
+        accepting: Whether new work is taken.
+        n_running: Attempts at the endpoint.
+        n_waiting: Attempts in the local queue.
+        limit: Attempts the endpoint may run now.
+        load: Expected share of the endpoint's memory in use, 0 to 1.
+    """
+
+    __slots__ = (
+        "endpoint",
+        "incarnation",
+        "revision",
+        "accepting",
+        "n_running",
+        "n_waiting",
+        "limit",
+        "load",
+    )
+
+    def __init__(
+        self,
+        endpoint: str,
+        incarnation: str,
+        revision: int,
+        accepting: bool,
+        n_running: int,
+        n_waiting: int,
+        limit: int,
+        load: float,
+    ) -> None:
+        self.endpoint = endpoint
+        self.incarnation = incarnation
+        self.revision = revision
+        self.accepting = accepting
+        self.n_running = n_running
+        self.n_waiting = n_waiting
+        self.limit = limit
+        self.load = load
+
+
+class Subscribe(Frame):
+    """Gateway to sidecar: send heartbeats at this interval.
+
+    Attributes:
+        interval_s: Seconds between heartbeats when nothing changes.
+    """
+
+    __slots__ = ("interval_s",)
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+
+
+class GatewayBeat(Frame):
+    """Gateway to gateway: the state of a gateway.
+
+    Attributes:
+        revision: Configuration revision in force.
+        stopping: Whether it was asked to stop.
+    """
+
+    __slots__ = ("revision", "stopping")
+
+    def __init__(self, revision: int, stopping: bool) -> None:
+        self.revision = revision
+        self.stopping = stopping
