--- a/features/limits.feature
+++ b/features/limits.feature
@@ -41,3 +41,15 @@
     When one gateway delivers 3000 tokens to it and then nothing for 25 seconds
     Then its next request there is refused
     And after 40 more seconds a request there is admitted
+
+  Scenario Outline: Retries stay bounded when attempts fail after a healthy minute
+    Given a gateway's retries after a minute of <rate> successes a second
+    When for a minute <share> in 100 attempts fail
+    Then at most 1.1 dispatches a request are made in that minute
+
+    Examples:
+      | rate | share |
+      | 7    | 33    |
+      | 7    | 100   |
+      | 20   | 33    |
+      | 20   | 100   |
