Give the bench's service records their own schema version

Cause: the bench wrote service records as schema 1 with the fields of schema 2. Since processes upgrade records on reading, the upgrade of schema 1 gave every service the priority of its default class, so drafts and visitors' calls were equal in the sidecars' queues.

Ruled out: letting urgent work overcommit the memory.

--- a/benchmarks/policy/documents.py
+++ b/benchmarks/policy/documents.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from hawthornyard.frames import RecordEntry
-from hawthornyard.records import GENERATION, Service
+from hawthornyard.records import GENERATION, NEWEST_SCHEMA, Service
 
 from .deployment import DOMAINS, DeploymentSpec
 from .workload import MIXES, MODEL
@@ -61,5 +61,6 @@
 
 
 def _entry(kind: str, name: str, spec: Mapping[str, Any]) -> RecordEntry:
-    document = {"kind": kind, "schema": 1, "name": name, "spec": spec}
+    schema = NEWEST_SCHEMA[kind]
+    document = {"kind": kind, "schema": schema, "name": name, "spec": spec}
     return RecordEntry(kind, name, 0, json.dumps(document))
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -36,7 +36,7 @@
 from hawthornyard.gateway.inflight import InFlight
 from hawthornyard.gateway.messages import Call, ReplyTokens
 from hawthornyard.gateway.request import Drain
-from hawthornyard.records import Catalog, hash_secret
+from hawthornyard.records import NEWEST_SCHEMA, Catalog, hash_secret
 from hawthornyard.sidecar.attempts import Attempts
 from hawthornyard.sidecar.chain import sidecar_chain
 from hawthornyard.sidecar.messages import EndpointEnded, EndpointTokens
@@ -147,7 +147,8 @@
 
 
 def _entry(kind: str, name: str, spec: dict[str, object], revision: int) -> RecordEntry:
-    document = {"kind": kind, "schema": 1, "name": name, "spec": spec}
+    schema = NEWEST_SCHEMA[kind]
+    document = {"kind": kind, "schema": schema, "name": name, "spec": spec}
     return RecordEntry(kind, name, revision, json.dumps(document))
 
 
