--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -19,8 +19,8 @@
     Plan,
     Situation,
 )
-from hawthornyard.platform import Row
 from hawthornyard.rim.plan_rows import lease_value, plan_of, plan_value
+from hawthornyard.stores import Row
 
 N_DECISIONS = 100
 N_ENCODINGS = 50
--- a/benchmarks/wire.py
+++ b/benchmarks/wire.py
@@ -17,8 +17,8 @@
 from benchmarks.wire_load import Stream, request_bytes, run_streams
 from benchmarks.wire_process import LOOPBACK, BenchProcess, Usage
 from hawthornyard.operator import apply_documents
-from hawthornyard.platform import HttpTable
 from hawthornyard.records import Document, hash_secret
+from hawthornyard.stores import HttpTable
 
 REPORT = Path("reports/wire.txt")
 N_STREAMS = 150
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -18,7 +18,6 @@
 from hawthornyard.demo.deployment import ANY_PORT, LOOPBACK, PEER_KEY, EndpointHost
 from hawthornyard.front import HttpServer
 from hawthornyard.gateway.program import Gateway
-from hawthornyard.platform import HttpHosts, HttpObjects, HttpTable, HttpWeights
 from hawthornyard.records import Document, new_key
 from hawthornyard.rim import MonotonicClock
 from hawthornyard.settings import GatewaySettings, SidecarSettings
@@ -35,6 +34,7 @@
     WeightStandIn,
 )
 from hawthornyard.standins.web import WebApp
+from hawthornyard.stores import HttpHosts, HttpObjects, HttpTable, HttpWeights
 
 
 @fixture
--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -26,10 +26,10 @@
     read_changes,
     submit,
 )
-from hawthornyard.platform import HttpTable, TableStore
 from hawthornyard.records import key_matches, team_of_key
 from hawthornyard.rim import configure_log
 from hawthornyard.settings import SidecarSettings, load_settings
+from hawthornyard.stores import HttpTable, TableStore
 
 ROOT = Path(__file__).resolve().parents[2]
 PEER_KEY = {"HAWTHORNYARD_PEER_KEY": "a-key-for-tests-only"}
--- a/features/steps/orders.py
+++ b/features/steps/orders.py
@@ -9,10 +9,10 @@
 from features.planning import entry
 from hawthornyard.demo.deployment import wait_until
 from hawthornyard.planner import Plan
-from hawthornyard.platform import Condition, Put
 from hawthornyard.rim.plan_rows import PLAN_KEY, plan_of, plan_value
 from hawthornyard.sidecar.orders import Order, SendOrder
 from hawthornyard.standins import OrderModel, WeightModel
+from hawthornyard.stores import Condition, Put
 
 MAX_DELIVERIES = 10
 ENGINE_MODELS = ("scribe", "radgjafi")
--- a/features/steps/planner.py
+++ b/features/steps/planner.py
@@ -26,9 +26,9 @@
     WeekTime,
     is_open,
 )
-from hawthornyard.platform import Condition, Put
 from hawthornyard.records import OpeningHours, Service
 from hawthornyard.rim.plan_rows import PLAN_KEY, plan_value
+from hawthornyard.stores import Condition, Put
 
 PLAN_INTERVAL_S = 5.0
 MAX_TICKS = 500
--- a/features/steps/platform.py
+++ b/features/steps/platform.py
@@ -13,10 +13,10 @@
 from hawthornyard.frames import Generation, Heartbeat, RecordEntry
 from hawthornyard.gateway.fleet import Fleet, FollowHosts, HostsListed
 from hawthornyard.gateway.messages import Request
-from hawthornyard.platform import Condition, HttpHosts, Put
 from hawthornyard.records import Catalog, Service, Team
 from hawthornyard.rim.host_poll import HostPoll
 from hawthornyard.standins import HostStandIn, WeightModel
+from hawthornyard.stores import Condition, HttpHosts, Put
 
 FAULTS = {
     "down": {"is_down": True},
--- a/features/steps/records.py
+++ b/features/steps/records.py
@@ -13,7 +13,6 @@
     GATEWAYS_VARIABLE,
     TABLE_VARIABLE,
 )
-from hawthornyard.platform import Put
 from hawthornyard.records import (
     NEWEST_SCHEMA,
     Catalog,
@@ -24,6 +23,7 @@
 )
 from hawthornyard.rim import ConfigPoll, EventletInbox
 from hawthornyard.settings import PEER_KEY_VARIABLE, SETTINGS_SCHEMAS
+from hawthornyard.stores import Put
 
 ROOT = Path(__file__).resolve().parents[2]
 RECORDS = "record/"
--- a/features/support/nodes.py
+++ b/features/support/nodes.py
@@ -48,7 +48,6 @@
     StopListening,
 )
 from hawthornyard.gateway.request import Drain
-from hawthornyard.platform import Condition, Page, Put, Row
 from hawthornyard.records import Catalog
 from hawthornyard.rim import Discard, FrameSink, StopSink
 from hawthornyard.rim.claims import ClaimTable
@@ -68,6 +67,7 @@
 from hawthornyard.sidecar.orders.messages import AskState, SendOrder
 from hawthornyard.sidecar.state import SidecarState
 from hawthornyard.standins import MemoryTable
+from hawthornyard.stores import Condition, Page, Put, Row
 
 N_TOKENS = 8
 """Tokens of each generation."""
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -13,8 +13,8 @@
 
 from hawthornyard.demo.deployment import LOOPBACK, wait_until
 from hawthornyard.operator import apply_documents
-from hawthornyard.platform import HttpTable
 from hawthornyard.records import Document, hash_secret
+from hawthornyard.stores import HttpTable
 
 ROOT = Path(__file__).resolve().parents[2]
 PEER_KEY = "a-secret-of-the-processes"
--- a/features/support/table_faults.py
+++ b/features/support/table_faults.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Sequence
 
 from hawthornyard.errors import ConflictError, PlatformError
-from hawthornyard.platform import Condition, Page, Put, Row, TableStore
+from hawthornyard.stores import Condition, Page, Put, Row, TableStore
 
 Write = Callable[[], int]
 Fault = Callable[["FaultyTable", Write], int]
--- a/hawthornyard/cli/records.py
+++ b/hawthornyard/cli/records.py
@@ -24,8 +24,8 @@
     require_base,
     submit,
 )
-from ..platform import HttpTable, TableStore
 from ..records import KINDS, NEWEST_SCHEMA, is_known, schema_of, upgrade
+from ..stores import HttpTable, TableStore
 from .exit import ExitCode
 from .option import ChangeOptions, OutputOption, TableOption
 from .output import Output, Result, show
--- a/hawthornyard/cli/run.py
+++ b/hawthornyard/cli/run.py
@@ -5,10 +5,10 @@
 import cyclopts
 
 from ..gateway.program import Gateway
-from ..platform import HttpTable
 from ..rim import configure_log
 from ..settings import load_gateway_settings, load_sidecar_settings
 from ..sidecar.program import Sidecar
+from ..stores import HttpTable
 
 
 def add_run_commands(app: cyclopts.App) -> None:
--- a/hawthornyard/cli/status.py
+++ b/hawthornyard/cli/status.py
@@ -14,7 +14,7 @@
     fetch_status,
     read_accepted,
 )
-from ..platform import HttpTable
+from ..stores import HttpTable
 from .exit import ExitCode
 from .option import GatewaysOption, OptionalTableOption, OutputOption, gateway_urls
 from .output import Result, show
--- a/hawthornyard/demo/deployment.py
+++ b/hawthornyard/demo/deployment.py
@@ -8,7 +8,6 @@
 from ..front import HttpServer
 from ..gateway.program import Gateway
 from ..operator import apply_documents
-from ..platform import HttpTable
 from ..records import Document, new_key
 from ..settings import GatewaySettings, SidecarSettings
 from ..sidecar.program import Sidecar
@@ -20,6 +19,7 @@
     ServiceStandIn,
     TableStandIn,
 )
+from ..stores import HttpTable
 
 LOOPBACK = "127.0.0.1"
 ANY_PORT = f"{LOOPBACK}:0"
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -20,7 +20,6 @@
 from ..frames import SENT_BY_GATEWAY, Heartbeat
 from ..front import Application, HttpServer, Replies
 from ..planner import Duty, FollowDemand, planner_chain
-from ..platform import HttpHosts, TableStore
 from ..records import Catalog
 from ..rim import (
     ConfigPoll,
@@ -45,6 +44,7 @@
 from ..rim.metrics import ProgramMetrics
 from ..rim.plan_table import PlanTable
 from ..settings import GatewaySettings
+from ..stores import HttpHosts, TableStore
 from .chain import gateway_chain
 from .fleet import MISSED_HEARTBEATS, Fleet, FleetSituation, Neighbours, Subset
 from .inflight import InFlight
--- a/hawthornyard/operator/apply.py
+++ b/hawthornyard/operator/apply.py
@@ -5,8 +5,8 @@
 from datetime import UTC, datetime
 
 from ..documents import Unplaced
-from ..platform import TableStore
 from ..records import Document
+from ..stores import TableStore
 from .change import ChangeNote
 from .draft import Draft
 from .plan import plan_apply
--- a/hawthornyard/operator/read.py
+++ b/hawthornyard/operator/read.py
@@ -1,6 +1,6 @@
 """Read accepted records and changes from the table."""
 
-from ..platform import TableStore
+from ..stores import TableStore
 from .accepted import Accepted
 from .change import Change
 from .rows import (
--- a/hawthornyard/operator/rows.py
+++ b/hawthornyard/operator/rows.py
@@ -3,8 +3,8 @@
 import json
 from typing import Any
 
-from ..platform import Condition, Put, Row
 from ..records import Document
+from ..stores import Condition, Put, Row
 from .accepted import AcceptedRecord, RecordName
 from .change import Change, ChangedRecord, ChangeNote
 from .plan import Plan, Step
--- a/hawthornyard/operator/submit.py
+++ b/hawthornyard/operator/submit.py
@@ -6,7 +6,7 @@
 
 from ..documents import report
 from ..errors import ConflictError, PlatformError, RecordError
-from ..platform import TableStore
+from ..stores import TableStore
 from .accepted import Accepted
 from .change import Change, ChangeNote
 from .plan import Plan
--- a/hawthornyard/rim/claims.py
+++ b/hawthornyard/rim/claims.py
@@ -19,7 +19,7 @@
     settled_row,
 )
 from ..gateway.messages import ClaimAnswered, ClaimAsked, ClaimSettled
-from ..platform import Condition, Put, Row, TableStore
+from ..stores import Condition, Put, Row, TableStore
 from .claim_codec import decode_claim, encode_claim
 
 MAX_BATCH = 64
--- a/hawthornyard/rim/host_poll.py
+++ b/hawthornyard/rim/host_poll.py
@@ -8,7 +8,7 @@
 from ..core import Inbox
 from ..errors import PlatformError
 from ..gateway.fleet import HostsListed
-from ..platform import HostList
+from ..stores import HostList
 
 HOST_POLL_INTERVAL_S = 1.0
 
--- a/hawthornyard/rim/plan_rows.py
+++ b/hawthornyard/rim/plan_rows.py
@@ -4,7 +4,7 @@
 
 from ..frames import PlanEntry
 from ..planner import Lease, Plan
-from ..platform import Row
+from ..stores import Row
 
 PLAN_PREFIX = "plan/"
 LEASE_KEY = f"{PLAN_PREFIX}lease"
--- a/hawthornyard/rim/plan_table.py
+++ b/hawthornyard/rim/plan_table.py
@@ -18,7 +18,7 @@
     PlanTableWritten,
     WritePlanTable,
 )
-from ..platform import Condition, Put, Row, TableStore
+from ..stores import Condition, Put, Row, TableStore
 from .plan_rows import (
     LEASE_KEY,
     PLAN_KEY,
--- a/hawthornyard/rim/poll.py
+++ b/hawthornyard/rim/poll.py
@@ -10,7 +10,7 @@
 from ..errors import PlatformError
 from ..frames import ConfigPush, RecordEntry
 from ..operator import RECORD_PREFIX
-from ..platform import Row, TableStore
+from ..stores import Row, TableStore
 
 POLL_INTERVAL_S = 1.0
 
--- a/hawthornyard/standins/engine_orders.py
+++ b/hawthornyard/standins/engine_orders.py
@@ -7,8 +7,8 @@
 from ..core import Message
 from ..errors import PlatformError
 from ..frames import PlanEntry
-from ..platform import WeightStore
 from ..sidecar.orders import EndpointState, Order
+from ..stores import WeightStore
 from .web import Route, WebAnswer, WebRequest
 
 LOAD_STEP_S = 0.05
--- a/hawthornyard/standins/hosts.py
+++ b/hawthornyard/standins/hosts.py
@@ -1,8 +1,8 @@
 """Stand in for the platform's list of hosts, which lags."""
 
 from ..core import Clock
-from ..platform import HostEntry, HostPage
 from ..rim import MonotonicClock
+from ..stores import HostEntry, HostPage
 from .faults import Faults
 from .web import WebAnswer, WebApp, WebRequest
 
--- a/hawthornyard/standins/objects.py
+++ b/hawthornyard/standins/objects.py
@@ -1,8 +1,8 @@
 """Stand in for the platform's object store."""
 
 from ..core import Clock
-from ..platform import MAX_OBJECT_BYTES
 from ..rim import MonotonicClock
+from ..stores import MAX_OBJECT_BYTES
 from .faults import Faults
 from .web import WebAnswer, WebApp, WebRequest
 
--- a/hawthornyard/standins/table.py
+++ b/hawthornyard/standins/table.py
@@ -2,8 +2,8 @@
 
 from ..core import Clock
 from ..errors import ConflictError
-from ..platform import Condition, Put, Row
 from ..rim import MonotonicClock
+from ..stores import Condition, Put, Row
 from .faults import Faults
 from .table_model import MemoryTable
 from .web import WebAnswer, WebApp, WebRequest
--- a/hawthornyard/standins/table_model.py
+++ b/hawthornyard/standins/table_model.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 
 from ..errors import ConflictError
-from ..platform import Condition, Page, Put, Row
+from ..stores import Condition, Page, Put, Row
 
 
 class MemoryTable:
--- a/hawthornyard/standins/weights.py
+++ b/hawthornyard/standins/weights.py
@@ -1,8 +1,8 @@
 """Stand in for the platform's weight store."""
 
 from ..core import Clock
-from ..platform import WeightPart
 from ..rim import MonotonicClock
+from ..stores import WeightPart
 from .faults import Faults
 from .web import WebAnswer, WebApp, WebRequest
 
--- a/hawthornyard/platform/http.py
+++ b/hawthornyard/stores/http.py
@@ -64,6 +64,7 @@
         fields: dict[str, str] | None = None,
         data: bytes | None = None,
         expected: frozenset[int] = frozenset(),
+        timeout_s: float | None = None,
     ) -> HttpAnswer:
         """Send one request, once.
 
@@ -73,17 +74,21 @@
             fields: Query fields.
             data: Request body.
             expected: Error statuses that are returned rather than raised.
+            timeout_s: Bound on waiting for this answer, None for the usual one.
 
         Raises:
             PlatformError: If there was no answer, or an unexpected one.
         """
+        timeout = self._timeout
+        if timeout_s is not None:
+            timeout = urllib3.Timeout(connect=timeout.connect_timeout, read=timeout_s)
         try:
             resp = self._pool.request(
                 method,
                 self._url + path,
                 fields=fields,
                 body=data,
-                timeout=self._timeout,
+                timeout=timeout,
                 retries=False,
                 redirect=False,
                 preload_content=False,
