Keep streams alive whose endpoint leaves: mirrors first, migrations for the rest

A long stream is now mirrored at the emptiest engine while memory is slack, and goes on there when its own breaks off; a stream without a mirror is copied twice while it runs and once stopped. Gateways tell one another what they run (datagrams, 5 a second), since memory in use is what decides.

--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -17,9 +17,11 @@
     Demand,
     Dispatch,
     Ended,
+    EndpointLoad,
     Failed,
     Frame,
     GatewayBeat,
+    GatewayLoads,
     Generation,
     Heartbeat,
     Hello,
@@ -68,6 +70,8 @@
     24: PlanPush,
     25: Loaded,
     26: PlanEntry,
+    27: GatewayLoads,
+    28: EndpointLoad,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 _CHECKERS = {tag: FieldChecker(cls) for tag, cls in _TYPES.items()}
--- a/hawthornyard/core/__init__.py
+++ b/hawthornyard/core/__init__.py
@@ -1,7 +1,16 @@
 """Hold the message, filter and pipeline types that every part is built from."""
 
 from .clock import Chance, Clock, Identifiers, ManualClock
-from .event import Decision, Fault, PeerDown, PeerUp, Stopped, StopRequested, Tick
+from .event import (
+    Decision,
+    Fault,
+    PeerDown,
+    PeerUp,
+    ReloadRequested,
+    Stopped,
+    StopRequested,
+    Tick,
+)
 from .message import Message
 from .pipe import Consumers, Feedback, Filter, Handlers, Inbox, Pipeline, Sink
 from .unexpected import DropUnexpected
@@ -23,6 +32,7 @@
     "PeerDown",
     "PeerUp",
     "Pipeline",
+    "ReloadRequested",
     "Sink",
     "StopRequested",
     "Stopped",
--- a/hawthornyard/core/event.py
+++ b/hawthornyard/core/event.py
@@ -23,6 +23,12 @@
     __slots__ = ()
 
 
+class ReloadRequested(Message):
+    """The program was told that its settings have changed."""
+
+    __slots__ = ()
+
+
 class Stopped(Message):
     """The program holds no work any longer and may exit."""
 
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -7,12 +7,16 @@
 from .directory import Directory
 from .eligible import Eligible
 from .endpoints import Endpoints
-from .fleet import FollowDeployment, FollowEndpoints, FollowStore
+from .fleet import FollowDeployment, FollowEndpoints, FollowStore, ShareLoads
 from .inflight import InFlight
+from .mirroring import Mirroring, MirrorWhereRoom
+from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .repeats import RepeatBudget
 from .reply import Expire, Relay, Settle
 from .request import Match, Retry, Route, Send, WaitForRoom
+from .streams import Migrate, Resume
+from .streams.resumption import Resumption
 
 
 class EdgeState:
@@ -23,19 +27,33 @@
         endpoints: Known endpoints.
         eligible: Tells which endpoints may get new work.
         inflight: Requests that are not answered yet.
+        name: Name of the gateway.
+        peers: The other gateways.
         repeats: Bounds the attempts beyond the first.
     """
 
-    __slots__ = ("directory", "eligible", "endpoints", "inflight", "repeats")
+    __slots__ = (
+        "directory",
+        "eligible",
+        "endpoints",
+        "inflight",
+        "name",
+        "peers",
+        "repeats",
+    )
 
     def __init__(
-        self, clock: Clock, repeats: RepeatBudget, *, key_max_age_s: float | None
+        self,
+        name: str,
+        clock: Clock,
     ) -> None:
-        self.directory = Directory(clock, max_age_s=key_max_age_s)
-        self.endpoints = Endpoints(clock)
+        self.name = name
+        self.peers = Peers(name, clock)
+        self.directory = Directory(clock)
+        self.endpoints = Endpoints(self.peers, clock)
         self.eligible = Eligible(self.directory, self.endpoints, clock)
         self.inflight = InFlight(self.endpoints, clock)
-        self.repeats = repeats
+        self.repeats = RepeatBudget(clock)
 
 
 def edge_chain(
@@ -47,6 +65,7 @@
     at_head: Sequence[Filter] = (),
     before_settle: Sequence[Filter] = (),
     placement: Placement | None = None,
+    mirroring: Mirroring | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway that calls endpoints itself, head first.
 
@@ -58,19 +77,39 @@
         at_head: Filters that see calls as they come.
         before_settle: Filters that see replies while their requests are known.
         placement: Chooses among endpoints that may run a request.
+        mirroring: Chooses where streams are mirrored.
     """
     placement = placement or LeastLoaded(state.directory)
+    mirroring = mirroring or MirrorWhereRoom(state.directory, state.eligible)
+    resumption = Resumption(state.inflight, state.eligible, mirroring, clock)
     return [
         *at_head,
         FollowStore(clock),
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
+        ShareLoads(
+            state.name,
+            state.peers,
+            state.endpoints,
+            state.eligible,
+            state.repeats,
+            clock,
+        ),
         drain,
         Match(state.directory, state.inflight, clock, chance),
         Retry(state.inflight, state.repeats, clock),
         WaitForRoom(state.eligible, placement, clock),
         Route(state.eligible, placement, state.directory),
-        Send(state.inflight, state.endpoints, state.eligible, clock),
+        Send(state.inflight, state.endpoints, state.eligible, mirroring, clock),
+        Resume(state.inflight, state.endpoints, resumption),
+        Migrate(
+            state.inflight,
+            state.endpoints,
+            state.eligible,
+            state.directory,
+            resumption,
+            clock,
+        ),
         Relay(state.inflight, state.endpoints, clock),
         Expire(state.inflight),
         *before_settle,
--- a/hawthornyard/edge/deployment.py
+++ b/hawthornyard/edge/deployment.py
@@ -46,6 +46,7 @@
         can_migrate: Whether a run can be copied to another engine.
         can_back_up: Whether a run can be mirrored while it goes on.
         copy_lifetime_s: How long an unused copy is kept.
+        tokens_per_event: Tokens that one event of a stream holds.
     """
 
     __slots__ = (
@@ -56,6 +57,7 @@
         "can_migrate",
         "can_back_up",
         "copy_lifetime_s",
+        "tokens_per_event",
     )
 
     def __init__(
@@ -68,6 +70,7 @@
         can_migrate: bool = False,
         can_back_up: bool = False,
         copy_lifetime_s: float = 0.0,
+        tokens_per_event: int = 1,
     ) -> None:
         self.n_slots = n_slots
         self.memory_tokens = memory_tokens
@@ -76,6 +79,7 @@
         self.can_migrate = can_migrate
         self.can_back_up = can_back_up
         self.copy_lifetime_s = copy_lifetime_s
+        self.tokens_per_event = tokens_per_event
 
 
 class ServiceRule(Message):
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -12,9 +12,9 @@
 
     Args:
         clock: Source of time; must go on while the host is suspended.
-        max_age_s: Keys hold for so long without a confirmation, None for ever.
 
     Attributes:
+        max_age_s: Keys hold for so long without a confirmation, None for ever.
         version: Version in force, 0 before the first.
         limits: What callers may send.
         domains_out: Failure domains that operators have taken out.
@@ -24,7 +24,6 @@
     __slots__ = (
         "_clock",
         "_confirmed_at",
-        "_max_age_s",
         "_routes",
         "_services",
         "_teams",
@@ -32,12 +31,13 @@
         "domains_out",
         "has_domains",
         "limits",
+        "max_age_s",
         "version",
     )
 
-    def __init__(self, clock: Clock, *, max_age_s: float | None = None) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._max_age_s = max_age_s
+        self.max_age_s: float | None = None
         self._confirmed_at: float | None = None
         self._routes: dict[str, list[RouteRule]] = {}
         self._services: dict[str, ServiceRule] = {}
@@ -88,7 +88,7 @@
     @property
     def are_keys_valid(self) -> bool:
         """Return whether a key that was taken away can't still be in force."""
-        return self._max_age_s is None or self.age_s < self._max_age_s
+        return self.max_age_s is None or self.age_s < self.max_age_s
 
     @property
     def needs_keys(self) -> bool:
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -4,6 +4,7 @@
 
 from ..core import Clock
 from .messages import EndpointEntry, LoadReported, Request
+from .peers import Peers
 
 # Weight of a new pause between events in an endpoint's mean.
 GAP_WEIGHT = 0.05
@@ -21,8 +22,7 @@
     Attributes:
         entry: What it says of itself.
         requests: Requests that this gateway runs there, by attempt id.
-        n_elsewhere: Requests that other gateways run there.
-        tokens_elsewhere: Tokens that those are expected to hold.
+        mirrored: Requests of this gateway that it mirrors, by attempt id.
         cold_until: Monotonic seconds until which it is cold.
         leaving_since: Monotonic seconds when it was seen to leave, None before.
         leaves_at: Monotonic seconds when it will be gone, None if unknown.
@@ -33,24 +33,24 @@
     """
 
     __slots__ = (
+        "_peers",
         "answer_s",
         "cold_until",
         "entry",
         "gap_s",
         "leaves_at",
         "leaving_since",
-        "n_elsewhere",
+        "mirrored",
         "n_failures",
         "paused_until",
         "requests",
-        "tokens_elsewhere",
     )
 
-    def __init__(self, entry: EndpointEntry, now: float) -> None:
+    def __init__(self, entry: EndpointEntry, peers: Peers, now: float) -> None:
         self.entry = entry
+        self._peers = peers
         self.requests: dict[str, Request] = {}
-        self.n_elsewhere = 0
-        self.tokens_elsewhere = 0
+        self.mirrored: dict[str, Request] = {}
         self.cold_until = now + entry.cold_s
         self.leaving_since: float | None = None
         self.leaves_at: float | None = None
@@ -64,16 +64,26 @@
         """Return the name of the endpoint."""
         return self.entry.name
 
+    @property
+    def n_own(self) -> int:
+        """Return the requests that this gateway runs there."""
+        return len(self.requests)
+
+    @property
+    def own_tokens(self) -> int:
+        """Return the tokens that those and the mirrored ones are to hold."""
+        running = sum(request.n_tokens for request in self.requests.values())
+        return running + sum(request.n_tokens for request in self.mirrored.values())
+
     @property
     def n_running(self) -> int:
         """Return the requests that all gateways are known to run there."""
-        return len(self.requests) + self.n_elsewhere
+        return self.n_own + self._peers.n_running(self.name)
 
     @property
     def used_tokens(self) -> int:
-        """Return the tokens that those requests are expected to hold."""
-        own = sum(request.n_tokens for request in self.requests.values())
-        return own + self.tokens_elsewhere
+        """Return the tokens that all gateways are known to need there."""
+        return self.own_tokens + self._peers.n_tokens(self.name)
 
     def note_gap(self, seconds: float) -> None:
         """Learn a pause between two events."""
@@ -91,12 +101,14 @@
     """All endpoints that may still be of use, by name.
 
     Args:
+        peers: Tells what other gateways run there.
         clock: Source of time.
     """
 
-    __slots__ = ("_by_name", "_clock", "is_known")
+    __slots__ = ("_by_name", "_clock", "_peers", "is_known")
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, peers: Peers, clock: Clock) -> None:
+        self._peers = peers
         self._clock = clock
         self._by_name: dict[str, Endpoint] = {}
         self.is_known = False
@@ -116,7 +128,7 @@
         now = self._clock.now()
         endpoint = self._by_name.get(entry.name)
         if endpoint is None or endpoint.entry.born != entry.born:
-            endpoint = Endpoint(entry, now)
+            endpoint = Endpoint(entry, self._peers, now)
             self._by_name[entry.name] = endpoint
         endpoint.entry = entry
         if entry.cold_s > 0:
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,10 +1,11 @@
 """Keep what the gateway believes about the deployment and its endpoints.
 
-The chain is FollowStore, FollowDeployment, FollowEndpoints.
+The chain is FollowStore, FollowDeployment, FollowEndpoints, ShareLoads.
 """
 
 from .deployment import FollowDeployment
 from .endpoints import FollowEndpoints
+from .share import ShareLoads
 from .store import FollowStore
 
-__all__ = ["FollowDeployment", "FollowEndpoints", "FollowStore"]
+__all__ = ["FollowDeployment", "FollowEndpoints", "FollowStore", "ShareLoads"]
--- /dev/null
+++ b/hawthornyard/edge/fleet/share.py
@@ -0,0 +1,94 @@
+"""Tell the other gateways what this one runs, and learn what they run."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Decision, Handlers, Message, Tick
+from ...frames import EndpointLoad, GatewayLoads
+from ..eligible import Eligible
+from ..endpoints import Endpoints
+from ..messages import GatewaysRead
+from ..peers import Peers
+from ..repeats import RepeatBudget
+
+# A quarter of the time that a prompt takes to be read; older loads mislead.
+SHARE_INTERVAL_S = 0.2
+# With more gateways than this each tells its load less often, so that the number
+# of datagrams grows with their number and not with its square.
+FEW_GATEWAYS = 8
+
+
+class ShareLoads:
+    """Exchange loads, and divide what all gateways together may do.
+
+    Args:
+        name: Name of this gateway.
+        peers: The other gateways.
+        endpoints: Known endpoints.
+        eligible: Told among how many gateways cold endpoints are divided.
+        repeats: Told among how many gateways repeats are divided.
+        clock: Source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_eligible",
+        "_endpoints",
+        "_name",
+        "_next_at",
+        "_peers",
+        "_repeats",
+        "_sequence",
+        "handlers",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        peers: Peers,
+        endpoints: Endpoints,
+        eligible: Eligible,
+        repeats: RepeatBudget,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._peers = peers
+        self._endpoints = endpoints
+        self._eligible = eligible
+        self._repeats = repeats
+        self._clock = clock
+        self._next_at = 0.0
+        # Larger than what an earlier incarnation used.
+        self._sequence = int(clock.now() * 1000)
+        self.handlers: Handlers = {
+            GatewaysRead: self._on_gateways,
+            GatewayLoads: self._on_loads,
+            Tick: self._on_tick,
+        }
+
+    def _on_gateways(self, msg: GatewaysRead) -> Iterator[Message]:
+        before = self._peers.n_gateways
+        self._peers.set_addresses(msg.addresses)
+        n_gateways = self._peers.n_gateways
+        self._eligible.n_gateways = n_gateways
+        self._repeats.n_gateways = n_gateways
+        if n_gateways != before:
+            yield Decision("gateways", n_gateways=n_gateways, before=before)
+
+    def _on_loads(self, msg: GatewayLoads) -> Iterator[Message]:
+        self._peers.take(msg)
+        yield from ()
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        yield msg
+        if msg.now < self._next_at:
+            return
+        n_shares = max(1.0, self._peers.n_gateways / FEW_GATEWAYS)
+        self._next_at = msg.now + SHARE_INTERVAL_S * n_shares
+        self._sequence += 1
+        loads = [
+            EndpointLoad(endpoint.name, endpoint.n_own, endpoint.own_tokens)
+            for endpoint in self._endpoints
+            if endpoint.n_own or endpoint.own_tokens
+        ]
+        for address in self._peers.addresses():
+            yield GatewayLoads(self._name, self._sequence, loads).at(address)
--- a/hawthornyard/edge/inflight.py
+++ b/hawthornyard/edge/inflight.py
@@ -34,15 +34,28 @@
         self._by_call[request.call_id] = request
 
     def begin(
-        self, request: Request, endpoint: str, *, is_resumed: bool = False
+        self,
+        request: Request,
+        endpoint: str,
+        *,
+        mirror: str = "",
+        is_resumed: bool = False,
     ) -> Attempt:
-        """Make a new attempt the current one of a request."""
+        """Make a new attempt the current one of a request.
+
+        Args:
+            request: The request.
+            endpoint: Name of the endpoint that runs it.
+            mirror: Name of the endpoint that mirrors it, empty for none.
+            is_resumed: Whether it goes on from a copy of an earlier attempt.
+        """
         self.end(request)
         request.n_attempts += 1
         attempt = Attempt(
             f"{request.call_id}.{request.n_attempts}",
             endpoint,
             self._clock.now(),
+            mirror=mirror,
             is_resumed=is_resumed,
         )
         request.attempt = attempt
@@ -50,6 +63,9 @@
         found = self._endpoints.get(endpoint)
         if found is not None:
             found.requests[attempt.attempt_id] = request
+        mirroring = self._endpoints.get(mirror)
+        if mirroring is not None:
+            mirroring.mirrored[attempt.attempt_id] = request
         return attempt
 
     def end(self, request: Request) -> None:
@@ -62,6 +78,9 @@
         endpoint = self._endpoints.get(attempt.endpoint)
         if endpoint is not None:
             endpoint.requests.pop(attempt.attempt_id, None)
+        mirroring = self._endpoints.get(attempt.mirror)
+        if mirroring is not None:
+            mirroring.mirrored.pop(attempt.attempt_id, None)
 
     def by_call(self, call_id: str) -> Request | None:
         """Return the request of an HTTP exchange."""
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -18,12 +18,13 @@
     EndpointEntry,
     EndpointLeaving,
     EndpointsRead,
+    GatewaysRead,
     LoadReported,
     StoreAnswered,
     StoreFailed,
 )
 from .reply import ReplyBegan, ReplyEvents
-from .request import Attempt, Request
+from .request import Attempt, Migration, Request
 from .stage import AttemptFailed, Closed, Matched, Released, Routed
 
 __all__ = [
@@ -49,9 +50,11 @@
     "EndpointLeaving",
     "EndpointsRead",
     "Event",
+    "GatewaysRead",
     "GenerationSize",
     "LoadReported",
     "Matched",
+    "Migration",
     "Released",
     "ReplyBegan",
     "ReplyEvents",
--- a/hawthornyard/edge/messages/call.py
+++ b/hawthornyard/edge/messages/call.py
@@ -33,13 +33,17 @@
         self.expected_tokens = expected_tokens
         self.prefix = prefix
 
+    @property
+    def n_output_tokens(self) -> int:
+        """Return the tokens that are expected to be generated."""
+        if self.expected_tokens is None:
+            return self.max_tokens
+        return min(self.max_tokens, self.expected_tokens)
+
     @property
     def n_tokens(self) -> int:
         """Return the tokens that the whole generation is expected to hold."""
-        expected = self.max_tokens
-        if self.expected_tokens is not None:
-            expected = min(self.max_tokens, self.expected_tokens)
-        return self.n_prompt_tokens + expected
+        return self.n_prompt_tokens + self.n_output_tokens
 
 
 class Call(Message):
--- a/hawthornyard/edge/messages/news.py
+++ b/hawthornyard/edge/messages/news.py
@@ -1,6 +1,6 @@
 """Define what is learnt about the deployment and its endpoints."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from ...core import Message
 from ..deployment import Deployment
@@ -132,6 +132,19 @@
         self.leaves_s = leaves_s
 
 
+class GatewaysRead(Message):
+    """The gateways that exist.
+
+    Attributes:
+        addresses: "address:port" for frames, by name.
+    """
+
+    __slots__ = ("addresses",)
+
+    def __init__(self, addresses: Mapping[str, str]) -> None:
+        self.addresses = addresses
+
+
 class StoreAnswered(Message):
     """The store answered a feed.
 
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -11,6 +11,7 @@
     Attributes:
         attempt_id: Identifier of the attempt.
         endpoint: Name of the endpoint.
+        mirror: Name of the endpoint that mirrors it, empty for none.
         sent_at: Monotonic seconds of the dispatch.
         first_event_at: Monotonic seconds of its first event, None before it.
         last_event_at: Monotonic seconds of its newest event, None before it.
@@ -20,6 +21,7 @@
     __slots__ = (
         "attempt_id",
         "endpoint",
+        "mirror",
         "sent_at",
         "first_event_at",
         "last_event_at",
@@ -32,16 +34,35 @@
         endpoint: str,
         sent_at: float,
         *,
+        mirror: str = "",
         is_resumed: bool = False,
     ) -> None:
         self.attempt_id = attempt_id
         self.endpoint = endpoint
+        self.mirror = mirror
         self.sent_at = sent_at
         self.first_event_at: float | None = None
         self.last_event_at: float | None = None
         self.is_resumed = is_resumed
 
 
+class Migration(Message):
+    """A running stream on its way to another endpoint.
+
+    Attributes:
+        target: Name of the endpoint that receives its copy.
+        n_copies: Copies that are done.
+        is_final: Whether the run stops for the copy under way.
+    """
+
+    __slots__ = ("target", "n_copies", "is_final")
+
+    def __init__(self, target: str) -> None:
+        self.target = target
+        self.n_copies = 0
+        self.is_final = False
+
+
 class Request(Message):
     """State of one request from its arrival to its answer.
 
@@ -59,7 +80,7 @@
         excluded: Endpoints that failed or refused it.
         has_begun: Whether the caller got the start of the answer.
         last_event: Number of the newest event that the caller got, 0 for none.
-        backup_at: Name of the endpoint that mirrors the current attempt.
+        migration: How it moves to another endpoint, None while it does not.
     """
 
     __slots__ = (
@@ -76,7 +97,7 @@
         "excluded",
         "has_begun",
         "last_event",
-        "backup_at",
+        "migration",
     )
 
     def __init__(
@@ -103,7 +124,7 @@
         self.excluded: set[str] = set()
         self.has_begun = False
         self.last_event = 0
-        self.backup_at = ""
+        self.migration: Migration | None = None
 
     @property
     def call_id(self) -> str:
@@ -120,6 +141,11 @@
         """Return the tokens that it is expected to hold, 0 for a plain request."""
         return self.call.size.n_tokens if self.call.size is not None else 0
 
+    @property
+    def n_output_tokens(self) -> int:
+        """Return the tokens that it is expected to generate."""
+        return self.call.size.n_output_tokens if self.call.size is not None else 0
+
     @property
     def may_rerun(self) -> bool:
         """Return whether it may run again after an attempt that may have run."""
--- /dev/null
+++ b/hawthornyard/edge/mirroring.py
@@ -0,0 +1,68 @@
+"""Choose the endpoint that mirrors a stream while it runs."""
+
+from typing import Protocol
+
+from .directory import Directory
+from .eligible import Eligible
+from .endpoints import Endpoint
+from .messages import Request
+
+# A shorter output is over before a copy of its prompt would pay.
+MIN_OUTPUT_TOKENS = 64
+# Mirrors fill an engine's memory up to this share only; the rest is for its own
+# work, which they would delay.
+MIRROR_SHARE = 0.75
+
+
+class Mirroring(Protocol):
+    """Choose where a stream is mirrored."""
+
+    def choose(self, request: Request, endpoint: Endpoint) -> Endpoint | None:
+        """Return the endpoint that mirrors a request, None for no mirror.
+
+        Args:
+            request: The request.
+            endpoint: The endpoint that is about to run it.
+        """
+        ...
+
+
+class MirrorWhereRoom:
+    """Mirror long streams at the emptiest engine, while memory is slack.
+
+    Args:
+        directory: Tells what engines can hold.
+        eligible: Tells which endpoints may get new work.
+    """
+
+    __slots__ = ("_directory", "_eligible")
+
+    def __init__(self, directory: Directory, eligible: Eligible) -> None:
+        self._directory = directory
+        self._eligible = eligible
+
+    def choose(self, request: Request, endpoint: Endpoint) -> Endpoint | None:
+        """Return the endpoint that mirrors a request; see `Mirroring.choose`."""
+        rule = self._directory.service(request.service)
+        if rule is None or rule.engine is None or not rule.engine.can_back_up:
+            return None
+        if request.n_output_tokens < MIN_OUTPUT_TOKENS:
+            return None
+        room = rule.engine.memory_tokens * MIRROR_SHARE
+        found = [
+            other
+            for other in self._eligible.for_request(request)
+            if other.name != endpoint.name
+            and other.used_tokens + request.n_tokens <= room
+        ]
+        if not found:
+            return None
+        domain = endpoint.entry.failure_domain
+        return min(
+            found,
+            key=lambda other: (
+                other.entry.failure_domain == domain,
+                other.used_tokens,
+                other.name,
+            ),
+        )
--- a/hawthornyard/edge/repeats.py
+++ b/hawthornyard/edge/repeats.py
@@ -25,9 +25,6 @@
 
     Args:
         clock: Source of time.
-        ratio: Repeats allowed for one request of the window.
-        slack: Repeats allowed in a window besides, all gateways together.
-        window_s: Length of the window.
 
     Attributes:
         n_gateways: Gateways that divide the slack.
@@ -35,15 +32,25 @@
 
     __slots__ = ("_clock", "_ratio", "_slack", "_window_s", "_windows", "n_gateways")
 
-    def __init__(
-        self, clock: Clock, *, ratio: float, slack: float, window_s: float
-    ) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
+        self._ratio = 0.0
+        self._slack = 0.0
+        self._window_s = 0.0
+        self._windows: dict[str, _Window] = {}
+        self.n_gateways = 1
+
+    def set_bounds(self, *, ratio: float, slack: float, window_s: float) -> None:
+        """Replace the bounds; without any, nothing is repeated.
+
+        Args:
+            ratio: Repeats allowed for one request of the window.
+            slack: Repeats allowed in a window besides, all gateways together.
+            window_s: Length of the window.
+        """
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._windows: dict[str, _Window] = {}
-        self.n_gateways = 1
 
     def note_request(self, service: str) -> None:
         """Count a request for a service."""
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -102,6 +102,9 @@
             return
         seconds = FULL_PAUSE_S if msg.is_full else UNREACHABLE_PAUSE_S
         self._endpoints.pause(request.attempt.endpoint, seconds)
+        if request.has_begun:
+            yield from self._lose(request, msg.detail)
+            return
         yield self._again(request, ErrorKind.OVERLOADED, msg.detail)
 
     def _on_broke(self, msg: AttemptBroke) -> Iterator[Message]:
--- a/hawthornyard/edge/request/retry.py
+++ b/hawthornyard/edge/request/retry.py
@@ -62,7 +62,8 @@
         request = msg.request
         if self._clock.now() >= request.deadline:
             return "deadline"
-        if ANSWERS[msg.kind].ran is not Ran.NO and not request.may_rerun:
+        may_have_run = request.n_runs > 0 or ANSWERS[msg.kind].ran is not Ran.NO
+        if may_have_run and not request.may_rerun:
             return "may have run"
         if request.n_attempts >= MAX_SENDS:
             return "attempts"
--- a/hawthornyard/edge/request/send.py
+++ b/hawthornyard/edge/request/send.py
@@ -8,6 +8,7 @@
 from ..endpoints import Endpoints
 from ..inflight import InFlight
 from ..messages import AttemptFailed, Dispatch, Routed
+from ..mirroring import Mirroring
 
 # With less than this left, an endpoint could not answer in time.
 MIN_LEFT_S = 0.02
@@ -20,21 +21,31 @@
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
         eligible: Told what cold endpoints get.
+        mirroring: Chooses where streams are mirrored.
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_eligible", "_endpoints", "_inflight", "handlers")
+    __slots__ = (
+        "_clock",
+        "_eligible",
+        "_endpoints",
+        "_inflight",
+        "_mirroring",
+        "handlers",
+    )
 
     def __init__(
         self,
         inflight: InFlight,
         endpoints: Endpoints,
         eligible: Eligible,
+        mirroring: Mirroring,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligible = eligible
+        self._mirroring = mirroring
         self._clock = clock
         self.handlers: Handlers = {Routed: self._on_routed}
 
@@ -51,7 +62,12 @@
             yield AttemptFailed(request, ErrorKind.OVERLOADED, "the deadline passed")
             return
         self._eligible.note_send(endpoint)
-        attempt = self._inflight.begin(request, endpoint.name)
+        mirror = None
+        if request.route.is_stream:
+            mirror = self._mirroring.choose(request, endpoint)
+        attempt = self._inflight.begin(
+            request, endpoint.name, mirror=mirror.name if mirror is not None else ""
+        )
         yield Dispatch(
             attempt.attempt_id,
             request.call,
@@ -61,4 +77,5 @@
             priority=request.priority,
             timeout_s=left_s,
             is_stream=request.route.is_stream,
+            backup_address=mirror.entry.address if mirror is not None else "",
         )
--- /dev/null
+++ b/hawthornyard/edge/streams/migrate.py
@@ -0,0 +1,226 @@
+"""Move streams to other endpoints before theirs is gone."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Decision, Handlers, Message
+from ..directory import Directory
+from ..eligible import Eligible
+from ..endpoints import Endpoint, Endpoints
+from ..inflight import InFlight
+from ..messages import (
+    Cancel,
+    Closed,
+    CopyAnswered,
+    CopyAsked,
+    CopyDropped,
+    EndpointLeaving,
+    Migration,
+    Request,
+)
+from .resumption import Resumption
+
+# Copies while the run goes on; each leaves less for the one that stops it.
+PRE_COPIES = 2
+# A run that is over sooner than this needs no copy: one takes 0.2 to 0.4 s.
+MIN_REMAINING_S = 0.4
+# An output that is longer than expected goes on for this share of what it has.
+OVERRUN_SHARE = 0.2
+# Pause between events before any was measured.
+USUAL_GAP_S = 0.05
+COPY_TIMEOUT_S = 3.0
+
+
+class Migrate:
+    """Copy the runs of a leaving endpoint, then go on at the copies.
+
+    One run at a time is copied, since all share the link of their endpoint: a run
+    that has stopped must not wait for the copies of others.
+
+    Args:
+        inflight: Requests that are not answered yet.
+        endpoints: Known endpoints.
+        eligible: Tells which endpoints may get new work.
+        directory: Tells what engines can do.
+        resumption: Begins the new attempts.
+        clock: Source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_eligible",
+        "_endpoints",
+        "_inflight",
+        "_resumption",
+        "_waiting",
+        "handlers",
+    )
+
+    def __init__(
+        self,
+        inflight: InFlight,
+        endpoints: Endpoints,
+        eligible: Eligible,
+        directory: Directory,
+        resumption: Resumption,
+        clock: Clock,
+    ) -> None:
+        self._inflight = inflight
+        self._endpoints = endpoints
+        self._eligible = eligible
+        self._directory = directory
+        self._resumption = resumption
+        self._clock = clock
+        self._waiting: dict[str, list[str]] = {}
+        self.handlers: Handlers = {
+            EndpointLeaving: self._on_leaving,
+            CopyAnswered: self._on_copied,
+            Closed: self._on_closed,
+        }
+
+    def _on_leaving(self, msg: EndpointLeaving) -> Iterator[Message]:
+        yield msg
+        endpoint = self._endpoints.get(msg.endpoint)
+        if endpoint is None:
+            return
+        for request in endpoint.mirrored.values():
+            if request.attempt is not None:
+                request.attempt.mirror = ""
+        endpoint.mirrored.clear()
+        if not self._can_migrate(endpoint):
+            return
+        exposed = [
+            (self._remaining_s(request, endpoint), attempt_id)
+            for attempt_id, request in endpoint.requests.items()
+            if self._is_exposed(request)
+        ]
+        # The longest first: they are worth most, and the others may end by themselves.
+        self._waiting[endpoint.name] = [
+            attempt_id
+            for remaining_s, attempt_id in sorted(exposed, reverse=True)
+            if remaining_s >= MIN_REMAINING_S
+        ]
+        yield from self._next(endpoint)
+
+    def _next(self, endpoint: Endpoint) -> Iterator[Message]:
+        waiting = self._waiting.get(endpoint.name, [])
+        while waiting:
+            request = self._inflight.by_attempt(waiting.pop(0))
+            if request is None:
+                continue
+            target = self._target(request, endpoint)
+            if target is None:
+                yield Decision(
+                    "migration_skipped",
+                    request_id=request.request_id,
+                    reason="no engine has room",
+                    endpoint=endpoint.name,
+                )
+                continue
+            request.migration = Migration(target.name)
+            yield from self._copy(request, endpoint, target)
+            return
+        self._waiting.pop(endpoint.name, None)
+
+    def _copy(
+        self, request: Request, endpoint: Endpoint, target: Endpoint
+    ) -> Iterator[Message]:
+        if request.attempt is None or request.migration is None:
+            return
+        request.migration.is_final = request.migration.n_copies >= PRE_COPIES
+        yield CopyAsked(
+            request.attempt.attempt_id,
+            request.request_id,
+            endpoint.entry.address,
+            target.entry.address,
+            is_final=request.migration.is_final,
+            timeout_s=COPY_TIMEOUT_S,
+        )
+
+    def _on_copied(self, msg: CopyAnswered) -> Iterator[Message]:
+        request = self._inflight.by_attempt(msg.asked.attempt_id)
+        if request is None or request.attempt is None or request.migration is None:
+            if msg.handle:
+                yield CopyDropped(msg.asked.source, msg.handle)
+            return
+        endpoint = self._endpoints.get(request.attempt.endpoint)
+        target = self._endpoints.get(request.migration.target)
+        yield self._decision(request, msg)
+        if endpoint is None:
+            return
+        if msg.asked.is_final:
+            yield from self._finish(request, endpoint, target, msg)
+            yield from self._next(endpoint)
+        elif msg.is_done and target is not None:
+            request.migration.n_copies += 1
+            yield from self._copy(request, endpoint, target)
+        else:
+            request.migration = None
+            yield from self._next(endpoint)
+
+    def _finish(
+        self,
+        request: Request,
+        endpoint: Endpoint,
+        target: Endpoint | None,
+        msg: CopyAnswered,
+    ) -> Iterator[Message]:
+        attempt = request.attempt
+        if attempt is None:
+            return
+        if not msg.handle:
+            # The run goes on where it is, or its stream breaks and says so.
+            request.migration = None
+            return
+        # Without a copy elsewhere the run goes on where it was stopped.
+        onward = target if msg.is_done and target is not None else endpoint
+        yield Cancel(attempt.attempt_id)
+        yield self._resumption.begin(request, onward, msg.asked.source, msg.handle)
+
+    def _decision(self, request: Request, msg: CopyAnswered) -> Decision:
+        return Decision(
+            "copied" if msg.is_done else "copy_failed",
+            request_id=request.request_id,
+            reason=msg.detail,
+            endpoint=request.migration.target if request.migration else "",
+            is_final=msg.asked.is_final,
+            seconds=round(msg.seconds, 3),
+            n_events=request.last_event,
+        )
+
+    def _on_closed(self, msg: Closed) -> Iterator[Message]:
+        msg.request.migration = None
+        yield msg
+
+    def _can_migrate(self, endpoint: Endpoint) -> bool:
+        rule = self._directory.service(endpoint.entry.service)
+        return rule is not None and rule.engine is not None and rule.engine.can_migrate
+
+    def _is_exposed(self, request: Request) -> bool:
+        attempt = request.attempt
+        if attempt is None or not request.route.is_stream:
+            return False
+        return self._endpoints.get(attempt.mirror) is None
+
+    def _remaining_s(self, request: Request, endpoint: Endpoint) -> float:
+        rule = self._directory.service(request.service)
+        per_event = rule.engine.tokens_per_event if rule and rule.engine else 1
+        n_events = request.n_output_tokens / per_event - request.last_event
+        n_events = max(n_events, OVERRUN_SHARE * request.last_event)
+        return n_events * (endpoint.gap_s or USUAL_GAP_S)
+
+    def _target(self, request: Request, endpoint: Endpoint) -> Endpoint | None:
+        rule = self._directory.service(request.service)
+        if rule is None or rule.engine is None:
+            return None
+        memory_tokens = rule.engine.memory_tokens
+        found = [
+            other
+            for other in self._eligible.for_request(request)
+            if other.name != endpoint.name
+            and other.n_running < other.entry.n_slots
+            and other.used_tokens + request.n_tokens <= memory_tokens
+        ]
+        return min(
+            found, key=lambda other: (other.used_tokens, other.name), default=None
+        )
--- /dev/null
+++ b/hawthornyard/edge/streams/resume.py
@@ -0,0 +1,52 @@
+"""Go on at the mirror when the endpoint of a stream is lost."""
+
+from collections.abc import Iterator
+
+from ...core import Decision, Handlers, Message
+from ..endpoints import Endpoints
+from ..inflight import InFlight
+from ..messages import AttemptBroke
+from .resumption import Resumption
+
+
+class Resume:
+    """Take streams that broke off up again where they are mirrored.
+
+    Args:
+        inflight: Requests that are not answered yet.
+        endpoints: Known endpoints.
+        resumption: Begins the new attempts.
+    """
+
+    __slots__ = ("_endpoints", "_inflight", "_resumption", "handlers")
+
+    def __init__(
+        self, inflight: InFlight, endpoints: Endpoints, resumption: Resumption
+    ) -> None:
+        self._inflight = inflight
+        self._endpoints = endpoints
+        self._resumption = resumption
+        self.handlers: Handlers = {AttemptBroke: self._on_broke}
+
+    def _on_broke(self, msg: AttemptBroke) -> Iterator[Message]:
+        request = self._inflight.by_attempt(msg.attempt_id)
+        if request is None or request.attempt is None:
+            return
+        if request.migration is not None and request.migration.is_final:
+            # The engine closes the stream of a run that it has stopped to copy.
+            return
+        mirror = self._endpoints.get(request.attempt.mirror)
+        if mirror is None:
+            yield msg
+            return
+        yield Decision(
+            "stream_resumed",
+            request_id=request.request_id,
+            reason=msg.detail,
+            endpoint=mirror.name,
+            before=request.attempt.endpoint,
+            n_events=request.last_event,
+        )
+        request.n_runs = max(1, request.n_runs)
+        address = mirror.entry.address
+        yield self._resumption.begin(request, mirror, address, request.request_id)
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -24,6 +24,7 @@
 from .greeting import Hello, Proof
 from .heartbeat import GatewayBeat, Heartbeat, Subscribe
 from .limit import Demand, Portion
+from .loads import EndpointLoad, GatewayLoads
 from .plan import Loaded, PlanEntry, PlanPush
 from .work import Generation, ServiceCall, Work
 
@@ -41,9 +42,11 @@
     "Demand",
     "Dispatch",
     "Ended",
+    "EndpointLoad",
     "Failed",
     "Frame",
     "GatewayBeat",
+    "GatewayLoads",
     "Generation",
     "Heartbeat",
     "Hello",
--- /dev/null
+++ b/hawthornyard/frames/loads.py
@@ -0,0 +1,40 @@
+"""Define the frames by which gateways that call endpoints tell their load."""
+
+from collections.abc import Sequence
+
+from ..core import Message
+from .frame import Frame
+
+
+class EndpointLoad(Message):
+    """What one gateway runs at one endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        n_running: Requests that the gateway runs there.
+        n_tokens: Tokens that those and their mirrors are expected to hold.
+    """
+
+    __slots__ = ("endpoint", "n_running", "n_tokens")
+
+    def __init__(self, endpoint: str, n_running: int, n_tokens: int) -> None:
+        self.endpoint = endpoint
+        self.n_running = n_running
+        self.n_tokens = n_tokens
+
+
+class GatewayLoads(Frame):
+    """Gateway to gateway: all that the gateway runs.
+
+    Attributes:
+        name: Name of the gateway.
+        sequence: Number of the report; a smaller one came late.
+        loads: The endpoints that it runs something at.
+    """
+
+    __slots__ = ("name", "sequence", "loads")
+
+    def __init__(self, name: str, sequence: int, loads: Sequence[EndpointLoad]) -> None:
+        self.name = name
+        self.sequence = sequence
+        self.loads = loads
--- a/hawthornyard/platform/__main__.py
+++ b/hawthornyard/platform/__main__.py
@@ -20,13 +20,14 @@
     from .program import EdgeGateway
     from .settings import PATH_VARIABLE, load_edge_settings
 
+    path = Path(os.environ.get(PATH_VARIABLE, ""))
     try:
-        settings = load_edge_settings(Path(os.environ.get(PATH_VARIABLE, "")))
+        settings = load_edge_settings(path)
     except SettingsError as exc:
         print(f"error: {exc}", file=sys.stderr)
         return 1
     configure_log(stream=sys.stdout)
-    EdgeGateway(settings).run()
+    EdgeGateway(settings, path).run()
     return 0
 
 
--- a/hawthornyard/platform/channel.py
+++ b/hawthornyard/platform/channel.py
@@ -1,7 +1,9 @@
 """Open a connection for one call of an endpoint."""
 
+import http.client
 import socket
 
+import urllib3
 from urllib3.connection import HTTPConnection
 
 from ..rim import split_address
@@ -15,6 +17,14 @@
 KEEPALIVE_S = 1
 """Seconds between probes of a silent connection; three unanswered ones end it."""
 
+FAILURES = (
+    urllib3.exceptions.HTTPError,
+    http.client.HTTPException,
+    OSError,
+    ValueError,
+)
+"""What a call of an endpoint may raise."""
+
 SOCKET_OPTIONS: list[tuple[int, int, int | bytes]] = [
     (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
     (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
--- a/hawthornyard/platform/deployment.py
+++ b/hawthornyard/platform/deployment.py
@@ -74,6 +74,7 @@
         can_migrate=flag(item, "moves"),
         can_back_up=flag(item, "backups"),
         copy_lifetime_s=number(item, "handle_s", 0.0),
+        tokens_per_event=max(1, int(number(item, "stride", 1.0))),
     )
 
 
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -73,3 +73,6 @@
 DEPLOYMENT_KEY = "config"
 DOMAIN_OUT_PREFIX = "evacuate/"
 ENDPOINT_TABLE = "servers"
+
+COPY_PATH = "/kv-move"
+COPY_DROP_PATH = "/kv-handle/"
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -3,12 +3,14 @@
 import random
 import signal
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 import eventlet
 from loguru import logger
 
-from ..core import Feedback, Pipeline, StopRequested, Tick
+from ..codec import MsgpackCodec
+from ..core import Feedback, Pipeline, ReloadRequested, StopRequested, Tick
 from ..edge.chain import EdgeState, edge_chain
 from ..edge.messages import (
     AttemptFailed,
@@ -21,7 +23,7 @@
     StoreAnswered,
     StoreFailed,
 )
-from ..edge.repeats import RepeatBudget
+from ..frames import GatewayLoads
 from ..front import HttpServer, MetricsApplication, Replies
 from ..front.exchange import Environ, StartResponse
 from ..gateway.messages import CallerGone
@@ -38,10 +40,15 @@
     split_address,
 )
 from ..rim.clock import BootClock
+from ..rim.datagrams import Datagrams
 from ..rim.metrics import ProgramMetrics
+from ..rim.resets import report_resets
+from .copies import CopySink
 from .feeds import endpoint_feed, operator_feed
 from .front import PlatformFront
+from .gateways import GatewayRows
 from .protocol import strict_protocol
+from .reload import ReloadSink, apply_bounds
 from .runner import RunnerSink
 from .settings import EdgeSettings
 from .store import PlatformStore
@@ -52,9 +59,6 @@
 OPERATOR_WAIT_S = 1.5
 """Wait of one call for changes by operators; a confirmation stays younger than 3 s."""
 
-KEY_MARGIN_S = 0.5
-"""Keys are given up so long before their bound, for what is on its way already."""
-
 TICK_S = 0.05
 
 
@@ -82,23 +86,17 @@
 
     Args:
         settings: Checked settings.
+        path: The file that they come from, read again on a change.
     """
 
-    def __init__(self, settings: EdgeSettings) -> None:
+    def __init__(self, settings: EdgeSettings, path: Path) -> None:
+        report_resets()
         self._settings = settings
         self._clock = BootClock()
         self._inbox = EventletInbox()
         self._stop = StopSink()
-        repeats = RepeatBudget(
-            self._clock,
-            ratio=settings.repeat_ratio,
-            slack=settings.repeat_slack,
-            window_s=settings.repeat_window_s,
-        )
-        max_age_s = settings.key_max_age_s
-        if max_age_s is not None:
-            max_age_s -= KEY_MARGIN_S
-        self.state = EdgeState(self._clock, repeats, key_max_age_s=max_age_s)
+        self.state = EdgeState(settings.name, self._clock)
+        apply_bounds(self.state, settings)
         self._drain = Drain(
             self.state.inflight, self._clock, readiness_lag_s=READINESS_LAG_S
         )
@@ -128,11 +126,25 @@
             operator_feed(store, self._inbox, self._clock, wait_s=OPERATOR_WAIT_S),
             endpoint_feed(store, self._inbox, self._clock),
         ]
+        self._gateways = GatewayRows(
+            settings.name,
+            f"{settings.address}:{settings.peer_port}",
+            store,
+            self._inbox,
+        )
+        self._datagrams = Datagrams(
+            (settings.address, settings.peer_port),
+            MsgpackCodec(),
+            self._inbox,
+            GatewayLoads,
+        )
         self._pipeline = Pipeline(
             edge_chain(self.state, self._drain, self._clock, random.Random()),
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
                 RunnerSink(self._inbox),
+                CopySink(self._inbox),
+                self._datagrams,
                 DecisionLog(settings.name),
                 Discard(
                     Tick,
@@ -146,6 +158,7 @@
                 ),
                 replies,
                 ListenerSink(self._server),
+                ReloadSink(path, settings, self.state),
                 self._stop,
             ],
         )
@@ -154,9 +167,12 @@
         """Run until SIGTERM and the end of all requests."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._inbox.put(StopRequested()))
+        signal.signal(signal.SIGHUP, lambda *_: self._inbox.put(ReloadRequested()))
         eventlet.spawn_n(run_timer, self._inbox, self._clock, interval_s=TICK_S)
         for feed in self._feeds:
             eventlet.spawn_n(feed.run)
+        eventlet.spawn_n(self._gateways.run)
+        eventlet.spawn_n(self._datagrams.run)
         for server in (self._server, self._ready_server, self._metrics_server):
             server.start()
         loop = eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -1,6 +1,5 @@
 """Call the platform's endpoints."""
 
-import http.client
 from typing import Any
 
 import eventlet
@@ -20,7 +19,7 @@
     Dispatch,
 )
 from ..errors import EndpointError
-from .channel import CONNECT_TIMEOUT_S, open_channel
+from .channel import CONNECT_TIMEOUT_S, FAILURES, open_channel
 from .events import EventSplitter
 from .names import (
     BACKUP,
@@ -46,12 +45,6 @@
 
 _MISDIRECTED = 421
 _NO_ROOM = frozenset({429, 503})
-_FAILURES = (
-    urllib3.exceptions.HTTPError,
-    http.client.HTTPException,
-    OSError,
-    ValueError,
-)
 
 
 class RunnerSink:
@@ -90,12 +83,12 @@
             conn = open_channel(
                 msg.address, timeout_s=min(CONNECT_TIMEOUT_S, msg.timeout_s)
             )
-        except _FAILURES as exc:
+        except FAILURES as exc:
             self._inbox.put(AttemptRefused(msg.attempt_id, f"not connected: {exc}"))
             return
         try:
             self._exchange(conn, msg)
-        except (*_FAILURES, EndpointError) as exc:
+        except (*FAILURES, EndpointError) as exc:
             detail = f"{type(exc).__name__}: {exc}"
             self._inbox.put(AttemptBroke(msg.attempt_id, detail))
         finally:
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -17,6 +17,7 @@
 """Rows of one page, the most that the store gives."""
 
 _GONE = 410
+_CONFLICT = 412
 
 
 class StoredRow(Message):
@@ -25,23 +26,34 @@
     Attributes:
         key: Key of the row.
         value: Decoded bytes; None if the row was removed.
+        version: Version of the transaction that wrote it.
     """
 
-    __slots__ = ("key", "value")
+    __slots__ = ("key", "value", "version")
 
-    def __init__(self, key: str, value: bytes | None) -> None:
+    def __init__(self, key: str, value: bytes | None, version: int = 0) -> None:
         self.key = key
         self.value = value
+        self.version = version
 
 
 class RowPage(Message):
-    """Rows and the version up to which they are complete."""
+    """Rows of a table.
 
-    __slots__ = ("rows", "version")
+    Attributes:
+        rows: The rows.
+        version: Version up to which they are complete.
+        now_ms: The store's steady clock.
+    """
 
-    def __init__(self, rows: Sequence[StoredRow], version: int) -> None:
+    __slots__ = ("rows", "version", "now_ms")
+
+    def __init__(
+        self, rows: Sequence[StoredRow], version: int, now_ms: float = 0.0
+    ) -> None:
         self.rows = rows
         self.version = version
+        self.now_ms = now_ms
 
 
 class PlatformStore:
@@ -79,7 +91,7 @@
                 version = _version(body)
             rows += page
             if not body.get("has_more") or not page:
-                return RowPage(rows, version)
+                return RowPage(rows, version, _now_ms(body))
             # The smallest key after the last one that was read.
             start = page[-1].key + "\0"
 
@@ -112,7 +124,43 @@
         if answer.status == _GONE:
             return None
         body = _decode(answer.data)
-        return RowPage(_rows(body), _version(body))
+        return RowPage(_rows(body), _version(body), _now_ms(body))
+
+    def write(self, table: str, key: str, value: bytes) -> None:
+        """Write one row, whatever it held.
+
+        Raises:
+            PlatformError: If there was no answer; the write may have taken effect.
+        """
+        row = {**_name(table, key), "value": base64.b64encode(value).decode()}
+        self._transact({"expect": [], "puts": [row], "remove": []})
+
+    def remove(self, table: str, key: str, version: int) -> None:
+        """Remove one row unless it has changed since `version`.
+
+        Raises:
+            PlatformError: If there was no answer; the row may be gone.
+        """
+        name = _name(table, key)
+        expected = {**name, "ver": version}
+        self._transact({"expect": [expected], "puts": [], "remove": [name]})
+
+    def _transact(self, body: dict[str, Any]) -> None:
+        data = json.dumps(body).encode()
+        self._service.call(
+            "POST", "/rows-tx", data=data, expected=frozenset({_CONFLICT})
+        )
+
+
+def _name(table: str, key: str) -> dict[str, str]:
+    return {"table_name": table, "part": "", "key": key}
+
+
+def _now_ms(body: dict[str, Any]) -> float:
+    now_ms: Any = body.get("now_ms")
+    if type(now_ms) not in (int, float):
+        raise PlatformError("store: the answer has no time")
+    return float(now_ms)
 
 
 def _decode(data: bytes) -> dict[str, Any]:
@@ -145,7 +193,9 @@
     if row.get("tombstone"):
         return StoredRow(row["key"], None)
     try:
-        return StoredRow(row["key"], base64.b64decode(row.get("value") or ""))
+        value = base64.b64decode(row.get("value") or "")
     except (binascii.Error, TypeError, ValueError):
         # Kept as bytes that decode to nothing, so that the other rows hold.
-        return StoredRow(row["key"], b"")
+        value = b""
+    version = row.get("ver")
+    return StoredRow(row["key"], value, version if type(version) is int else 0)
