Route generations by the time to their first event

Gateways now tell the prompt tokens that are still unread and the rate at which they saw them read; the cost is the expected time to the first event over the target, plus the memory in use. Ruled out by the log: gaps between events, 4 of 26 late ones only.

--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -79,7 +79,7 @@
         placement: Chooses among endpoints that may run a request.
         mirroring: Chooses where streams are mirrored.
     """
-    placement = placement or LeastLoaded(state.directory)
+    placement = placement or LeastLoaded(state.directory, state.endpoints)
     mirroring = mirroring or MirrorWhereRoom(state.directory, state.eligible)
     resumption = Resumption(state.inflight, state.eligible, mirroring, clock)
     return [
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -8,6 +8,8 @@
 
 # Weight of a new pause between events in an endpoint's mean.
 GAP_WEIGHT = 0.05
+# Weight of a new prefill rate in an endpoint's mean.
+PREFILL_WEIGHT = 0.3
 # Weight of a new answer time of a plain endpoint in its mean.
 ANSWER_WEIGHT = 0.2
 # An endpoint that refused for lack of room is left alone for so long.
@@ -28,6 +30,8 @@
         leaves_at: Monotonic seconds when it will be gone, None if unknown.
         paused_until: Monotonic seconds until which it gets no new work.
         n_failures: Failures in a row.
+        own_prefill_rate: Prompt tokens a second that this gateway saw it read, 0
+            before the first.
         gap_s: Mean pause between its events, 0 before the first.
         answer_s: Mean time of its whole answers, 0 before the first.
     """
@@ -42,6 +46,7 @@
         "leaving_since",
         "mirrored",
         "n_failures",
+        "own_prefill_rate",
         "paused_until",
         "requests",
     )
@@ -56,6 +61,7 @@
         self.leaves_at: float | None = None
         self.paused_until = 0.0
         self.n_failures = 0
+        self.own_prefill_rate = 0.0
         self.gap_s = 0.0
         self.answer_s = 0.0
 
@@ -85,6 +91,27 @@
         """Return the tokens that all gateways are known to need there."""
         return self.own_tokens + self._peers.n_tokens(self.name)
 
+    @property
+    def own_unread(self) -> int:
+        """Return the prompt tokens of this gateway that it has yet to read."""
+        return sum(request.n_unread for request in self.requests.values())
+
+    @property
+    def n_unread(self) -> int:
+        """Return the prompt tokens that it has yet to read."""
+        return self.own_unread + self._peers.n_unread(self.name)
+
+    @property
+    def prefill_rate(self) -> float:
+        """Return the prompt tokens a second that it reads, 0 if unknown."""
+        return self.own_prefill_rate or self._peers.prefill_rate(self.name)
+
+    def note_prefill(self, n_tokens: int, seconds: float) -> None:
+        """Learn how long it took to read a prompt and those before it."""
+        rate = n_tokens / max(seconds, 0.001)
+        weight = PREFILL_WEIGHT if self.own_prefill_rate else 1.0
+        self.own_prefill_rate += weight * (rate - self.own_prefill_rate)
+
     def note_gap(self, seconds: float) -> None:
         """Learn a pause between two events."""
         weight = GAP_WEIGHT if self.gap_s else 1.0
--- a/hawthornyard/edge/fleet/share.py
+++ b/hawthornyard/edge/fleet/share.py
@@ -86,7 +86,13 @@
         self._next_at = msg.now + SHARE_INTERVAL_S * n_shares
         self._sequence += 1
         loads = [
-            EndpointLoad(endpoint.name, endpoint.n_own, endpoint.own_tokens)
+            EndpointLoad(
+                endpoint.name,
+                endpoint.n_own,
+                endpoint.own_tokens,
+                endpoint.own_unread,
+                endpoint.own_prefill_rate,
+            )
             for endpoint in self._endpoints
             if endpoint.n_own or endpoint.own_tokens
         ]
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -13,8 +13,8 @@
         endpoint: Name of the endpoint.
         mirror: Name of the endpoint that mirrors it, empty for none.
         sent_at: Monotonic seconds of the dispatch.
-        first_event_at: Monotonic seconds of its first event, None before it.
         last_event_at: Monotonic seconds of its newest event, None before it.
+        n_ahead: Prompt tokens that the endpoint had to read first, its own included.
         is_resumed: Whether it goes on from a copy of an earlier attempt.
     """
 
@@ -23,8 +23,8 @@
         "endpoint",
         "mirror",
         "sent_at",
-        "first_event_at",
         "last_event_at",
+        "n_ahead",
         "is_resumed",
     )
 
@@ -41,8 +41,8 @@
         self.endpoint = endpoint
         self.mirror = mirror
         self.sent_at = sent_at
-        self.first_event_at: float | None = None
         self.last_event_at: float | None = None
+        self.n_ahead = 0
         self.is_resumed = is_resumed
 
 
@@ -80,6 +80,9 @@
         excluded: Endpoints that failed or refused it.
         has_begun: Whether the caller got the start of the answer.
         last_event: Number of the newest event that the caller got, 0 for none.
+        first_event_s: Seconds from its arrival to its first event.
+        longest_gap_s: Longest pause between two of its events.
+        last_event_at: Monotonic seconds of its newest event.
         migration: How it moves to another endpoint, None while it does not.
     """
 
@@ -97,6 +100,9 @@
         "excluded",
         "has_begun",
         "last_event",
+        "first_event_s",
+        "longest_gap_s",
+        "last_event_at",
         "migration",
     )
 
@@ -124,6 +130,9 @@
         self.excluded: set[str] = set()
         self.has_begun = False
         self.last_event = 0
+        self.first_event_s: float | None = None
+        self.longest_gap_s = 0.0
+        self.last_event_at = 0.0
         self.migration: Migration | None = None
 
     @property
@@ -141,11 +150,30 @@
         """Return the tokens that it is expected to hold, 0 for a plain request."""
         return self.call.size.n_tokens if self.call.size is not None else 0
 
+    @property
+    def n_unread(self) -> int:
+        """Return the prompt tokens that its endpoint has yet to read."""
+        attempt = self.attempt
+        if self.call.size is None or attempt is None:
+            return 0
+        # A copy brings the prompt along.
+        if attempt.is_resumed or attempt.last_event_at is not None:
+            return 0
+        return self.call.size.n_prompt_tokens
+
     @property
     def n_output_tokens(self) -> int:
         """Return the tokens that it is expected to generate."""
         return self.call.size.n_output_tokens if self.call.size is not None else 0
 
+    def note_events(self, now: float) -> None:
+        """Note the time at which events go to the caller."""
+        if self.first_event_s is None:
+            self.first_event_s = now - self.arrived_at
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
+        self.last_event_at = now
+
     @property
     def may_rerun(self) -> bool:
         """Return whether it may run again after an attempt that may have run."""
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -71,6 +71,16 @@
         """Return the tokens that other gateways need at an endpoint."""
         return sum(load.n_tokens for load in self._loads(endpoint))
 
+    def n_unread(self, endpoint: str) -> int:
+        """Return the prompt tokens of other gateways that it has yet to read."""
+        return sum(load.n_unread for load in self._loads(endpoint))
+
+    def prefill_rate(self, endpoint: str) -> float:
+        """Return the mean of the rates that others have seen, 0 if unknown."""
+        rates = [load.prefill_rate for load in self._loads(endpoint)]
+        known = [rate for rate in rates if rate]
+        return sum(known) / len(known) if known else 0.0
+
     def _loads(self, endpoint: str) -> Iterator[EndpointLoad]:
         for peer in self._heard.values():
             load = peer.loads.get(endpoint)
--- a/hawthornyard/edge/placement.py
+++ b/hawthornyard/edge/placement.py
@@ -4,9 +4,17 @@
 from typing import Protocol
 
 from .directory import Directory
-from .endpoints import Endpoint
+from .endpoints import Endpoint, Endpoints
 from .messages import Request
 
+# Prompt tokens a second of an engine that nobody has measured yet; the usual one
+# of a service is taken as soon as any of its engines was measured.
+USUAL_PREFILL_RATE = 8000.0
+# Memory in use beyond this share makes an engine worse, since it may preempt.
+TIGHT_SHARE = 0.7
+TIGHT_COST = 5.0
+# Cost of a full memory against that of a first event that takes the whole target.
+MEMORY_COST = 0.3
 # Share of an engine's memory that expected work may fill; the rest takes up the
 # outputs that turn out longer than expected.
 MEMORY_SHARE = 0.9
@@ -25,16 +33,18 @@
 
 
 class LeastLoaded:
-    """Prefer the endpoint with the least work for its size and speed.
+    """Prefer the endpoint that answers first, as long as its memory is slack.
 
     Args:
         directory: Tells what engines can hold.
+        endpoints: Known endpoints.
     """
 
-    __slots__ = ("_directory",)
+    __slots__ = ("_directory", "_endpoints")
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Directory, endpoints: Endpoints) -> None:
         self._directory = directory
+        self._endpoints = endpoints
 
     def has_room(self, request: Request, endpoint: Endpoint) -> bool:
         """Return whether slots and memory hold the request too."""
@@ -46,13 +56,22 @@
         return endpoint.used_tokens + request.n_tokens <= room
 
     def cost(self, request: Request, endpoint: Endpoint) -> float:
-        """Return the share of slots or memory in use, weighed by the speed."""
-        slots = (endpoint.n_running + 1) / max(1, endpoint.entry.n_slots)
+        """Return the time to the first event and the memory in use, weighed."""
         memory_tokens = self._memory_tokens(endpoint)
-        if not memory_tokens or not request.n_tokens:
+        size = request.call.size
+        if not memory_tokens or size is None:
+            slots = (endpoint.n_running + 1) / max(1, endpoint.entry.n_slots)
             return slots * (endpoint.answer_s or 1.0)
+        rate = endpoint.prefill_rate or self._usual_rate(endpoint.entry.service)
+        first_event_s = (endpoint.n_unread + size.n_prompt_tokens) / rate
         memory = (endpoint.used_tokens + request.n_tokens) / memory_tokens
-        return max(slots, memory)
+        tight = max(0.0, memory - TIGHT_SHARE) * TIGHT_COST
+        return first_event_s / request.route.target_s + MEMORY_COST * memory + tight
+
+    def _usual_rate(self, service: str) -> float:
+        rates = [end.prefill_rate for end in self._endpoints.of_service(service)]
+        known = sorted(rate for rate in rates if rate)
+        return known[len(known) // 2] if known else USUAL_PREFILL_RATE
 
     def _memory_tokens(self, endpoint: Endpoint) -> int:
         rule = self._directory.service(endpoint.entry.service)
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -134,8 +134,10 @@
             return
         now = self._clock.now()
         endpoint = self._endpoints.get(attempt.endpoint)
-        if attempt.first_event_at is None:
-            attempt.first_event_at = now
+        request.note_events(now)
+        if endpoint is not None and attempt.last_event_at is None:
+            if attempt.n_ahead and not attempt.is_resumed:
+                endpoint.note_prefill(attempt.n_ahead, now - attempt.sent_at)
         elif endpoint is not None and attempt.last_event_at is not None:
             endpoint.note_gap((now - attempt.last_event_at) / n_events)
         if endpoint is not None:
--- a/hawthornyard/edge/reply/settle.py
+++ b/hawthornyard/edge/reply/settle.py
@@ -70,4 +70,14 @@
             seconds=round(self._clock.now() - request.arrived_at, 3),
             n_attempts=request.n_attempts,
             n_events=request.last_event,
+            **_stream_times(request),
         )
+
+
+def _stream_times(request: Request) -> dict[str, float]:
+    if request.first_event_s is None:
+        return {}
+    return {
+        "first_event_s": round(request.first_event_s, 3),
+        "longest_gap_s": round(request.longest_gap_s, 3),
+    }
--- a/hawthornyard/edge/request/send.py
+++ b/hawthornyard/edge/request/send.py
@@ -65,9 +65,11 @@
         mirror = None
         if request.route.is_stream:
             mirror = self._mirroring.choose(request, endpoint)
+        n_ahead = endpoint.n_unread
         attempt = self._inflight.begin(
             request, endpoint.name, mirror=mirror.name if mirror is not None else ""
         )
+        attempt.n_ahead = n_ahead + request.n_unread
         yield Dispatch(
             attempt.attempt_id,
             request.call,
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ...core import Clock, Decision, Handlers, Message
+from ...core import Clock, Decision, Handlers, Message, Tick
 from ..directory import Directory
 from ..eligible import Eligible
 from ..endpoints import Endpoint, Endpoints
@@ -21,6 +21,8 @@
 
 # Copies while the run goes on; each leaves less for the one that stops it.
 PRE_COPIES = 2
+# A run that has not begun can't be copied yet; its prompt takes some 0.3 s.
+NOT_BEGUN_PAUSE_S = 0.1
 # A run that is over sooner than this needs no copy: one takes 0.2 to 0.4 s.
 MIN_REMAINING_S = 0.4
 # An output that is longer than expected goes on for this share of what it has.
@@ -52,6 +54,7 @@
         "_endpoints",
         "_inflight",
         "_resumption",
+        "_retry_at",
         "_waiting",
         "handlers",
     )
@@ -72,10 +75,12 @@
         self._resumption = resumption
         self._clock = clock
         self._waiting: dict[str, list[str]] = {}
+        self._retry_at: dict[str, float] = {}
         self.handlers: Handlers = {
             EndpointLeaving: self._on_leaving,
             CopyAnswered: self._on_copied,
             Closed: self._on_closed,
+            Tick: self._on_tick,
         }
 
     def _on_leaving(self, msg: EndpointLeaving) -> Iterator[Message]:
@@ -156,7 +161,20 @@
             yield from self._copy(request, endpoint, target)
         else:
             request.migration = None
-            yield from self._next(endpoint)
+            if msg.is_unknown:
+                attempt_id = request.attempt.attempt_id
+                self._waiting.setdefault(endpoint.name, []).append(attempt_id)
+            self._retry_at[endpoint.name] = self._clock.now() + NOT_BEGUN_PAUSE_S
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        yield msg
+        for name, at in list(self._retry_at.items()):
+            if msg.now < at:
+                continue
+            del self._retry_at[name]
+            endpoint = self._endpoints.get(name)
+            if endpoint is not None:
+                yield from self._next(endpoint)
 
     def _finish(
         self,
--- a/hawthornyard/frames/loads.py
+++ b/hawthornyard/frames/loads.py
@@ -13,14 +13,25 @@
         endpoint: Name of the endpoint.
         n_running: Requests that the gateway runs there.
         n_tokens: Tokens that those and their mirrors are expected to hold.
+        n_unread: Prompt tokens of those that have no output yet.
+        prefill_rate: Prompt tokens a second that it was seen to read, 0 if unknown.
     """
 
-    __slots__ = ("endpoint", "n_running", "n_tokens")
+    __slots__ = ("endpoint", "n_running", "n_tokens", "n_unread", "prefill_rate")
 
-    def __init__(self, endpoint: str, n_running: int, n_tokens: int) -> None:
+    def __init__(
+        self,
+        endpoint: str,
+        n_running: int,
+        n_tokens: int,
+        n_unread: int = 0,
+        prefill_rate: float = 0.0,
+    ) -> None:
         self.endpoint = endpoint
         self.n_running = n_running
         self.n_tokens = n_tokens
+        self.n_unread = n_unread
+        self.prefill_rate = prefill_rate
 
 
 class GatewayLoads(Frame):
