Prefer engines that generate fast for long streams

The cost of an engine now holds the seconds that the stream would last there. Ruled out: a larger share of mirrors, since memory was full where streams were lost.

--- a/hawthornyard/edge/placement.py
+++ b/hawthornyard/edge/placement.py
@@ -15,6 +15,8 @@
 TIGHT_COST = 5.0
 # Cost of a full memory against that of a first event that takes the whole target.
 MEMORY_COST = 0.3
+# Cost of one second that a stream lasts: while it lasts, its engine may leave.
+DURATION_COST = 0.03
 # Share of an engine's memory that expected work may fill; the rest takes up the
 # outputs that turn out longer than expected.
 MEMORY_SHARE = 0.9
@@ -66,7 +68,24 @@
         first_event_s = (endpoint.n_unread + size.n_prompt_tokens) / rate
         memory = (endpoint.used_tokens + request.n_tokens) / memory_tokens
         tight = max(0.0, memory - TIGHT_SHARE) * TIGHT_COST
-        return first_event_s / request.route.target_s + MEMORY_COST * memory + tight
+        return (
+            first_event_s / request.route.target_s
+            + MEMORY_COST * memory
+            + tight
+            + DURATION_COST * self._duration_s(request, endpoint)
+        )
+
+    def _duration_s(self, request: Request, endpoint: Endpoint) -> float:
+        rule = self._directory.service(endpoint.entry.service)
+        if rule is None or rule.engine is None:
+            return 0.0
+        n_events = request.n_output_tokens / rule.engine.tokens_per_event
+        return n_events * (endpoint.gap_s or self._usual_gap_s(endpoint.entry.service))
+
+    def _usual_gap_s(self, service: str) -> float:
+        gaps = [end.gap_s for end in self._endpoints.of_service(service)]
+        known = sorted(gap for gap in gaps if gap)
+        return known[len(known) // 2] if known else 0.0
 
     def _usual_rate(self, service: str) -> float:
         rates = [end.prefill_rate for end in self._endpoints.of_service(service)]
