--- /dev/null
+++ b/features/edge_requests.feature
@@ -0,0 +1,114 @@
+@fixture.edge
+Feature: A gateway that calls endpoints itself keeps what it promises
+
+  Scenario Outline: What may follow an attempt
+    Given the plain endpoints desk-a and desk-b
+    When a <kind> is sent and the endpoint <outcome>
+    Then <n> attempts were sent for it
+    And the request ends as <end>
+
+    Examples:
+      | kind   | outcome                          | n | end             |
+      | badge  | breaks off                       | 1 | outcome_unknown |
+      | badge  | answers 500                      | 1 | 500             |
+      | badge  | refuses, then answers 200        | 2 | 200             |
+      | badge  | answers 404                      | 1 | 404             |
+      | lookup | breaks off, then answers 200     | 2 | 200             |
+      | lookup | answers 500, then answers 200    | 2 | 200             |
+      | lookup | answers 500, then answers 500    | 2 | 500             |
+      | lookup | breaks off, then breaks off      | 2 | outcome_unknown |
+      | lookup | breaks off, then refuses         | 3 | open            |
+      | badge  | refuses, then breaks off         | 2 | outcome_unknown |
+
+  Scenario: A second attempt goes to another endpoint
+    Given the plain endpoints desk-a and desk-b
+    When a lookup is sent and the endpoint answers 500, then answers 200
+    Then the attempts went to different endpoints
+
+  Scenario: Repeats stay within this gateway's part of the budget
+    Given the plain endpoints desk-a and desk-b
+    And 4 other gateways
+    When 20 lookups are sent and every endpoint answers 500
+    Then 6 repeats were sent
+
+  Scenario Outline: A request that is late gets its final answer at once
+    Given the plain endpoints <endpoints>
+    When a badge is sent
+    And <wait> seconds go by
+    Then the request ends as <end>
+
+    Examples:
+      | endpoints | wait | end                  |
+      | desk-a    | 1.1  | deadline_after_start |
+      | none      | 0.3  | no_endpoint          |
+
+  Scenario: A caller that leaves has its attempt cancelled
+    Given the plain endpoints desk-a
+    When a lookup is sent
+    And its caller leaves
+    Then the attempt is cancelled
+
+  Scenario: Keys are given up when their deployment was not confirmed for too long
+    Given the plain endpoints desk-a
+    And keys hold for 4.5 seconds without a confirmation
+    When 4.4 seconds go by
+    And a lookup is sent
+    Then 1 attempts were sent for it
+    When 0.2 seconds go by
+    And a lookup is sent
+    Then the request ends as platform_unavailable
+    And 0 attempts were sent for it
+
+  Scenario: An older deployment never replaces a newer one
+    Given the plain endpoints desk-a
+    When version 5 with no route is deployed
+    And version 4 with all routes is deployed
+    And a lookup is sent
+    Then the request ends as unknown_route
+
+  Scenario Outline: An endpoint that must get no new work gets none
+    Given the plain endpoints desk-a and desk-b
+    When <event>
+    And 6 lookups are sent
+    Then all of them went to desk-b
+
+    Examples:
+      | event                                  |
+      | desk-a drains                          |
+      | the entry of desk-a is removed         |
+      | the failure domain of desk-a is out    |
+
+  Scenario: An entry that lapsed while the store was away counts for two seconds
+    Given the plain endpoints desk-a
+    When the store is lost and comes back without the entry of desk-a
+    And 1.5 seconds go by
+    And a lookup is sent
+    Then 1 attempts were sent for it
+    When 0.6 seconds go by
+    And a lookup is sent
+    Then 0 attempts were sent for it
+
+  Scenario: A cold engine gets this gateway's part of what it bears
+    Given a cold engine engine-a
+    And 4 other gateways
+    When 6 summaries are sent
+    Then at most 2 attempts reach it within a second
+
+  Scenario: New engines are not flooded
+    Given the engines engine-a, engine-b and engine-c
+    And an engine engine-new that has just come
+    When 8 summaries are sent
+    Then no engine has more than twice the prompts of another
+
+  Scenario: Loads of other gateways count
+    Given the engines engine-a and engine-b
+    And another gateway that has 6000 unread prompt tokens at engine-a
+    When 1 summaries are sent
+    Then all of them went to engine-b
+
+  Scenario: A load report that comes late is ignored
+    Given the engines engine-a and engine-b
+    And another gateway that has 6000 unread prompt tokens at engine-a
+    And an older report of that gateway without load
+    When 1 summaries are sent
+    Then all of them went to engine-b
--- /dev/null
+++ b/features/edge_streams.feature
@@ -0,0 +1,88 @@
+@fixture.edge
+Feature: Streams go on when their endpoint leaves or dies
+
+  Scenario: A stream that breaks off goes on at its mirror
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When its engine breaks off
+    Then it goes on at the other engine from a copy after event 10
+    And the caller has the events 1 to 20 once, when 11 to 20 follow
+
+  Scenario: Events that the caller has are not sent again
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When its engine breaks off
+    And the events 8 to 14 follow
+    Then the caller has got the events 1 to 14 once
+
+  Scenario: A stream with a missing event ends, and does not look complete
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When its engine breaks off
+    And the events 12 to 14 follow
+    Then the caller has got the events 1 to 10 once
+    And the summary fails as generation_lost
+
+  Scenario: A mirror without a copy ends the stream, and nothing runs again
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When its engine breaks off
+    And the endpoint refuses the attempt
+    Then the summary fails as generation_lost
+    And 2 attempts were sent for it
+
+  Scenario: A stream that never began is not run again without a mirror
+    Given the engines engine-a
+    And a summary that was sent
+    When its engine breaks off
+    Then the summary fails as outcome_unknown
+    And 1 attempts were sent for it
+
+  Scenario: A stream without a mirror is copied while it runs, then stopped
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 3 times
+    Then the last copy was final and the others were not
+    And it goes on at the other engine from a copy after event 10
+
+  Scenario: The end of a stream that was stopped for its copy is not the stream's end
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And its engine breaks off
+    And the engine copies its run 1 times
+    Then it goes on at the other engine from a copy after event 10
+
+  Scenario: A run that has not begun is copied a moment later
+    Given the engines engine-a
+    And a summary that was sent
+    And the engines engine-b
+    When engine-a drains
+    And the engine knows no such run
+    And 0.2 seconds go by
+    Then 2 copies were asked for
+
+  Scenario: A mirror that leaves protects nothing any longer
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When the engine of its mirror drains
+    And its engine breaks off
+    Then the summary fails as generation_lost
+
+  Scenario: Without slack memory no stream is mirrored
+    Given the engines engine-a and engine-b
+    When 16 summaries are sent
+    Then some of them have a mirror and no engine is promised over 0.9 of its memory
+
+  Scenario: A copy of a run that has ended meanwhile is freed
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the stream ends
+    And the engine copies its run 1 times
+    Then the copy is freed
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 
 from features.planning import PlannerWorld
+from features.support.edge import EdgeDrive
 from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
 from features.support.operator import Operator
 from features.support.peers import PeerPair
@@ -271,3 +272,10 @@
             yield context.processes
         finally:
             context.processes.kill()
+
+
+@fixture
+def edge(context: Context) -> Iterator[EdgeDrive]:
+    """The chain of a gateway that calls endpoints itself."""
+    context.edge = EdgeDrive()
+    yield context.edge
--- /dev/null
+++ b/features/steps/edge.py
@@ -0,0 +1,331 @@
+"""Steps that drive the chain of a gateway that calls endpoints itself."""
+
+from typing import Any
+
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.edge import ENGINE
+from hawthornyard.edge.messages import (
+    AttemptBroke,
+    AttemptEnded,
+    AttemptRefused,
+    Cancel,
+    CopyAnswered,
+    CopyAsked,
+    CopyDropped,
+    Dispatch,
+    DomainsRead,
+    EndpointsRead,
+    GatewaysRead,
+    StoreAnswered,
+    StoreFailed,
+)
+from hawthornyard.frames import EndpointLoad, GatewayLoads
+from hawthornyard.gateway.messages import CallerGone, ReplyFailed, ReplyWhole
+
+HANDLE = "copy-1"
+
+
+def _names(text: str) -> list[str]:
+    if text == "none":
+        return []
+    return [name.strip() for name in text.replace(" and ", ",").split(",")]
+
+
+@given("the engines {names}")
+@given("the plain endpoints {names}")
+def add_endpoints(context: Context, names: str) -> None:
+    if not context.edge.state.directory.version:
+        context.edge.deploy()
+    for index, name in enumerate(_names(names)):
+        context.edge.add(name, failure_domain=f"domain-{index}")
+
+
+@given("an engine {name} that has just come")
+def add_engine(context: Context, name: str) -> None:
+    context.edge.add(name, failure_domain="domain-9")
+
+
+@given("a cold engine {name}")
+def add_cold_engine(context: Context, name: str) -> None:
+    context.edge.deploy()
+    context.edge.add(name, cold_s=5.0)
+
+
+@given("{n:d} other gateways")
+def add_gateways(context: Context, n: int) -> None:
+    names = {f"gateway-{index}": f"10.0.0.{index}:7200" for index in range(1, n + 2)}
+    context.edge.push(GatewaysRead(names))
+
+
+@given("another gateway that has {n:d} unread prompt tokens at {name}")
+def add_load(context: Context, n: int, name: str) -> None:
+    add_gateways(context, 1)
+    load = EndpointLoad(name, 2, n, n, 0.0)
+    context.edge.push(GatewayLoads("gateway-2", 7, [load]))
+
+
+@given("an older report of that gateway without load")
+def add_old_load(context: Context) -> None:
+    context.edge.push(GatewayLoads("gateway-2", 6, []))
+
+
+@given("keys hold for {seconds:g} seconds without a confirmation")
+def limit_key_age(context: Context, seconds: float) -> None:
+    context.edge.state.directory.max_age_s = seconds
+
+
+@given("a summary that was sent")
+def send_summary(context: Context) -> None:
+    context.call_id = context.edge.call("summary")
+    context.sent_at = _current(context).endpoint
+
+
+@given("a summary that got the events {first:d} to {last:d}")
+def begin_summary(context: Context, first: int, last: int) -> None:
+    send_summary(context)
+    attempt_id = _current(context).attempt_id
+    context.edge.begin_stream(attempt_id)
+    context.edge.events(attempt_id, first, last)
+
+
+def _current(context: Context) -> Dispatch:
+    return context.edge.dispatches(context.call_id)[-1]
+
+
+@when("its engine breaks off")
+def break_off(context: Context) -> None:
+    context.edge.push(AttemptBroke(_current(context).attempt_id, "reset"))
+
+
+@when("the events {first:d} to {last:d} follow")
+def follow(context: Context, first: int, last: int) -> None:
+    attempt_id = _current(context).attempt_id
+    context.edge.begin_stream(attempt_id)
+    context.edge.events(attempt_id, first, last)
+
+
+@when("the endpoint refuses the attempt")
+def refuse(context: Context) -> None:
+    refused = AttemptRefused(_current(context).attempt_id, "no copy", is_full=True)
+    context.edge.push(refused)
+
+
+@when("the stream ends")
+def end_stream(context: Context) -> None:
+    context.edge.push(AttemptEnded(_current(context).attempt_id))
+
+
+@when("{name} drains")
+def drain(context: Context, name: str) -> None:
+    if name == "the engine of its mirror":
+        name = next(n for n in ("engine-a", "engine-b") if n != context.sent_at)
+    known = context.edge.state.endpoints.get(name)
+    domain = known.entry.failure_domain
+    context.edge.add(name, is_draining=True, failure_domain=domain)
+
+
+@when("the entry of {name} is removed")
+def remove_entry(context: Context, name: str) -> None:
+    context.edge.push(EndpointsRead([], [name]))
+
+
+@when("the failure domain of {name} is out")
+def take_out(context: Context, name: str) -> None:
+    domain = context.edge.state.endpoints.get(name).entry.failure_domain
+    context.edge.push(DomainsRead(frozenset({domain})))
+
+
+@when("the store is lost and comes back without the entry of {name}")
+def lose_store(context: Context, name: str) -> None:
+    context.edge.push(StoreFailed("endpoints", "no answer"))
+    context.edge.push(EndpointsRead([], [name]))
+    context.edge.push(StoreAnswered("endpoints", context.edge.clock.now()))
+
+
+@when("the engine copies its run {n:d} times")
+def copy(context: Context, n: int) -> None:
+    for _ in range(n):
+        asked = context.edge.last(CopyAsked)
+        context.edge.push(CopyAnswered(asked, is_done=True, handle=HANDLE))
+
+
+@when("the engine knows no such run")
+def copy_unknown(context: Context) -> None:
+    asked = context.edge.last(CopyAsked)
+    context.edge.push(CopyAnswered(asked, is_done=False, is_unknown=True))
+
+
+@when("{seconds:g} seconds go by")
+def pass_time(context: Context, seconds: float) -> None:
+    context.edge.advance(seconds)
+
+
+@when("{n:d} {kind} are sent")
+def send_many(context: Context, n: int, kind: str) -> None:
+    single = {"summaries": "summary", "lookups": "lookup"}[kind]
+    context.call_ids = [context.edge.call(single) for _ in range(n)]
+    context.edge.advance(0.9)
+
+
+@when("a {kind} is sent")
+def send_one(context: Context, kind: str) -> None:
+    context.call_id = context.edge.call(kind)
+
+
+@when("a {kind} is sent and the endpoint {outcomes}")
+def send_and_answer(context: Context, kind: str, outcomes: str) -> None:
+    context.call_id = context.edge.call(kind)
+    for outcome in outcomes.split(", then "):
+        _answer(context, outcome)
+
+
+def _answer(context: Context, outcome: str) -> None:
+    attempt_id = _current(context).attempt_id
+    verb, _, status = outcome.partition(" ")
+    if verb == "answers":
+        context.edge.answer(attempt_id, int(status))
+    elif verb == "refuses":
+        context.edge.push(AttemptRefused(attempt_id, "no room", is_full=True))
+        context.edge.advance(0.05)
+    else:
+        context.edge.push(AttemptBroke(attempt_id, "reset"))
+
+
+@when("{n:d} lookups are sent and every endpoint answers 500")
+def send_failing(context: Context, n: int) -> None:
+    context.call_ids = []
+    for _ in range(n):
+        context.call_id = context.edge.call("lookup")
+        context.call_ids.append(context.call_id)
+        n_answered = 0
+        while n_answered < len(context.edge.dispatches(context.call_id)):
+            attempt = context.edge.dispatches(context.call_id)[n_answered]
+            context.edge.answer(attempt.attempt_id, 500)
+            n_answered += 1
+
+
+@when("its caller leaves")
+def leave(context: Context) -> None:
+    context.edge.push(CallerGone(context.call_id))
+
+
+@when("version {version:d} with {which} is deployed")
+def deploy(context: Context, version: int, which: str) -> None:
+    context.edge.deploy(version, [] if which == "no route" else None)
+
+
+@then("it goes on at the other engine from a copy after event {last:d}")
+def check_resumed(context: Context, last: int) -> None:
+    dispatch = _current(context)
+    assert dispatch.endpoint != context.sent_at, dispatch
+    assert dispatch.source is not None, dispatch
+    assert dispatch.source.last_event == last, dispatch.source
+
+
+@then(
+    "the caller has the events {first:d} to {last:d} once, when {a:d} to {b:d} follow"
+)
+def check_after(context: Context, first: int, last: int, a: int, b: int) -> None:
+    follow(context, a, b)
+    check_events(context, first, last)
+
+
+@then("the caller has got the events {first:d} to {last:d} once")
+def check_events(context: Context, first: int, last: int) -> None:
+    wanted = b"".join(b"%d;" % number for number in range(first, last + 1))
+    got = context.edge.delivered(context.call_id)
+    assert got == wanted, got
+
+
+@then("the summary fails as {kind}")
+@then("the request ends as {kind}")
+def check_end(context: Context, kind: str) -> None:
+    ends = [
+        msg
+        for msg in context.edge.out
+        if isinstance(msg, ReplyFailed | ReplyWhole) and msg.call_id == context.call_id
+    ]
+    if kind == "open":
+        assert not ends, ends
+        return
+    assert len(ends) == 1, ends
+    end = ends[0]
+    given = end.kind.value if isinstance(end, ReplyFailed) else str(end.status)
+    assert given == kind, end
+
+
+@then("{n:d} attempts were sent for it")
+def check_attempts(context: Context, n: int) -> None:
+    sent = context.edge.dispatches(context.call_id)
+    assert len(sent) == n, sent
+
+
+@then("the attempts went to different endpoints")
+def check_different(context: Context) -> None:
+    sent = [msg.endpoint for msg in context.edge.dispatches(context.call_id)]
+    assert len(set(sent)) == len(sent), sent
+
+
+@then("{n:d} repeats were sent")
+def check_repeats(context: Context, n: int) -> None:
+    n_sent = len(context.edge.all(Dispatch)) - len(context.call_ids)
+    assert n_sent == n, n_sent
+
+
+@then("all of them went to {name}")
+def check_all_at(context: Context, name: str) -> None:
+    ids = set(context.call_ids)
+    sent = [m.endpoint for m in context.edge.all(Dispatch) if m.call.call_id in ids]
+    assert len(sent) == len(ids), sent
+    assert set(sent) == {name}, sent
+
+
+@then("the attempt is cancelled")
+def check_cancelled(context: Context) -> None:
+    cancelled = [msg.attempt_id for msg in context.edge.all(Cancel)]
+    assert _current(context).attempt_id in cancelled, cancelled
+
+
+@then("the last copy was final and the others were not")
+def check_copies(context: Context) -> None:
+    finals = [msg.is_final for msg in context.edge.all(CopyAsked)]
+    assert finals == [False, False, True], finals
+
+
+@then("{n:d} copies were asked for")
+def check_n_copies(context: Context, n: int) -> None:
+    asked = context.edge.all(CopyAsked)
+    assert len(asked) == n, asked
+
+
+@then("the copy is freed")
+def check_freed(context: Context) -> None:
+    assert context.edge.last(CopyDropped).handle == HANDLE
+
+
+@then(
+    "some of them have a mirror and no engine is promised over {share:g} of its memory"
+)
+def check_mirrors(context: Context, share: float) -> None:
+    assert any(msg.backup_address for msg in context.edge.all(Dispatch))
+    for endpoint in context.edge.state.endpoints:
+        mirrored = endpoint.mirrored.values()
+        if mirrored:
+            n_tokens = sum(request.n_tokens for request in mirrored)
+            assert n_tokens <= share * ENGINE.memory_tokens, (endpoint.name, n_tokens)
+
+
+@then("at most {n:d} attempts reach it within a second")
+def check_cold(context: Context, n: int) -> None:
+    sent = context.edge.all(Dispatch)
+    assert len(sent) <= n, sent
+
+
+@then("no engine has more than twice the prompts of another")
+def check_even(context: Context) -> None:
+    counts: dict[str, Any] = {end.name: 0 for end in context.edge.state.endpoints}
+    for msg in context.edge.all(Dispatch):
+        counts[msg.endpoint] += 1
+    assert max(counts.values()) <= 2 * min(counts.values()), counts
