--- /dev/null
+++ b/features/edge_adapter.feature
@@ -0,0 +1,123 @@
+@fixture.platform_world
+Feature: What is spoken on the users' platform
+
+  Scenario Outline: What an endpoint's bytes mean
+    Given an endpoint that answers with <bytes> and then <end>
+    When a caller of the platform sends a badge
+    Then it gets status <status>
+
+    Examples:
+      | bytes                         | end    | status |
+      | a whole answer                | closes | 200    |
+      | a whole answer and more       | closes | 200    |
+      | a whole answer without length | closes | 200    |
+      | a whole answer without length | resets | 502    |
+      | an answer that is cut         | closes | 502    |
+      | an answer that is cut         | resets | 502    |
+      | an answer to another request  | closes | 502    |
+      | an answer that is not signed  | closes | 502    |
+      | an encoded answer             | closes | 502    |
+      | a failure of its own          | closes | 500    |
+      | a refusal                     | closes | 503    |
+      | the refusal of another        | closes | 503    |
+      | no HTTP                       | closes | 502    |
+      | nothing                       | closes | 502    |
+      | nothing                       | resets | 502    |
+
+  Scenario: A request reaches the endpoint unchanged, but for what is the system's
+    Given an endpoint that answers with a whole answer and then closes
+    When a caller of the platform sends a badge with its own system headers
+    Then the endpoint has got it with the caller's method, target, body and id
+    And without the key, with the team and what is left of the time
+    And without the system headers of the caller
+
+  Scenario Outline: How a stream ends
+    Given an endpoint that answers with <bytes> and then <end>
+    When a caller of the platform sends a summary
+    Then it gets the events <events> and a stream that is <state>
+
+    Examples:
+      | bytes                            | end    | events | state    |
+      | a whole stream                   | closes | 1 to 3 | complete |
+      | a stream that is cut             | closes | 1 to 3 | broken   |
+      | a stream that is cut             | resets | 1 to 3 | broken   |
+      | a stream cut within its event    | closes | 1 to 2 | broken   |
+      | a stream without its event two   | closes | 1 to 1 | broken   |
+      | a stream with an event twice     | closes | 1 to 3 | complete |
+
+  Scenario Outline: A request that two readers could read differently
+    Given an endpoint that answers with a whole answer and then closes
+    When a caller of the platform sends <request>
+    Then it gets status <status>
+    And the endpoint has got nothing
+
+    Examples:
+      | request                              | status |
+      | two lengths                          | 400    |
+      | a length and chunks                  | 400    |
+      | a length with a sign                 | 400    |
+      | a coding that is not chunked         | 400    |
+      | a space before a colon               | 400    |
+      | a folded header                      | 400    |
+      | two hosts                            | 400    |
+      | no request id                        | 400    |
+      | two request ids                      | 400    |
+      | a time that is no number             | 400    |
+      | a body that is too long              | 413    |
+      | headers that are too long            | 431    |
+      | a body that is cut                   | 400    |
+      | chunks that are broken               | 400    |
+      | an unknown key                       | 401    |
+      | no key                               | 401    |
+      | a path without a route               | 404    |
+      | another host                         | 404    |
+
+  Scenario: A smuggled request never reaches an endpoint
+    Given an endpoint that answers with a whole answer and then closes
+    When a caller of the platform sends a badge inside another with a length and chunks
+    Then it gets status 400
+    And the endpoint has got nothing
+
+  Scenario: A public route needs no key
+    Given an endpoint that answers with a whole answer and then closes
+    When a caller of the platform sends an open request without a key
+    Then it gets status 200
+
+  Scenario Outline: An entry that can't be read names no endpoint, and the others hold
+    Given an endpoint that answers with a whole answer and then closes
+    And an entry <entry>
+    When a caller of the platform sends a badge
+    Then it gets status 200
+    And 1 endpoints are known
+
+    Examples:
+      | entry                    |
+      | of bytes                 |
+      | without address          |
+      | with a host name         |
+      | with slots as text       |
+      | in a state nobody knows  |
+      | that is a list           |
+
+  Scenario: A deployment that can't be read leaves the one in force
+    Given an endpoint that answers with a whole answer and then closes
+    When the operators' row is overwritten with bytes
+    And a caller of the platform sends a badge
+    Then it gets status 200
+
+  Scenario: A newer deployment is in force at once
+    Given an endpoint that answers with a whole answer and then closes
+    When a version without the badge's route is written
+    And a caller of the platform sends a badge
+    Then it gets status 404
+
+  Scenario: Changes are found after the store forgets its history
+    Given an endpoint that answers with a whole answer and then closes
+    When the store forgets its history and the entry of the endpoint is removed
+    Then 0 endpoints are offered
+
+  Scenario: A gateway serves on while the store is down
+    Given an endpoint that answers with a whole answer and then closes
+    When the store is down for a second
+    And a caller of the platform sends a badge
+    Then it gets status 200
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -14,6 +14,7 @@
 from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
 from features.support.operator import Operator
 from features.support.peers import PeerPair
+from features.support.platform_world import PlatformWorld
 from features.support.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
 from hawthornyard.demo.deployment import ANY_PORT, LOOPBACK, PEER_KEY, EndpointHost
@@ -279,3 +280,11 @@
     """The chain of a gateway that calls endpoints itself."""
     context.edge = EdgeDrive()
     yield context.edge
+
+
+@fixture
+def platform_world(context: Context) -> Iterator[PlatformWorld]:
+    """A gateway on loopback between callers, endpoints and the platform's store."""
+    context.world = PlatformWorld()
+    yield context.world
+    context.world.close()
--- /dev/null
+++ b/features/support/platform_world.py
@@ -0,0 +1,112 @@
+"""One gateway on loopback between callers, scripted endpoints and a small store."""
+
+from pathlib import Path
+from typing import Any
+
+import eventlet
+
+from features.support.platform_store import PlatformStoreApp
+from features.support.scripted import ScriptedEndpoint, exchange
+from hawthornyard.front import HttpServer
+from hawthornyard.platform.program import EdgeGateway
+from hawthornyard.platform.settings import EdgeSettings
+
+ANY = ("127.0.0.1", 0)
+READY_TIMEOUT_S = 5.0
+KEY = "key-of-kiosk"
+LIMITS = {
+    "max_header_bytes": 2000,
+    "max_body_bytes": 5000,
+    "header_timeout_ms": 1000,
+    "idle_timeout_ms": 2000,
+}
+
+
+def route(name: str, kind: str, **fields: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": "kiosk.example",
+        "prefix": f"/{name}/",
+        "kind": kind,
+        "timeout_ms": 1000,
+        "target_latency_ms": 200,
+        "service": "desk",
+        "max_attempts": 1,
+        **fields,
+    }
+
+
+CONFIG: dict[str, Any] = {
+    "version": 7,
+    "routes": [
+        route("badge", "non_idempotent"),
+        route("lookup", "idempotent", max_attempts=2),
+        route("summary", "streaming", gap_aim_ms=180),
+        route("open", "non_idempotent", public=True),
+    ],
+    "services": [{"name": "desk", "max_connections": 9, "health_check_path": "/h"}],
+    "limits": LIMITS,
+    "tenants": [{"name": "kiosk", "api_keys": [KEY], "priority": 1}],
+}
+
+
+class PlatformWorld:
+    """The parts, started; `close` ends them."""
+
+    __slots__ = ("_store_server", "endpoints", "gateway", "store", "thread")
+
+    def __init__(self) -> None:
+        self.store = PlatformStoreApp()
+        self._store_server = HttpServer(ANY, self.store)
+        self._store_server.start()
+        self.endpoints: list[ScriptedEndpoint] = []
+        self.store.put("op", "config", CONFIG)
+        settings = EdgeSettings(
+            "gateway-1",
+            "domain-1",
+            "127.0.0.1",
+            "127.0.0.1:0",
+            "127.0.0.1:0",
+            f"127.0.0.1:{self._store_server.port}",
+            repeat_slack=50.0,
+            key_max_age_s=5.0,
+        )
+        self.gateway = EdgeGateway(settings, Path("absent"))
+        self.thread = self.gateway.start()
+
+    def add_endpoint(self, answers: list[bytes], how: str = "close") -> None:
+        endpoint = ScriptedEndpoint(answers, how)
+        self.endpoints.append(endpoint)
+        self.add_entry(f"i-{len(self.endpoints)}", endpoint.address)
+
+    def add_entry(self, name: str, address: str) -> None:
+        self.store.put(
+            "servers",
+            name,
+            {
+                "service": "desk",
+                "address": address,
+                "zone": "domain-1",
+                "slots": 6,
+                "state": "ready",
+                "born": 1,
+            },
+        )
+
+    def wait_ready(self) -> None:
+        n_wanted = len(self.endpoints)
+        with eventlet.Timeout(READY_TIMEOUT_S):
+            while not (
+                self.gateway.is_ready()
+                and len(self.gateway.state.endpoints) >= n_wanted
+            ):
+                eventlet.sleep(0.01)
+
+    def send(self, data: bytes) -> bytes:
+        return exchange(self.gateway.port, data)
+
+    def close(self) -> None:
+        self.gateway.close()
+        self._store_server.close()
+        for endpoint in self.endpoints:
+            endpoint.close()
--- /dev/null
+++ b/features/support/scripted.py
@@ -0,0 +1,94 @@
+"""Endpoints that answer with given bytes, and callers that send them."""
+
+import re
+import socket
+import struct
+from typing import Any
+
+import eventlet
+
+TIMEOUT_S = 5.0
+_RESET = struct.pack("ii", 1, 0)
+_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+
+
+class ScriptedEndpoint:
+    """Read whole requests and answer each with the next of its answers."""
+
+    __slots__ = ("_sock", "answers", "how", "requests")
+
+    def __init__(self, answers: list[bytes], how: str) -> None:
+        self._sock = eventlet.listen(("127.0.0.1", 0))
+        self.answers = answers
+        self.how = how
+        self.requests: list[bytes] = []
+        eventlet.spawn_n(self._run)
+
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self._sock.getsockname()[1]}"
+
+    def close(self) -> None:
+        self._sock.close()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                return
+            eventlet.spawn_n(self._serve, sock)
+
+    def _serve(self, sock: Any) -> None:
+        with eventlet.Timeout(TIMEOUT_S, False):
+            request = read_message(sock)
+            self.requests.append(request)
+            answer = self.answers[min(len(self.requests), len(self.answers)) - 1]
+            request_id = _header(request, b"x-hawthornyard-request-id")
+            sock.sendall(answer.replace(b"{id}", request_id))
+            if self.how == "reset":
+                # Lets the bytes arrive before the reset drops what is unread.
+                eventlet.sleep(0.1)
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        sock.close()
+
+
+def read_message(sock: Any) -> bytes:
+    """Return one HTTP message with a length, or what came before the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        more = sock.recv(65536)
+        if not more:
+            return data
+        data += more
+    head, _, body = data.partition(b"\r\n\r\n")
+    found = _LENGTH.search(head)
+    n_bytes = int(found[1]) if found else 0
+    while len(body) < n_bytes:
+        more = sock.recv(65536)
+        if not more:
+            break
+        body += more
+    return head + b"\r\n\r\n" + body
+
+
+def exchange(port: int, data: bytes) -> bytes:
+    """Send bytes and return all that comes until the connection ends."""
+    sock = eventlet.connect(("127.0.0.1", port))
+    try:
+        sock.sendall(data)
+        got = b""
+        with eventlet.Timeout(TIMEOUT_S, False):
+            while more := sock.recv(65536):
+                got += more
+        return got
+    finally:
+        sock.close()
+
+
+def _header(request: bytes, name: bytes) -> bytes:
+    for line in request.split(b"\r\n"):
+        field, _, value = line.partition(b":")
+        if field.strip().lower() == name:
+            return value.strip()
+    return b""
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from ..codec import MsgpackCodec
-from ..core import Feedback, Pipeline, ReloadRequested, StopRequested, Tick
+from ..core import Feedback, Pipeline, ReloadRequested, Stopped, StopRequested, Tick
 from ..edge.chain import EdgeState, edge_chain
 from ..edge.messages import (
     AttemptFailed,
@@ -92,6 +92,7 @@
     def __init__(self, settings: EdgeSettings, path: Path) -> None:
         report_resets()
         self._settings = settings
+        self._threads: list[Any] = []
         self._clock = BootClock()
         self._inbox = EventletInbox()
         self._stop = StopSink()
@@ -163,24 +164,49 @@
             ],
         )
 
+    @property
+    def port(self) -> int:
+        """Return the port for callers."""
+        return self._server.port
+
+    def start(self) -> Any:
+        """Start all green threads.
+
+        Returns:
+            The green thread of the loop; it ends when the gateway has stopped.
+        """
+        self._threads = [
+            eventlet.spawn(run_timer, self._inbox, self._clock, interval_s=TICK_S),
+            *(eventlet.spawn(feed.run) for feed in self._feeds),
+            eventlet.spawn(self._gateways.run),
+            eventlet.spawn(self._datagrams.run),
+        ]
+        for server in self._servers():
+            server.start()
+        return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
+
     def run(self) -> None:
         """Run until SIGTERM and the end of all requests."""
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._inbox.put(StopRequested()))
         signal.signal(signal.SIGHUP, lambda *_: self._inbox.put(ReloadRequested()))
-        eventlet.spawn_n(run_timer, self._inbox, self._clock, interval_s=TICK_S)
-        for feed in self._feeds:
-            eventlet.spawn_n(feed.run)
-        eventlet.spawn_n(self._gateways.run)
-        eventlet.spawn_n(self._datagrams.run)
-        for server in (self._server, self._ready_server, self._metrics_server):
-            server.start()
-        loop = eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
+        loop = self.start()
         logger.bind(process=self._settings.name).info("started")
         loop.wait()
         self._server.wait()
         logger.bind(process=self._settings.name).info("stopped")
 
+    def close(self) -> None:
+        """End at once, whatever is held; for a gateway within another program."""
+        self._inbox.put(Stopped())
+        for thread in self._threads:
+            thread.kill()
+        for server in self._servers():
+            server.close()
+
+    def _servers(self) -> tuple[HttpServer, ...]:
+        return self._server, self._ready_server, self._metrics_server
+
     def is_ready(self) -> bool:
         """Return whether new callers may be sent here."""
         if self._drain.is_stopping or not self.state.endpoints.is_known:
