Bound the log and keep it from blocking; measure the new pipe

Ruled out: writing straight to stdout, since a reader that stops would stop the loop; and eventlet's own os.write, which waits for a full pipe (found by the test, which hung for ten minutes until it was ended).

--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -21,6 +21,7 @@
     Call,
     Cancel,
     Closed,
+    CopyAnswered,
     CopyAsked,
     CopyDropped,
     DeploymentRead,
@@ -138,6 +139,7 @@
         )
         dropped = (
             CallerGone,
+            CopyAnswered,
             EndpointLeaving,
             EndpointsRead,
             LoadReported,
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -62,8 +62,7 @@
     clock: Clock,
     chance: Chance,
     *,
-    at_head: Sequence[Filter] = (),
-    before_settle: Sequence[Filter] = (),
+    measure: Sequence[Filter] = (),
     placement: Placement | None = None,
     mirroring: Mirroring | None = None,
 ) -> Sequence[Filter]:
@@ -74,8 +73,7 @@
         drain: Tells the program whether it is stopping.
         clock: Source of time.
         chance: Source of randomness.
-        at_head: Filters that see calls as they come.
-        before_settle: Filters that see replies while their requests are known.
+        measure: Filters that see replies while their requests are known.
         placement: Chooses among endpoints that may run a request.
         mirroring: Chooses where streams are mirrored.
     """
@@ -83,7 +81,6 @@
     mirroring = mirroring or MirrorWhereRoom(state.directory, state.eligible)
     resumption = Resumption(state.inflight, state.eligible, mirroring, clock)
     return [
-        *at_head,
         FollowStore(clock),
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
@@ -112,6 +109,6 @@
         ),
         Relay(state.inflight, state.endpoints, clock),
         Expire(state.inflight),
-        *before_settle,
+        *measure,
         Settle(state.inflight, clock),
     ]
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -81,6 +81,7 @@
         has_begun: Whether the caller got the start of the answer.
         last_event: Number of the newest event that the caller got, 0 for none.
         first_event_s: Seconds from its arrival to its first event.
+        last_gap_s: Newest pause between two of its events, None before it.
         longest_gap_s: Longest pause between two of its events.
         last_event_at: Monotonic seconds of its newest event.
         migration: How it moves to another endpoint, None while it does not.
@@ -101,6 +102,7 @@
         "has_begun",
         "last_event",
         "first_event_s",
+        "last_gap_s",
         "longest_gap_s",
         "last_event_at",
         "migration",
@@ -131,6 +133,7 @@
         self.has_begun = False
         self.last_event = 0
         self.first_event_s: float | None = None
+        self.last_gap_s: float | None = None
         self.longest_gap_s = 0.0
         self.last_event_at = 0.0
         self.migration: Migration | None = None
@@ -171,7 +174,8 @@
         if self.first_event_s is None:
             self.first_event_s = now - self.arrived_at
         else:
-            self.longest_gap_s = max(self.longest_gap_s, now - self.last_event_at)
+            self.last_gap_s = now - self.last_event_at
+            self.longest_gap_s = max(self.longest_gap_s, self.last_gap_s)
         self.last_event_at = now
 
     @property
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -143,6 +143,7 @@
         )
 
     def _on_copied(self, msg: CopyAnswered) -> Iterator[Message]:
+        yield msg
         request = self._inflight.by_attempt(msg.asked.attempt_id)
         if request is None or request.attempt is None or request.migration is None:
             if msg.handle:
--- a/hawthornyard/platform/__main__.py
+++ b/hawthornyard/platform/__main__.py
@@ -16,7 +16,8 @@
     from pathlib import Path
 
     from ..errors import SettingsError
-    from ..rim import configure_log
+    from ..rim.clock import BootClock
+    from ..rim.log import configure_bounded_log
     from .program import EdgeGateway
     from .settings import PATH_VARIABLE, load_edge_settings
 
@@ -26,8 +27,11 @@
     except SettingsError as exc:
         print(f"error: {exc}", file=sys.stderr)
         return 1
-    configure_log(stream=sys.stdout)
-    EdgeGateway(settings, path).run()
+    log = configure_bounded_log(BootClock())
+    try:
+        EdgeGateway(settings, path, log).run()
+    finally:
+        log.flush()
     return 0
 
 
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -15,6 +15,7 @@
 from ..edge.messages import (
     AttemptFailed,
     Closed,
+    CopyAnswered,
     EndpointLeaving,
     EndpointsRead,
     LoadReported,
@@ -41,6 +42,8 @@
 )
 from ..rim.clock import BootClock
 from ..rim.datagrams import Datagrams
+from ..rim.edge_metrics import MeasureEdge
+from ..rim.logqueue import LogQueue
 from ..rim.metrics import ProgramMetrics
 from ..rim.resets import report_resets
 from .copies import CopySink
@@ -87,9 +90,12 @@
     Args:
         settings: Checked settings.
         path: The file that they come from, read again on a change.
+        log: Counts the log lines that were dropped.
     """
 
-    def __init__(self, settings: EdgeSettings, path: Path) -> None:
+    def __init__(
+        self, settings: EdgeSettings, path: Path, log: LogQueue | None = None
+    ) -> None:
         report_resets()
         self._settings = settings
         self._threads: list[Any] = []
@@ -102,6 +108,7 @@
             self.state.inflight, self._clock, readiness_lag_s=READINESS_LAG_S
         )
         self._metrics = ProgramMetrics(self._clock)
+        self._add_gauges(log)
         replies = Replies(ReplyBegan, ReplyEvents)
         front = PlatformFront(
             self._inbox,
@@ -140,7 +147,13 @@
             GatewayLoads,
         )
         self._pipeline = Pipeline(
-            edge_chain(self.state, self._drain, self._clock, random.Random()),
+            edge_chain(
+                self.state,
+                self._drain,
+                self._clock,
+                random.Random(),
+                measure=[MeasureEdge(self._metrics, self.state.inflight, self._clock)],
+            ),
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
                 RunnerSink(self._inbox),
@@ -150,6 +163,7 @@
                 Discard(
                     Tick,
                     CallerGone,
+                    CopyAnswered,
                     StopRequested,
                     StoreAnswered,
                     StoreFailed,
@@ -204,6 +218,29 @@
         for server in self._servers():
             server.close()
 
+    def _add_gauges(self, log: LogQueue | None) -> None:
+        state = self.state
+        add = self._metrics.gauge
+        add("requests_in_flight", "Requests not yet answered.", state.inflight.__len__)
+        add(
+            "deployment_version",
+            "Version of the deployment in force.",
+            lambda: state.directory.version,
+        )
+        add(
+            "deployment_age_seconds",
+            "Time since the deployment was known to be the newest.",
+            lambda: state.directory.age_s,
+        )
+        add("gateways", "Gateways that are known.", lambda: state.peers.n_gateways)
+        add(
+            "endpoints_accepting",
+            "Endpoints that take new work.",
+            lambda: sum(map(state.eligible.accepts, state.endpoints)),
+        )
+        if log is not None:
+            add("log_lines_dropped", "Log lines dropped.", lambda: log.n_dropped)
+
     def _servers(self) -> tuple[HttpServer, ...]:
         return self._server, self._ready_server, self._metrics_server
 
--- a/hawthornyard/rim/log.py
+++ b/hawthornyard/rim/log.py
@@ -3,28 +3,65 @@
 import json
 import sys
 from collections.abc import Callable
-from typing import Any, TextIO
+from datetime import UTC, datetime
+from typing import Any
 
 from loguru import logger
 
+from ..core import Clock
+from .logqueue import LogQueue
 
-def configure_log(*, level: str = "INFO", stream: TextIO | None = None) -> None:
-    """Send all log lines as JSON objects to a stream.
+STDOUT = 1
+_WARNING = 30
+
+
+def configure_log(*, level: str = "INFO") -> None:
+    """Send all log lines as JSON objects to stderr.
+
+    Args:
+        level: Least severe level that is written.
+    """
+    logger.remove()
+    logger.add(_write, level=level, backtrace=False, diagnose=False)
+
+
+def configure_bounded_log(clock: Clock, *, level: str = "INFO") -> LogQueue:
+    """Send log lines to stdout without blocking, within a bounded volume.
 
     Args:
+        clock: Source of time for the bound.
         level: Least severe level that is written.
-        stream: Where they go; stderr by default.
+
+    Returns:
+        The queue of lines, which counts those that were dropped.
     """
+    queue = LogQueue(STDOUT, clock, _dropped_line)
     logger.remove()
-    logger.add(_writer(stream), level=level, backtrace=False, diagnose=False)
+    logger.add(_queued(queue), level=level, backtrace=False, diagnose=False)
+    return queue
+
+
+def _queued(queue: LogQueue) -> Callable[[Any], None]:
+    def put(message: Any) -> None:
+        record = message.record
+        queue.put(_line(record) + "\n", is_vital=record["level"].no >= _WARNING)
 
+    return put
+
+
+def _dropped_line(n_dropped: int) -> str:
+    line = {
+        "time": datetime.now(UTC).isoformat(),
+        "level": "WARNING",
+        "event": "log_dropped",
+        "n_lines": n_dropped,
+    }
+    return json.dumps(line) + "\n"
 
-def _writer(stream: TextIO | None) -> Callable[[Any], None]:
-    def write(message: Any) -> None:
-        # stderr is looked up late, so that a test may replace it.
-        (stream or sys.stderr).write(_line(message.record) + "\n")
 
-    return write
+def _write(message: Any) -> None:
+    # stderr is looked up late, so that a test may replace it.
+    sys.stderr.write(_line(message.record) + "\n")
 
 
 def _line(record: Any) -> str:
