Leave endpoints alone that are not found at their address, and log refusals

Streams were mirrored at an engine that had gone, resumed there in vain, and each new request tried the dead ones first (32 refused connections). An absent endpoint now pauses for 0.5 s, twice as long each further time, and what it mirrored counts as not mirrored; a stream that breaks off pauses its engine for 0.3 s. Refusals before a request exists (stale keys, unknown route) had no line in the log; they have one with version and age.

--- a/features/edge_requests.feature
+++ b/features/edge_requests.feature
@@ -88,6 +88,12 @@
     And a lookup is sent
     Then 0 attempts were sent for it
 
+  Scenario: An endpoint that is not found at its address is left alone for longer and longer
+    Given the plain endpoints desk-a
+    # Five pauses of 0.5 to 8 s, at the end of each at most two waiting lookups.
+    When its address refuses connections for 10 seconds of lookups
+    Then at most 10 attempts reach it
+
   Scenario: A cold engine gets this gateway's part of what it bears
     Given a cold engine engine-a
     And 4 other gateways
--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -73,6 +73,14 @@
     And its engine breaks off
     Then the summary fails as generation_lost
 
+  Scenario: A mirror that is not found at its address protects nothing any longer
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When another summary finds the mirror's address refused
+    And its engine breaks off
+    Then the summary fails as generation_lost
+    And 1 attempts were sent for it
+
   Scenario: Without slack memory no stream is mirrored
     Given the engines engine-a and engine-b
     When 16 summaries are sent
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -206,6 +206,36 @@
             n_answered += 1
 
 
+@when("its address refuses connections for {seconds:d} seconds of lookups")
+def refuse_connections(context: Context, seconds: int) -> None:
+    for _ in range(seconds * 10):
+        n_before = len(context.edge.all(Dispatch))
+        context.edge.call("lookup")
+        context.edge.confirm()
+        for msg in context.edge.all(Dispatch)[n_before:]:
+            refused = AttemptRefused(msg.attempt_id, "refused", is_absent=True)
+            context.edge.push(refused)
+        context.edge.advance(0.1)
+
+
+@when("another summary finds the mirror's address refused")
+def refuse_mirror(context: Context) -> None:
+    mirror = next(n for n in ("engine-a", "engine-b") if n != context.sent_at)
+    # Makes the mirror the endpoint that comes first.
+    context.edge.state.endpoints.pause(context.sent_at, 0.01)
+    other = context.edge.call("summary")
+    dispatch = context.edge.dispatches(other)[-1]
+    assert dispatch.endpoint == mirror, dispatch
+    refused = AttemptRefused(dispatch.attempt_id, "refused", is_absent=True)
+    context.edge.push(refused)
+
+
+@then("at most {n:d} attempts reach it")
+def check_at_most(context: Context, n: int) -> None:
+    sent = context.edge.all(Dispatch)
+    assert 0 < len(sent) <= n, len(sent)
+
+
 @when("its caller leaves")
 def leave(context: Context) -> None:
     context.edge.push(CallerGone(context.call_id))
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -14,8 +14,12 @@
 ANSWER_WEIGHT = 0.2
 # An endpoint that refused for lack of room is left alone for so long.
 FULL_PAUSE_S = 0.1
-# An endpoint that can't be connected to is left alone for so long.
-UNREACHABLE_PAUSE_S = 0.5
+# An endpoint that was not found at its address is left alone for so long, and twice
+# as long each further time: its entry may outlive it while the store is down.
+ABSENT_PAUSE_S = 0.5
+MAX_ABSENT_PAUSE_S = 8.0
+# A stream that breaks off is often the first sign that its endpoint is gone.
+BROKEN_PAUSE_S = 0.3
 
 
 class Endpoint:
@@ -29,7 +33,7 @@
         leaving_since: Monotonic seconds when it was seen to leave, None before.
         leaves_at: Monotonic seconds when it will be gone, None if unknown.
         paused_until: Monotonic seconds until which it gets no new work.
-        n_failures: Failures in a row.
+        n_absences: Times in a row that it was not found at its address.
         own_prefill_rate: Prompt tokens a second that this gateway saw it read, 0
             before the first.
         gap_s: Mean pause between its events, 0 before the first.
@@ -45,7 +49,7 @@
         "leaves_at",
         "leaving_since",
         "mirrored",
-        "n_failures",
+        "n_absences",
         "own_prefill_rate",
         "paused_until",
         "requests",
@@ -60,7 +64,7 @@
         self.leaving_since: float | None = None
         self.leaves_at: float | None = None
         self.paused_until = 0.0
-        self.n_failures = 0
+        self.n_absences = 0
         self.own_prefill_rate = 0.0
         self.gap_s = 0.0
         self.answer_s = 0.0
@@ -112,6 +116,13 @@
         weight = PREFILL_WEIGHT if self.own_prefill_rate else 1.0
         self.own_prefill_rate += weight * (rate - self.own_prefill_rate)
 
+    def drop_mirrors(self) -> None:
+        """Note that it mirrors nothing any longer."""
+        for request in self.mirrored.values():
+            if request.attempt is not None:
+                request.attempt.mirror = ""
+        self.mirrored.clear()
+
     def note_gap(self, seconds: float) -> None:
         """Learn a pause between two events."""
         weight = GAP_WEIGHT if self.gap_s else 1.0
@@ -119,7 +130,7 @@
 
     def note_answer(self, seconds: float) -> None:
         """Learn the time of a whole answer."""
-        self.n_failures = 0
+        self.n_absences = 0
         weight = ANSWER_WEIGHT if self.answer_s else 1.0
         self.answer_s += weight * (seconds - self.answer_s)
 
@@ -187,3 +198,16 @@
         if endpoint is not None:
             until = self._clock.now() + seconds
             endpoint.paused_until = max(endpoint.paused_until, until)
+
+    def note_absent(self, name: str) -> None:
+        """Note that an endpoint was not found at its address.
+
+        What it was to mirror has no mirror any longer.
+        """
+        endpoint = self._by_name.get(name)
+        if endpoint is None:
+            return
+        seconds = ABSENT_PAUSE_S * 2.0**endpoint.n_absences
+        endpoint.n_absences += 1
+        self.pause(name, min(MAX_ABSENT_PAUSE_S, seconds))
+        endpoint.drop_mirrors()
--- a/hawthornyard/edge/messages/answer.py
+++ b/hawthornyard/edge/messages/answer.py
@@ -72,7 +72,7 @@
         attempt_id: The attempt.
         detail: What happened.
         is_full: Whether the endpoint said that it has no room.
-        is_absent: Whether another endpoint answered at its address.
+        is_absent: Whether nothing or another endpoint answers at its address.
     """
 
     __slots__ = ("attempt_id", "detail", "is_full", "is_absent")
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -5,7 +5,7 @@
 from ...core import Clock, Decision, Handlers, Message
 from ...errors import ErrorKind
 from ...gateway.messages import CallerGone, ReplyEnded, ReplyFailed, ReplyWhole
-from ..endpoints import FULL_PAUSE_S, UNREACHABLE_PAUSE_S, Endpoints
+from ..endpoints import FULL_PAUSE_S, Endpoints
 from ..inflight import InFlight
 from ..messages import (
     AttemptAnswered,
@@ -61,8 +61,6 @@
                 endpoint.note_answer(self._clock.now() - request.attempt.sent_at)
             yield reply
             return
-        if endpoint is not None:
-            endpoint.n_failures += 1
         detail = f"the endpoint answered {msg.status}"
         yield self._again(request, ErrorKind.ENDPOINT_FAILED, detail, reply)
 
@@ -100,20 +98,20 @@
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None or request.attempt is None:
             return
-        seconds = FULL_PAUSE_S if msg.is_full else UNREACHABLE_PAUSE_S
-        self._endpoints.pause(request.attempt.endpoint, seconds)
+        if msg.is_absent:
+            self._endpoints.note_absent(request.attempt.endpoint)
+        else:
+            self._endpoints.pause(request.attempt.endpoint, FULL_PAUSE_S)
         if request.has_begun:
             yield from self._lose(request, msg.detail)
             return
-        yield self._again(request, ErrorKind.OVERLOADED, msg.detail)
+        kind = ErrorKind.NO_ENDPOINT if msg.is_absent else ErrorKind.OVERLOADED
+        yield self._again(request, kind, msg.detail)
 
     def _on_broke(self, msg: AttemptBroke) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None or request.attempt is None:
             return
-        endpoint = self._endpoints.get(request.attempt.endpoint)
-        if endpoint is not None:
-            endpoint.n_failures += 1
         request.n_runs += 1
         if request.has_begun:
             yield from self._lose(request, msg.detail)
@@ -141,7 +139,7 @@
         elif endpoint is not None and attempt.last_event_at is not None:
             endpoint.note_gap((now - attempt.last_event_at) / n_events)
         if endpoint is not None:
-            endpoint.n_failures = 0
+            endpoint.n_absences = 0
         attempt.last_event_at = now
 
     def _again(
--- a/hawthornyard/edge/request/match.py
+++ b/hawthornyard/edge/request/match.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Iterator, Sequence
 
-from ...core import Chance, Clock, Handlers, Message
-from ...errors import ErrorKind
+from ...core import Chance, Clock, Decision, Handlers, Message
+from ...errors import ANSWERS, ErrorKind
 from ...gateway.messages import ReplyFailed
 from ..deployment import RouteRule, ServiceShare
 from ..directory import Directory
@@ -34,30 +34,38 @@
 
     def _on_call(self, msg: Call) -> Iterator[Message]:
         if not self._directory.is_ready:
-            yield ReplyFailed(msg.call_id, ErrorKind.PLATFORM_UNAVAILABLE)
+            yield from self._refuse(msg, ErrorKind.PLATFORM_UNAVAILABLE)
             return
         route = self._directory.route(msg.host, msg.path)
         if route is None:
-            yield ReplyFailed(msg.call_id, ErrorKind.UNKNOWN_ROUTE)
+            yield from self._refuse(msg, ErrorKind.UNKNOWN_ROUTE)
             return
-        team = ""
-        priority = route.priority
-        if not route.is_public and self._directory.needs_keys:
-            if not self._directory.are_keys_valid:
-                yield ReplyFailed(
-                    msg.call_id,
-                    ErrorKind.PLATFORM_UNAVAILABLE,
-                    f"keys were confirmed {self._directory.age_s:.1f} s ago",
-                )
-                return
-            rule = self._directory.team(msg.key)
-            if rule is None:
-                yield ReplyFailed(msg.call_id, ErrorKind.UNAUTHENTICATED)
-                return
-            team = rule.name
-            if rule.priority is not None:
-                priority = rule.priority
-        yield Matched(self._request(msg, route, team, priority))
+        if route.is_public or not self._directory.needs_keys:
+            yield Matched(self._request(msg, route, "", route.priority))
+            return
+        if not self._directory.are_keys_valid:
+            yield from self._refuse(msg, ErrorKind.PLATFORM_UNAVAILABLE, route)
+            return
+        team = self._directory.team(msg.key)
+        if team is None:
+            yield from self._refuse(msg, ErrorKind.UNAUTHENTICATED, route)
+            return
+        priority = route.priority if team.priority is None else team.priority
+        yield Matched(self._request(msg, route, team.name, priority))
+
+    def _refuse(
+        self, call: Call, kind: ErrorKind, route: RouteRule | None = None
+    ) -> Iterator[Message]:
+        yield Decision(
+            "refused",
+            request_id=call.request_id,
+            reason=kind.value,
+            status=ANSWERS[kind].status,
+            route=route.name if route is not None else "",
+            version=self._directory.version,
+            age_s=round(self._directory.age_s, 3),
+        )
+        yield ReplyFailed(call.call_id, kind)
 
     def _request(
         self, call: Call, route: RouteRule, team: str, priority: int
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -88,10 +88,7 @@
         endpoint = self._endpoints.get(msg.endpoint)
         if endpoint is None:
             return
-        for request in endpoint.mirrored.values():
-            if request.attempt is not None:
-                request.attempt.mirror = ""
-        endpoint.mirrored.clear()
+        endpoint.drop_mirrors()
         if not self._can_migrate(endpoint):
             return
         exposed = [
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Decision, Handlers, Message
-from ..endpoints import Endpoints
+from ..endpoints import BROKEN_PAUSE_S, Endpoints
 from ..inflight import InFlight
 from ..messages import AttemptBroke
 from .resumption import Resumption
@@ -35,6 +35,8 @@
         if request.migration is not None and request.migration.is_final:
             # The engine closes the stream of a run that it has stopped to copy.
             return
+        if request.has_begun:
+            self._endpoints.pause(request.attempt.endpoint, BROKEN_PAUSE_S)
         mirror = self._endpoints.get(request.attempt.mirror)
         if mirror is None:
             yield msg
--- a/hawthornyard/operator/explain.py
+++ b/hawthornyard/operator/explain.py
@@ -85,9 +85,11 @@
 
 def _tell_retry(line: LogLine) -> str:
     n_attempts = line.details.get("n_attempts")
+    detail = line.details.get("detail")
+    reason = f"{line.reason}: {detail}" if detail else line.reason
     if line.details.get("retried"):
-        return f"attempt {n_attempts} failed ({line.reason}); tried again"
-    return f"given up after {n_attempts} attempts: {line.reason}"
+        return f"attempt {n_attempts} failed ({reason}); tried again"
+    return f"given up after {n_attempts} attempts: {reason}"
 
 
 def _tell_admit(line: LogLine) -> str:
--- a/hawthornyard/platform/gateways.py
+++ b/hawthornyard/platform/gateways.py
@@ -13,13 +13,13 @@
 
 GATEWAY_TABLE = "gateways"
 
-REFRESH_S = 10.0
+REFRESH_S = 20.0
 """Time between two writes of the own row; each is priced."""
 
 FIRST_REFRESH_S = 1.0
 """Time between the first two, since all gateways start together."""
 
-LIFETIME_MS = 25_000
+LIFETIME_MS = 50_000
 """Age of a row, on the store's clock, at which its gateway counts as gone."""
 
 REMOVAL_MS = 120_000
@@ -55,7 +55,7 @@
             except PlatformError as exc:
                 logger.bind(detail=str(exc)).warning("gateways_unreadable")
             eventlet.sleep(delay_s)
-            delay_s = min(REFRESH_S, delay_s * 2)
+            delay_s = min(REFRESH_S, delay_s * 4)
 
     def _step(self) -> None:
         page = self._store.read(GATEWAY_TABLE)
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -84,7 +84,8 @@
                 msg.address, timeout_s=min(CONNECT_TIMEOUT_S, msg.timeout_s)
             )
         except FAILURES as exc:
-            self._inbox.put(AttemptRefused(msg.attempt_id, f"not connected: {exc}"))
+            detail = f"not connected: {exc}"
+            self._inbox.put(AttemptRefused(msg.attempt_id, detail, is_absent=True))
             return
         try:
             self._exchange(conn, msg)
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -10,8 +10,9 @@
 from ..errors import PlatformError
 from ..stores.http import HttpService
 
-READ_TIMEOUT_S = 2.0
-"""Bound on an answer beyond the wait that was asked for; the store takes 4 ms."""
+READ_TIMEOUT_S = 1.0
+"""Bound on an answer beyond the wait that was asked for; the store takes 4 ms, and
+some 0.3 s when it is slow."""
 
 PAGE_ROWS = 500
 """Rows of one page, the most that the store gives."""
