Share the planned stop between both gateways; load schemas only where used

Cause: the platform's gateway imported the planner, the records and their schemas through the product's gateway, to get at its Drain filter and its listener sink. Drain stands in core and the sink in front now, and jsonschema is imported where a value is checked. Ruled out: a second Drain.

--- a/benchmarks/policy/members.py
+++ b/benchmarks/policy/members.py
@@ -7,6 +7,7 @@
 from hawthornyard.core import (
     Clock,
     Consumers,
+    Drain,
     Identifiers,
     Message,
     Pipeline,
@@ -21,7 +22,6 @@
     ReplyEnded,
     ReplyFailed,
 )
-from hawthornyard.gateway.request import Drain
 from hawthornyard.policy import LengthPredictor, MemoryLimit, RoutingPolicy
 from hawthornyard.records import Catalog
 from hawthornyard.sidecar.attempts import Attempts
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 
 from hawthornyard.codec import MsgpackCodec
-from hawthornyard.core import ManualClock, Message, Pipeline, Tick
+from hawthornyard.core import Drain, ManualClock, Message, Pipeline, Tick
 from hawthornyard.frames import (
     ConfigPush,
     Demand,
@@ -35,7 +35,6 @@
 from hawthornyard.gateway.fleet import Fleet, Neighbours, ShareLimits, Subset
 from hawthornyard.gateway.inflight import InFlight
 from hawthornyard.gateway.messages import Call, ReplyTokens
-from hawthornyard.gateway.request import Drain
 from hawthornyard.records import NEWEST_SCHEMA, Catalog, hash_secret
 from hawthornyard.sidecar.attempts import Attempts
 from hawthornyard.sidecar.chain import sidecar_chain
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -2,7 +2,15 @@
 
 from typing import Any, TypeVar
 
-from hawthornyard.core import Decision, ManualClock, Message, Pipeline, Tick
+from hawthornyard.core import (
+    Decision,
+    Drain,
+    ManualClock,
+    Message,
+    Pipeline,
+    StopListening,
+    Tick,
+)
 from hawthornyard.edge.chain import EdgeState, edge_chain
 from hawthornyard.edge.deployment import (
     Deployment,
@@ -44,9 +52,7 @@
     ReplyEnded,
     ReplyFailed,
     ReplyWhole,
-    StopListening,
 )
-from hawthornyard.gateway.request import Drain
 
 START = 1000.0
 TICK_S = 0.05
--- a/features/support/nodes.py
+++ b/features/support/nodes.py
@@ -9,6 +9,7 @@
 from hawthornyard.core import (
     Consumers,
     Decision,
+    Drain,
     Fault,
     Feedback,
     ManualClock,
@@ -16,6 +17,7 @@
     PeerDown,
     PeerUp,
     Pipeline,
+    StopListening,
     StopRequested,
     Tick,
 )
@@ -45,9 +47,7 @@
     ReplyStarted,
     ReplyTokens,
     ReplyWhole,
-    StopListening,
 )
-from hawthornyard.gateway.request import Drain
 from hawthornyard.records import Catalog
 from hawthornyard.rim import Discard, FrameSink, StopSink
 from hawthornyard.rim.claims import ClaimTable
--- a/hawthornyard/core/__init__.py
+++ b/hawthornyard/core/__init__.py
@@ -1,12 +1,14 @@
 """Hold the message, filter and pipeline types that every part is built from."""
 
 from .clock import Chance, Clock, Identifiers, ManualClock
+from .drain import Drain
 from .event import (
     Decision,
     Fault,
     PeerDown,
     PeerUp,
     ReloadRequested,
+    StopListening,
     Stopped,
     StopRequested,
     Tick,
@@ -20,6 +22,7 @@
     "Clock",
     "Consumers",
     "Decision",
+    "Drain",
     "DropUnexpected",
     "Fault",
     "Feedback",
@@ -34,6 +37,7 @@
     "Pipeline",
     "ReloadRequested",
     "Sink",
+    "StopListening",
     "StopRequested",
     "Stopped",
     "Tick",
--- a/hawthornyard/gateway/request/drain.py
+++ b/hawthornyard/core/drain.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Iterator, Sized
 
-from ...core import Clock, Decision, Handlers, Message, Stopped, StopRequested, Tick
-from ..messages import StopListening
+from .clock import Clock
+from .event import Decision, StopListening, Stopped, StopRequested, Tick
+from .message import Message
+from .pipe import Handlers
 
 # The balancer needs this long to notice that readiness failed.
 READINESS_LAG_S = 1.0
--- a/hawthornyard/core/event.py
+++ b/hawthornyard/core/event.py
@@ -29,6 +29,12 @@
     __slots__ = ()
 
 
+class StopListening(Message):
+    """An order to the rim: accept no further connection of callers."""
+
+    __slots__ = ()
+
+
 class Stopped(Message):
     """The program holds no work any longer and may exit."""
 
--- a/hawthornyard/documents/check.py
+++ b/hawthornyard/documents/check.py
@@ -6,8 +6,6 @@
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from typing import Any
 
-import jsonschema
-
 from .violation import FieldPath, Violation
 
 # The library's own type leaves every attribute possibly unset.
@@ -30,6 +28,9 @@
         value: Any parsed YAML or JSON value.
         schema: JSON Schema that the value must match.
     """
+    # Takes 4 MB and 0.1 s that a gateway without schemas need not spend.
+    import jsonschema
+
     yield from _non_finite(value, ())
     validator = jsonschema.Draft202012Validator(schema)
     for error in sorted(validator.iter_errors(value), key=_order):
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -2,8 +2,7 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, Filter
-from ..gateway.request import Drain
+from ..core import Chance, Clock, Drain, Filter
 from .directory import Directory
 from .eligible import Eligible
 from .endpoints import Endpoints
--- a/hawthornyard/gateway/chain.py
+++ b/hawthornyard/gateway/chain.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Sequence
 
-from ..core import Chance, Clock, DropUnexpected, Filter, Identifiers
+from ..core import Chance, Clock, Drain, DropUnexpected, Filter, Identifiers
 from ..frames import GATEWAY_TO_SIDECAR
 from ..policy import (
     LengthPredictor,
@@ -31,7 +31,6 @@
 from .request import (
     Authenticate,
     Claim,
-    Drain,
     ListModels,
     Resolve,
     Retry,
--- a/hawthornyard/gateway/messages/__init__.py
+++ b/hawthornyard/gateway/messages/__init__.py
@@ -7,7 +7,6 @@
     ConnectionSuspected,
     HeartbeatsExpected,
     LinkWanted,
-    StopListening,
 )
 from .reply import (
     ReplyEnded,
@@ -60,5 +59,4 @@
     "Request",
     "Resolved",
     "Routed",
-    "StopListening",
 ]
--- a/hawthornyard/gateway/messages/order.py
+++ b/hawthornyard/gateway/messages/order.py
@@ -18,12 +18,6 @@
         self.before = before
 
 
-class StopListening(Message):
-    """An order to the rim: accept no further connection of callers."""
-
-    __slots__ = ()
-
-
 class LinkWanted(Message):
     """An order to the rim: connect to a sidecar outside the subset.
 
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -10,6 +10,7 @@
 from ..codec import MsgpackCodec
 from ..core import (
     Consumers,
+    Drain,
     Feedback,
     PeerDown,
     PeerUp,
@@ -18,7 +19,7 @@
     Tick,
 )
 from ..frames import SENT_BY_GATEWAY, Heartbeat
-from ..front import Application, HttpServer, Replies
+from ..front import Application, HttpServer, ListenerSink, Replies
 from ..planner import Duty, FollowDemand, planner_chain
 from ..records import Catalog
 from ..rim import (
@@ -56,22 +57,7 @@
     ConnectionSuspected,
     HeartbeatsExpected,
     LinkWanted,
-    StopListening,
 )
-from .request import Drain
-
-
-class ListenerSink:
-    """Stop listening for callers."""
-
-    __slots__ = ("_server", "consumers")
-
-    def __init__(self, server: HttpServer) -> None:
-        self._server = server
-        self.consumers: Consumers = {StopListening: self._on_stop_listening}
-
-    def _on_stop_listening(self, msg: StopListening) -> None:
-        self._server.close()
 
 
 class LinkSink:
--- a/hawthornyard/gateway/request/__init__.py
+++ b/hawthornyard/gateway/request/__init__.py
@@ -7,7 +7,6 @@
 from .authenticate import Authenticate
 from .claim import Claim
 from .dispatch import SendAttempt
-from .drain import Drain
 from .limit import TeamLimit
 from .models import ListModels
 from .queue import WaitForRoom
@@ -18,7 +17,6 @@
 __all__ = [
     "Authenticate",
     "Claim",
-    "Drain",
     "ListModels",
     "Resolve",
     "Retry",
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -10,7 +10,15 @@
 from loguru import logger
 
 from ..codec import MsgpackCodec
-from ..core import Feedback, Pipeline, ReloadRequested, Stopped, StopRequested, Tick
+from ..core import (
+    Drain,
+    Feedback,
+    Pipeline,
+    ReloadRequested,
+    Stopped,
+    StopRequested,
+    Tick,
+)
 from ..edge.chain import EdgeState, edge_chain
 from ..edge.messages import (
     AttemptFailed,
@@ -25,11 +33,9 @@
     StoreFailed,
 )
 from ..frames import GatewayLoads
-from ..front import HttpServer, MetricsApplication, Replies
+from ..front import HttpServer, ListenerSink, MetricsApplication, Replies
 from ..front.exchange import Environ, StartResponse
 from ..gateway.messages import CallerGone
-from ..gateway.program import ListenerSink
-from ..gateway.request import Drain
 from ..rim import (
     DecisionLog,
     Discard,
