Send nothing to a failure domain that is out, nor to an engine that has left, for a copy

Cause, found by reading: a mirror or a copy is chosen before operators take its failure domain out, and the stream went on there all the same, which breaks the promise on evacuated domains; a run that was stopped in vain went back to its leaving engine at any time.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -73,6 +73,34 @@
     And its engine breaks off
     Then the summary fails as generation_lost
 
+  Scenario: A stream does not go on in a failure domain that is out
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When the domain of the other engine is out
+    And its engine breaks off
+    Then the summary fails as generation_lost
+    And 1 attempts were sent for it
+
+  Scenario: A migration does not end in a failure domain that is out
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-z and engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the domain of the copy's target is out
+    And the engine copies its run 1 times
+    Then nothing was sent to the copy's target
+
+  Scenario: A run that was stopped in vain goes on at its leaving engine for a moment only
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And 1.2 seconds go by
+    And the engine has stopped its run but could not copy it
+    Then 1 attempts were sent for it
+
   Scenario: A mirror that is not found at its address protects nothing any longer
     Given the engines engine-a and engine-b
     And a summary that got the events 1 to 10
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -137,6 +137,25 @@
     context.edge.push(DomainsRead(frozenset({domain})))
 
 
+@when("the domain of the other engine is out")
+def take_other_out(context: Context) -> None:
+    other = next(n for n in ("engine-a", "engine-b") if n != context.sent_at)
+    take_out(context, other)
+
+
+@when("the domain of the copy's target is out")
+def take_target_out(context: Context) -> None:
+    target = context.edge.last(CopyAsked).target.partition(":")[0]
+    take_out(context, target)
+
+
+@when("the engine has stopped its run but could not copy it")
+def stop_in_vain(context: Context) -> None:
+    asked = context.edge.last(CopyAsked)
+    assert asked.is_final
+    context.edge.push(CopyAnswered(asked, is_done=False, handle=HANDLE))
+
+
 @when("the store is lost and comes back without the entry of {name}")
 def lose_store(context: Context, name: str) -> None:
     context.edge.push(StoreFailed("endpoints", "no answer"))
@@ -330,6 +349,13 @@
     assert len(asked) == n, asked
 
 
+@then("nothing was sent to the copy's target")
+def check_not_target(context: Context) -> None:
+    target = context.edge.last(CopyAsked).target
+    sent = [msg.address for msg in context.edge.all(Dispatch)]
+    assert target not in sent, sent
+
+
 @then("the copy is freed")
 def check_freed(context: Context) -> None:
     assert context.edge.last(CopyDropped).handle == HANDLE
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -97,7 +97,7 @@
         WaitForRoom(state.eligible, placement, clock),
         Route(state.eligible, placement, state.directory),
         Send(state.inflight, state.endpoints, state.eligible, mirroring, clock),
-        Resume(state.inflight, state.endpoints, resumption),
+        Resume(state.inflight, state.endpoints, state.eligible, resumption),
         Migrate(
             state.inflight,
             state.endpoints,
@@ -107,7 +107,7 @@
             clock,
         ),
         Relay(state.inflight, state.endpoints, clock),
-        Expire(state.inflight),
+        Expire(state.inflight, state.endpoints),
         *measure,
         Settle(state.inflight, clock),
     ]
--- a/hawthornyard/edge/eligible.py
+++ b/hawthornyard/edge/eligible.py
@@ -45,15 +45,19 @@
 
     def accepts(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get new work now."""
-        if endpoint.entry.is_draining or endpoint.leaving_since is not None:
-            return False
-        if endpoint.entry.failure_domain in self._directory.domains_out:
+        if not self.may_receive(endpoint):
             return False
         now = self._clock.now()
         if now < endpoint.paused_until:
             return False
         return now >= endpoint.cold_until or self._bears_one_more(endpoint, now)
 
+    def may_receive(self, endpoint: Endpoint) -> bool:
+        """Return whether anything at all may be sent to an endpoint."""
+        if endpoint.entry.is_draining or endpoint.leaving_since is not None:
+            return False
+        return endpoint.entry.failure_domain not in self._directory.domains_out
+
     def note_send(self, endpoint: Endpoint) -> None:
         """Count what is sent to an endpoint while it is cold."""
         now = self._clock.now()
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -12,6 +12,8 @@
 PREFILL_WEIGHT = 0.3
 # Weight of a new answer time of a plain endpoint in its mean.
 ANSWER_WEIGHT = 0.2
+# Weight of a new outcome in an endpoint's share of failures.
+FAILURE_WEIGHT = 0.1
 # An endpoint that refused for lack of room is left alone for so long.
 FULL_PAUSE_S = 0.1
 # An endpoint that was not found at its address is left alone for so long, and twice
@@ -33,6 +35,7 @@
         leaving_since: Monotonic seconds when it was seen to leave, None before.
         leaves_at: Monotonic seconds when it will be gone, None if unknown.
         paused_until: Monotonic seconds until which it gets no new work.
+        failure_share: Share of its newest answers that were failures.
         n_absences: Times in a row that it was not found at its address.
         own_prefill_rate: Prompt tokens a second that this gateway saw it read, 0
             before the first.
@@ -45,6 +48,7 @@
         "answer_s",
         "cold_until",
         "entry",
+        "failure_share",
         "gap_s",
         "leaves_at",
         "leaving_since",
@@ -64,6 +68,7 @@
         self.leaving_since: float | None = None
         self.leaves_at: float | None = None
         self.paused_until = 0.0
+        self.failure_share = 0.0
         self.n_absences = 0
         self.own_prefill_rate = 0.0
         self.gap_s = 0.0
@@ -123,6 +128,10 @@
                 request.attempt.mirror = ""
         self.mirrored.clear()
 
+    def note_outcome(self, *, failed: bool) -> None:
+        """Learn whether an answer was a failure."""
+        self.failure_share += FAILURE_WEIGHT * (failed - self.failure_share)
+
     def note_gap(self, seconds: float) -> None:
         """Learn a pause between two events."""
         weight = GAP_WEIGHT if self.gap_s else 1.0
--- a/hawthornyard/edge/reply/expire.py
+++ b/hawthornyard/edge/reply/expire.py
@@ -5,17 +5,24 @@
 from ...core import Handlers, Message, Tick
 from ...errors import ErrorKind
 from ...gateway.messages import ReplyFailed
+from ..endpoints import Endpoints
 from ..inflight import InFlight
 from ..messages import Cancel, Request
 
 
 class Expire:
-    """Cancel and answer what is not done in time."""
+    """Cancel and answer what is not done in time.
 
-    __slots__ = ("_inflight", "handlers")
+    Args:
+        inflight: Requests that are not answered yet.
+        endpoints: Told which endpoints did not answer.
+    """
 
-    def __init__(self, inflight: InFlight) -> None:
+    __slots__ = ("_endpoints", "_inflight", "handlers")
+
+    def __init__(self, inflight: InFlight, endpoints: Endpoints) -> None:
         self._inflight = inflight
+        self._endpoints = endpoints
         self.handlers: Handlers = {Tick: self._on_tick}
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
@@ -27,6 +34,9 @@
     def _expire(self, request: Request) -> Iterator[Message]:
         kind = ErrorKind.OVERLOADED
         if request.attempt is not None:
+            endpoint = self._endpoints.get(request.attempt.endpoint)
+            if endpoint is not None and not request.has_begun:
+                endpoint.note_outcome(failed=True)
             yield Cancel(request.attempt.attempt_id)
             kind = ErrorKind.DEADLINE_AFTER_START
         elif request.n_runs:
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -56,6 +56,8 @@
         reply = ReplyWhole(request.call_id, msg.status, msg.headers, msg.body)
         request.n_runs += 1
         endpoint = self._endpoints.get(request.attempt.endpoint)
+        if endpoint is not None:
+            endpoint.note_outcome(failed=msg.status >= SERVER_ERROR)
         if msg.status < SERVER_ERROR:
             if endpoint is not None:
                 endpoint.note_answer(self._clock.now() - request.attempt.sent_at)
@@ -113,6 +115,7 @@
         if request is None or request.attempt is None:
             return
         request.n_runs += 1
+        self._note_failure(request)
         if request.has_begun:
             yield from self._lose(request, msg.detail)
             return
@@ -126,6 +129,12 @@
             yield Cancel(request.attempt.attempt_id)
         yield ReplyFailed(msg.call_id, ErrorKind.CANCELLED)
 
+    def _note_failure(self, request: Request) -> None:
+        attempt = request.attempt
+        endpoint = self._endpoints.get(attempt.endpoint) if attempt else None
+        if endpoint is not None:
+            endpoint.note_outcome(failed=True)
+
     def _note_pause(self, request: Request, n_events: int) -> None:
         attempt = request.attempt
         if attempt is None:
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -15,7 +15,10 @@
 WAIT_SHARE = 0.25
 # A request without any endpoint waits for so long: a replacement is often near.
 ABSENT_WAIT_S = 0.25
-RETRY_AFTER_S = 0.5
+# Callers are asked to come back after this share of the time that they allow, since
+# they wait for a third of it at most.
+RETRY_SHARE = 0.2
+MAX_RETRY_AFTER_S = 1.0
 MAX_WAITING = 1000
 
 
@@ -108,4 +111,6 @@
         self, request: Request, kind: ErrorKind, detail: str = ""
     ) -> ReplyFailed:
         self._since.pop(request.call_id, None)
-        return ReplyFailed(request.call_id, kind, detail, retry_after_s=RETRY_AFTER_S)
+        allowed_s = request.deadline - request.arrived_at
+        retry_after_s = round(min(MAX_RETRY_AFTER_S, RETRY_SHARE * allowed_s), 2)
+        return ReplyFailed(request.call_id, kind, detail, retry_after_s=retry_after_s)
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -8,6 +8,7 @@
 from ..endpoints import Endpoint, Endpoints
 from ..inflight import InFlight
 from ..messages import (
+    AttemptBroke,
     Cancel,
     Closed,
     CopyAnswered,
@@ -30,6 +31,9 @@
 # Pause between events before any was measured.
 USUAL_GAP_S = 0.05
 COPY_TIMEOUT_S = 3.0
+# A leaving engine may get its own run back for so long after it was seen to leave;
+# with the delay of the news this stays under the platform's two seconds.
+BACK_S = 1.0
 
 
 class Migrate:
@@ -188,11 +192,24 @@
             # The run goes on where it is, or its stream breaks and says so.
             request.migration = None
             return
-        # Without a copy elsewhere the run goes on where it was stopped.
-        onward = target if msg.is_done and target is not None else endpoint
+        onward = self._onward(endpoint, target if msg.is_done else None)
+        if onward is None:
+            # What it was moved for has come; its stream is closed already.
+            request.migration = None
+            yield AttemptBroke(attempt.attempt_id, "stopped for a copy in vain")
+            return
         yield Cancel(attempt.attempt_id)
         yield self._resumption.begin(request, onward, msg.asked.source, msg.handle)
 
+    def _onward(self, endpoint: Endpoint, target: Endpoint | None) -> Endpoint | None:
+        if target is not None and self._eligible.may_receive(target):
+            return target
+        # Without a copy elsewhere the run goes on where it was stopped.
+        since = endpoint.leaving_since
+        if since is not None and self._clock.now() - since > BACK_S:
+            return None
+        return endpoint
+
     def _decision(self, request: Request, msg: CopyAnswered) -> Decision:
         return Decision(
             "copied" if msg.is_done else "copy_failed",
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Decision, Handlers, Message
+from ..eligible import Eligible
 from ..endpoints import BROKEN_PAUSE_S, Endpoints
 from ..inflight import InFlight
 from ..messages import AttemptBroke
@@ -15,16 +16,22 @@
     Args:
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
+        eligible: Tells which endpoints may still be sent to.
         resumption: Begins the new attempts.
     """
 
-    __slots__ = ("_endpoints", "_inflight", "_resumption", "handlers")
+    __slots__ = ("_eligible", "_endpoints", "_inflight", "_resumption", "handlers")
 
     def __init__(
-        self, inflight: InFlight, endpoints: Endpoints, resumption: Resumption
+        self,
+        inflight: InFlight,
+        endpoints: Endpoints,
+        eligible: Eligible,
+        resumption: Resumption,
     ) -> None:
         self._inflight = inflight
         self._endpoints = endpoints
+        self._eligible = eligible
         self._resumption = resumption
         self.handlers: Handlers = {AttemptBroke: self._on_broke}
 
@@ -38,7 +45,7 @@
         if request.has_begun:
             self._endpoints.pause(request.attempt.endpoint, BROKEN_PAUSE_S)
         mirror = self._endpoints.get(request.attempt.mirror)
-        if mirror is None:
+        if mirror is None or not self._eligible.may_receive(mirror):
             yield msg
             return
         yield Decision(
