Read changes of endpoints that come close together by one call

After changes a feed now pauses for 20 ms a gateway, at most a quarter of the bound on leaving endpoints.

--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -1,6 +1,6 @@
 """Follow the tables of operators and of endpoints."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 import eventlet
@@ -122,6 +122,8 @@
         inbox: Told whether the store answers.
         clock: Source of time.
         wait_s: Wait of one call for changes.
+        pause_s: Returns the pause after changes, so that those that come close
+            together are read by one call.
     """
 
     __slots__ = (
@@ -129,6 +131,7 @@
         "_decoder",
         "_inbox",
         "_name",
+        "_pause_s",
         "_store",
         "_table",
         "_version",
@@ -145,6 +148,7 @@
         clock: Clock,
         *,
         wait_s: float,
+        pause_s: Callable[[], float],
     ) -> None:
         self._name = name
         self._table = table
@@ -153,6 +157,7 @@
         self._inbox = inbox
         self._clock = clock
         self._wait_s = wait_s
+        self._pause_s = pause_s
         self._version: int | None = None
 
     def run(self) -> None:
@@ -179,10 +184,16 @@
             page = changes
             if page.rows:
                 self._decoder.decode(page.rows, is_complete=False)
+                self._put_answered(page.version, as_of)
+                eventlet.sleep(self._pause_s())
+                return
             else:
                 # The store held the call for the whole wait.
                 as_of = min(self._clock.now(), asked_at + self._wait_s)
-        self._version = page.version
+        self._put_answered(page.version, as_of)
+
+    def _put_answered(self, version: int, as_of: float) -> None:
+        self._version = version
         self._inbox.put(StoreAnswered(self._name, as_of))
 
 
@@ -199,12 +210,33 @@
     """
     decoder = OperatorTable(inbox)
     return Feed(
-        OPERATOR_FEED, OPERATOR_TABLE, store, decoder, inbox, clock, wait_s=wait_s
+        OPERATOR_FEED,
+        OPERATOR_TABLE,
+        store,
+        decoder,
+        inbox,
+        clock,
+        wait_s=wait_s,
+        # A change of the deployment is rare, and must be in force soon.
+        pause_s=lambda: 0.0,
     )
 
 
-def endpoint_feed(store: PlatformStore, inbox: Inbox, clock: Clock) -> Feed:
-    """Return the feed of endpoints."""
+def endpoint_feed(
+    store: PlatformStore,
+    inbox: Inbox,
+    clock: Clock,
+    *,
+    pause_s: Callable[[], float],
+) -> Feed:
+    """Return the feed of endpoints.
+
+    Args:
+        store: The platform's store.
+        inbox: Where messages go.
+        clock: Source of time.
+        pause_s: Returns the pause after changes.
+    """
     return Feed(
         ENDPOINT_FEED,
         ENDPOINT_TABLE,
@@ -213,4 +245,5 @@
         inbox,
         clock,
         wait_s=ENDPOINT_WAIT_S,
+        pause_s=pause_s,
     )
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -68,6 +68,13 @@
 OPERATOR_WAIT_S = 1.5
 """Wait of one call for changes by operators; a confirmation stays younger than 3 s."""
 
+PAUSE_PER_GATEWAY_S = 0.02
+"""Pause after changes of endpoints for each gateway, since each change wakes them all
+and each of their calls is priced."""
+
+MAX_PAUSE_SHARE = 0.25
+"""Share of the time to notice a leaving endpoint that the pause may take."""
+
 TICK_S = 0.05
 
 
@@ -138,7 +145,9 @@
         store = PlatformStore(settings.store)
         self._feeds = [
             operator_feed(store, self._inbox, self._clock, wait_s=OPERATOR_WAIT_S),
-            endpoint_feed(store, self._inbox, self._clock),
+            endpoint_feed(
+                store, self._inbox, self._clock, pause_s=self._endpoint_pause_s
+            ),
         ]
         self._gateways = GatewayRows(
             settings.name,
@@ -224,6 +233,10 @@
         for server in self._servers():
             server.close()
 
+    def _endpoint_pause_s(self) -> float:
+        longest_s = MAX_PAUSE_SHARE * self._settings.leave_bound_s
+        return min(longest_s, PAUSE_PER_GATEWAY_S * self.state.peers.n_gateways)
+
     def _add_gauges(self, log: LogQueue | None) -> None:
         state = self.state
         add = self._metrics.gauge
--- a/hawthornyard/platform/settings.py
+++ b/hawthornyard/platform/settings.py
@@ -28,13 +28,14 @@
         repeat_ratio: Repeats allowed for one request, all gateways together.
         repeat_slack: Repeats allowed besides in a window, all gateways together.
         repeat_window_s: Length of that window.
-        stop_s: Time between the order to stop and the end.
+        leave_bound_s: Time after which a leaving endpoint must get nothing new.
     """
 
     __slots__ = (
         "address",
         "failure_domain",
         "key_max_age_s",
+        "leave_bound_s",
         "listen",
         "metrics_port",
         "name",
@@ -43,7 +44,6 @@
         "repeat_ratio",
         "repeat_slack",
         "repeat_window_s",
-        "stop_s",
         "store",
     )
 
@@ -62,7 +62,7 @@
         repeat_ratio: float = 0.1,
         repeat_slack: float = 3.0,
         repeat_window_s: float = 10.0,
-        stop_s: float = 8.0,
+        leave_bound_s: float = 2.0,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -76,7 +76,7 @@
         self.repeat_ratio = repeat_ratio
         self.repeat_slack = repeat_slack
         self.repeat_window_s = repeat_window_s
-        self.stop_s = stop_s
+        self.leave_bound_s = leave_bound_s
 
 
 def load_edge_settings(path: Path) -> EdgeSettings:
@@ -112,7 +112,7 @@
         repeat_ratio=number(bounds, "retry_budget_ratio", 0.1),
         repeat_slack=number(bounds, "budget_slack", 3.0),
         repeat_window_s=number(bounds, "budget_window_s", 10.0),
-        stop_s=number(bounds, "grace_s", 8.0),
+        leave_bound_s=number(bounds, "drain_ms", 2000.0) * _MS,
     )
 
 
