Show which scenario fails without which decision of the new gateway

Cause: the new scenarios had not been shown to fail. Twenty changes, one at a time on a scratch copy, each take one decision out: 19 were caught by 1 to 6 scenarios; a refusal after a run that stayed a refusal was caught by none, and a row for it was added, which fails under that change and passes without it.

--- a/features/edge_requests.feature
+++ b/features/edge_requests.feature
@@ -18,6 +18,7 @@
       | lookup | answers 500, then answers 500    | 2 | 500             |
       | lookup | breaks off, then breaks off      | 2 | outcome_unknown |
       | lookup | breaks off, then refuses         | 3 | open            |
+      | lookup | breaks off, then refuses, then refuses, then waits, then refuses | 4 | outcome_unknown |
       | badge  | refuses, then breaks off         | 2 | outcome_unknown |
 
   Scenario: A second attempt goes to another endpoint
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -208,6 +208,8 @@
     elif verb == "refuses":
         context.edge.push(AttemptRefused(attempt_id, "no room", is_full=True))
         context.edge.advance(0.05)
+    elif verb == "waits":
+        context.edge.advance(0.3)
     else:
         context.edge.push(AttemptBroke(attempt_id, "reset"))
 
