--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -1,19 +1,14 @@
 """Steps that drive the chain of a gateway that calls endpoints itself."""
 
-from typing import Any
-
-from behave import given, then, when
+from behave import given, when
 from behave.runner import Context
 
-from features.support.edge import ENGINE
 from hawthornyard.edge.messages import (
     AttemptBroke,
     AttemptEnded,
     AttemptRefused,
-    Cancel,
     CopyAnswered,
     CopyAsked,
-    CopyDropped,
     Dispatch,
     DomainsRead,
     EndpointsRead,
@@ -22,7 +17,7 @@
     StoreFailed,
 )
 from hawthornyard.frames import EndpointLoad, GatewayLoads
-from hawthornyard.gateway.messages import CallerGone, ReplyFailed, ReplyWhole
+from hawthornyard.gateway.messages import CallerGone
 
 HANDLE = "copy-1"
 
@@ -251,12 +246,6 @@
     context.edge.push(refused)
 
 
-@then("at most {n:d} attempts reach it")
-def check_at_most(context: Context, n: int) -> None:
-    sent = context.edge.all(Dispatch)
-    assert 0 < len(sent) <= n, len(sent)
-
-
 @when("{n:d} callers of {name} leave after {seconds:g} seconds without an answer")
 def leave_unanswered(context: Context, n: int, name: str, seconds: float) -> None:
     for _ in range(n):
@@ -278,125 +267,3 @@
 @when("version {version:d} with {which} is deployed")
 def deploy(context: Context, version: int, which: str) -> None:
     context.edge.deploy(version, [] if which == "no route" else None)
-
-
-@then("it goes on at the other engine from a copy after event {last:d}")
-def check_resumed(context: Context, last: int) -> None:
-    dispatch = _current(context)
-    assert dispatch.endpoint != context.sent_at, dispatch
-    assert dispatch.source is not None, dispatch
-    assert dispatch.source.last_event == last, dispatch.source
-
-
-@then(
-    "the caller has the events {first:d} to {last:d} once, when {a:d} to {b:d} follow"
-)
-def check_after(context: Context, first: int, last: int, a: int, b: int) -> None:
-    follow(context, a, b)
-    check_events(context, first, last)
-
-
-@then("the caller has got the events {first:d} to {last:d} once")
-def check_events(context: Context, first: int, last: int) -> None:
-    wanted = b"".join(b"%d;" % number for number in range(first, last + 1))
-    got = context.edge.delivered(context.call_id)
-    assert got == wanted, got
-
-
-@then("the summary fails as {kind}")
-@then("the request ends as {kind}")
-def check_end(context: Context, kind: str) -> None:
-    ends = [
-        msg
-        for msg in context.edge.out
-        if isinstance(msg, ReplyFailed | ReplyWhole) and msg.call_id == context.call_id
-    ]
-    if kind == "open":
-        assert not ends, ends
-        return
-    assert len(ends) == 1, ends
-    end = ends[0]
-    given = end.kind.value if isinstance(end, ReplyFailed) else str(end.status)
-    assert given == kind, end
-
-
-@then("{n:d} attempts were sent for it")
-def check_attempts(context: Context, n: int) -> None:
-    sent = context.edge.dispatches(context.call_id)
-    assert len(sent) == n, sent
-
-
-@then("the attempts went to different endpoints")
-def check_different(context: Context) -> None:
-    sent = [msg.endpoint for msg in context.edge.dispatches(context.call_id)]
-    assert len(set(sent)) == len(sent), sent
-
-
-@then("{n:d} repeats were sent")
-def check_repeats(context: Context, n: int) -> None:
-    n_sent = len(context.edge.all(Dispatch)) - len(context.call_ids)
-    assert n_sent == n, n_sent
-
-
-@then("all of them went to {name}")
-def check_all_at(context: Context, name: str) -> None:
-    ids = set(context.call_ids)
-    sent = [m.endpoint for m in context.edge.all(Dispatch) if m.call.call_id in ids]
-    assert len(sent) == len(ids), sent
-    assert set(sent) == {name}, sent
-
-
-@then("the attempt is cancelled")
-def check_cancelled(context: Context) -> None:
-    cancelled = [msg.attempt_id for msg in context.edge.all(Cancel)]
-    assert _current(context).attempt_id in cancelled, cancelled
-
-
-@then("the last copy was final and the others were not")
-def check_copies(context: Context) -> None:
-    finals = [msg.is_final for msg in context.edge.all(CopyAsked)]
-    assert finals == [False, False, True], finals
-
-
-@then("{n:d} copies were asked for")
-def check_n_copies(context: Context, n: int) -> None:
-    asked = context.edge.all(CopyAsked)
-    assert len(asked) == n, asked
-
-
-@then("nothing was sent to the copy's target")
-def check_not_target(context: Context) -> None:
-    target = context.edge.last(CopyAsked).target
-    sent = [msg.address for msg in context.edge.all(Dispatch)]
-    assert target not in sent, sent
-
-
-@then("the copy is freed")
-def check_freed(context: Context) -> None:
-    assert context.edge.last(CopyDropped).handle == HANDLE
-
-
-@then(
-    "some of them have a mirror and no engine is promised over {share:g} of its memory"
-)
-def check_mirrors(context: Context, share: float) -> None:
-    assert any(msg.backup_address for msg in context.edge.all(Dispatch))
-    for endpoint in context.edge.state.endpoints:
-        mirrored = endpoint.mirrored.values()
-        if mirrored:
-            n_tokens = sum(request.n_tokens for request in mirrored)
-            assert n_tokens <= share * ENGINE.memory_tokens, (endpoint.name, n_tokens)
-
-
-@then("at most {n:d} attempts reach it within a second")
-def check_cold(context: Context, n: int) -> None:
-    sent = context.edge.all(Dispatch)
-    assert len(sent) <= n, sent
-
-
-@then("no engine has more than twice the prompts of another")
-def check_even(context: Context) -> None:
-    counts: dict[str, Any] = {end.name: 0 for end in context.edge.state.endpoints}
-    for msg in context.edge.all(Dispatch):
-        counts[msg.endpoint] += 1
-    assert max(counts.values()) <= 2 * min(counts.values()), counts
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ..core import Clock
-from .messages import EndpointEntry, LoadReported, Request
+from .messages import EndpointEntry, Request
 from .peers import Peers
 
 # Weight of a new pause between events in an endpoint's mean.
@@ -33,7 +33,6 @@
         mirrored: Requests of this gateway that it mirrors, by attempt id.
         cold_until: Monotonic seconds until which it is cold.
         leaving_since: Monotonic seconds when it was seen to leave, None before.
-        leaves_at: Monotonic seconds when it will be gone, None if unknown.
         paused_until: Monotonic seconds until which it gets no new work.
         failure_share: Share of its newest answers that were failures.
         n_absences: Times in a row that it was not found at its address.
@@ -50,7 +49,6 @@
         "entry",
         "failure_share",
         "gap_s",
-        "leaves_at",
         "leaving_since",
         "mirrored",
         "n_absences",
@@ -66,7 +64,6 @@
         self.mirrored: dict[str, Request] = {}
         self.cold_until = now + entry.cold_s
         self.leaving_since: float | None = None
-        self.leaves_at: float | None = None
         self.paused_until = 0.0
         self.failure_share = 0.0
         self.n_absences = 0
@@ -182,7 +179,6 @@
             endpoint.cold_until = now + entry.cold_s
         if not entry.is_draining:
             endpoint.leaving_since = None
-            endpoint.leaves_at = None
         elif endpoint.leaving_since is None:
             endpoint.leaving_since = now
         return endpoint
@@ -195,12 +191,6 @@
         """Return the endpoints of a service."""
         return [end for end in self._by_name.values() if end.entry.service == service]
 
-    def note_load(self, report: LoadReported) -> None:
-        """Take over an engine's report of its load."""
-        endpoint = self._by_name.get(report.endpoint)
-        if endpoint is not None and report.leaves_s is not None:
-            endpoint.leaves_at = self._clock.now() + report.leaves_s
-
     def pause(self, name: str, seconds: float) -> None:
         """Give an endpoint no new work for a while."""
         endpoint = self._by_name.get(name)
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -8,7 +8,6 @@
     EndpointEntry,
     EndpointLeaving,
     EndpointsRead,
-    LoadReported,
     StoreAnswered,
     StoreFailed,
 )
@@ -47,7 +46,6 @@
         self._regained_at = float("-inf")
         self.handlers: Handlers = {
             EndpointsRead: self._on_read,
-            LoadReported: self._on_load,
             StoreAnswered: self._on_answered,
             StoreFailed: self._on_failed,
             Tick: self._on_tick,
@@ -103,10 +101,6 @@
         )
         yield EndpointLeaving(endpoint.name)
 
-    def _on_load(self, msg: LoadReported) -> Iterator[Message]:
-        self._endpoints.note_load(msg)
-        yield msg
-
     def _on_answered(self, msg: StoreAnswered) -> Iterator[Message]:
         if msg.feed == ENDPOINT_FEED and self._is_lost:
             self._is_lost = False
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -19,7 +19,6 @@
     EndpointLeaving,
     EndpointsRead,
     GatewaysRead,
-    LoadReported,
     StoreAnswered,
     StoreFailed,
 )
@@ -52,7 +51,6 @@
     "Event",
     "GatewaysRead",
     "GenerationSize",
-    "LoadReported",
     "Matched",
     "Migration",
     "Released",
--- a/hawthornyard/edge/messages/copy.py
+++ b/hawthornyard/edge/messages/copy.py
@@ -66,7 +66,6 @@
         asked: The question.
         is_done: Whether the target holds the copy.
         handle: Name of the copy, empty if there is none.
-        has_stopped: Whether the run has stopped at the source.
         is_unknown: Whether the engine knows no such run.
         detail: What the engine answered.
         seconds: How long it took.
@@ -76,7 +75,6 @@
         "asked",
         "is_done",
         "handle",
-        "has_stopped",
         "is_unknown",
         "detail",
         "seconds",
@@ -88,7 +86,6 @@
         *,
         is_done: bool,
         handle: str = "",
-        has_stopped: bool = False,
         is_unknown: bool = False,
         detail: str = "",
         seconds: float = 0.0,
@@ -96,7 +93,6 @@
         self.asked = asked
         self.is_done = is_done
         self.handle = handle
-        self.has_stopped = has_stopped
         self.is_unknown = is_unknown
         self.detail = detail
         self.seconds = seconds
--- a/hawthornyard/edge/messages/news.py
+++ b/hawthornyard/edge/messages/news.py
@@ -103,35 +103,6 @@
         self.endpoint = endpoint
 
 
-class LoadReported(Message):
-    """An engine's report of its load.
-
-    Attributes:
-        endpoint: Name of the endpoint.
-        n_running: Requests that it runs.
-        n_waiting: Requests that wait in it.
-        used_tokens: Memory in use that can't yield.
-        leaves_s: Seconds until it leaves, None if unknown.
-    """
-
-    __slots__ = ("endpoint", "n_running", "n_waiting", "used_tokens", "leaves_s")
-
-    def __init__(
-        self,
-        endpoint: str,
-        n_running: int,
-        n_waiting: int,
-        used_tokens: int,
-        *,
-        leaves_s: float | None = None,
-    ) -> None:
-        self.endpoint = endpoint
-        self.n_running = n_running
-        self.n_waiting = n_waiting
-        self.used_tokens = used_tokens
-        self.leaves_s = leaves_s
-
-
 class GatewaysRead(Message):
     """The gateways that exist.
 
