Ask engines whether they leave while the store is silent, and notice mirrors that fail meanwhile

Copies also went to the emptiest engine anywhere, twice as far as to one of the same failure domain.

Ruled out: killed gateways (their streams end with their connections) and the order of copies. Asking all the time was left out: it is priced as probes.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -122,3 +122,34 @@
     And the stream ends
     And the engine copies its run 1 times
     Then the copy is freed
+
+  Scenario Outline: A leaving engine's run is copied when its mirror comes to nothing
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    And an engine engine-c that has just come
+    When the engine that runs it drains
+    And <trouble>
+    And 0.1 seconds go by
+    Then a copy to engine-c was asked for
+
+    Examples:
+      | trouble                               |
+      | the engine of its mirror drains       |
+      | the domain of the other engine is out |
+
+  Scenario: A copy goes to an engine of the same failure domain
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And an engine engine-b that has just come
+    And an engine engine-c in the failure domain of engine-a
+    When engine-a drains
+    Then a copy to engine-c was asked for
+
+  Scenario: A run that could not be copied is tried again
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine could not copy its run
+    And 0.3 seconds go by
+    Then 2 copies were asked for
--- /dev/null
+++ b/features/edge_watch.feature
@@ -0,0 +1,75 @@
+@fixture.edge
+Feature: Engines are asked whether they leave while the store can't tell
+
+  Scenario: A stream is copied when its engine reports that it leaves
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When the endpoints feed of the store fails
+    And 0.3 seconds go by
+    And engine-a reports that it leaves
+    And the engine copies its run 3 times
+    Then it goes on at the other engine from a copy after event 10
+
+  Scenario Outline: When engines are asked
+    Given the engines engine-a and engine-b
+    When <trouble>
+    And <seconds> seconds go by
+    Then the engines <asked> were asked for reports
+
+    Examples:
+      | trouble                               | seconds | asked                 |
+      | the endpoints feed of the store fails | 0.3     | engine-a and engine-b |
+      | the operator feed of the store fails  | 0.3     | engine-a and engine-b |
+      | the store says nothing                | 1.6     | none                  |
+      | the store says nothing                | 1.8     | engine-a and engine-b |
+      | the store fails and answers again     | 1.4     | none                  |
+
+  Scenario: Plain endpoints and engines that leave are not asked
+    Given the engines engine-a and engine-b
+    And the plain endpoints desk-a
+    When engine-a drains
+    And the endpoints feed of the store fails
+    And 0.3 seconds go by
+    Then the engines engine-b were asked for reports
+
+  Scenario Outline: Gateways share the questions
+    Given the engines engine-a
+    And <n> other gateways
+    When the endpoints feed of the store fails
+    And 10 seconds go by
+    Then at most <most> and at least <least> questions were asked
+
+    Examples:
+      | n  | least | most |
+      | 0  | 30    | 41   |
+      | 4  | 12    | 15   |
+      | 25 | 9     | 11   |
+
+  Scenario: Other gateways are told once what an engine reports
+    Given the engines engine-a
+    And 2 other gateways
+    When engine-a reports that it leaves
+    And engine-a reports that it leaves
+    Then 2 gateways were told that engine-a leaves
+
+  Scenario: What another gateway was told by an engine counts here
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When another gateway tells that engine-a leaves
+    And the engine copies its run 3 times
+    Then it goes on at the other engine from a copy after event 10
+
+  Scenario Outline: News of another incarnation say nothing of this one
+    Given the engines engine-a
+    And 2 other gateways
+    When <news>
+    Then engine-a still gets new work
+    And 0 gateways were told that engine-a leaves
+
+    Examples:
+      | news                                                                |
+      | an earlier incarnation of engine-a reports that it leaves           |
+      | another gateway tells that an earlier incarnation of engine-a leaves |
+      | engine-a reports that it stays                                      |
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -42,6 +42,12 @@
     context.edge.add(name, failure_domain="domain-9")
 
 
+@given("an engine {name} in the failure domain of {other}")
+def add_near_engine(context: Context, name: str, other: str) -> None:
+    domain = context.edge.state.endpoints.get(other).entry.failure_domain
+    context.edge.add(name, failure_domain=domain)
+
+
 @given("a cold engine {name}")
 def add_cold_engine(context: Context, name: str) -> None:
     context.edge.deploy()
@@ -114,7 +120,9 @@
 
 @when("{name} drains")
 def drain(context: Context, name: str) -> None:
-    if name == "the engine of its mirror":
+    if name == "the engine that runs it":
+        name = context.sent_at
+    elif name == "the engine of its mirror":
         name = next(n for n in ("engine-a", "engine-b") if n != context.sent_at)
     known = context.edge.state.endpoints.get(name)
     domain = known.entry.failure_domain
@@ -165,6 +173,12 @@
         context.edge.push(CopyAnswered(asked, is_done=True, handle=HANDLE))
 
 
+@when("the engine could not copy its run")
+def copy_failed(context: Context) -> None:
+    asked = context.edge.last(CopyAsked)
+    context.edge.push(CopyAnswered(asked, is_done=False, detail="no room"))
+
+
 @when("the engine knows no such run")
 def copy_unknown(context: Context) -> None:
     asked = context.edge.last(CopyAsked)
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -113,6 +113,12 @@
     assert target not in sent, sent
 
 
+@then("a copy to {name} was asked for")
+def check_target(context: Context, name: str) -> None:
+    targets = [msg.target for msg in context.edge.all(CopyAsked)]
+    assert targets == [f"{name}:80"], targets
+
+
 @then("the copy is freed")
 def check_freed(context: Context) -> None:
     assert context.edge.last(CopyDropped).handle == HANDLE
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -42,10 +42,12 @@
     GenerationSize,
     ReplyBegan,
     ReplyEvents,
+    ReportAsked,
+    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
-from hawthornyard.frames import GatewayLoads
+from hawthornyard.frames import GatewayLoads, LeavingTold
 from hawthornyard.gateway.messages import (
     CallerGone,
     ReplyEnded,
@@ -135,11 +137,13 @@
             Decision,
             Dispatch,
             GatewayLoads,
+            LeavingTold,
             ReplyBegan,
             ReplyEnded,
             ReplyEvents,
             ReplyFailed,
             ReplyWhole,
+            ReportAsked,
             StopListening,
         )
         dropped = (
@@ -147,6 +151,7 @@
             CopyAnswered,
             EndpointLeaving,
             EndpointsRead,
+            ReportRead,
             StoreAnswered,
             StoreFailed,
             Tick,
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -25,6 +25,7 @@
     Generation,
     Heartbeat,
     Hello,
+    LeavingTold,
     Loaded,
     PlanEntry,
     PlanPush,
@@ -72,6 +73,7 @@
     26: PlanEntry,
     27: GatewayLoads,
     28: EndpointLoad,
+    29: LeavingTold,
 }
 _TAGS = {cls: tag for tag, cls in _TYPES.items()}
 _CHECKERS = {tag: FieldChecker(cls) for tag, cls in _TYPES.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -6,7 +6,13 @@
 from .directory import Directory
 from .eligible import Eligible
 from .endpoints import Endpoints
-from .fleet import FollowDeployment, FollowEndpoints, FollowStore, ShareLoads
+from .fleet import (
+    FollowDeployment,
+    FollowEndpoints,
+    FollowStore,
+    ShareLoads,
+    WatchEngines,
+)
 from .inflight import InFlight
 from .mirroring import Mirroring, MirrorWhereRoom
 from .peers import Peers
@@ -83,6 +89,7 @@
         FollowStore(clock),
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
+        WatchEngines(state.endpoints, state.directory, state.peers, clock),
         ShareLoads(
             state.name,
             state.peers,
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -3,11 +3,13 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Decision, Handlers, Message, Tick
+from ...frames import LeavingTold
 from ..endpoints import Endpoint, Endpoints
 from ..messages import (
     EndpointEntry,
     EndpointLeaving,
     EndpointsRead,
+    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
@@ -46,6 +48,8 @@
         self._regained_at = float("-inf")
         self.handlers: Handlers = {
             EndpointsRead: self._on_read,
+            ReportRead: self._on_report,
+            LeavingTold: self._on_told,
             StoreAnswered: self._on_answered,
             StoreFailed: self._on_failed,
             Tick: self._on_tick,
@@ -92,6 +96,27 @@
             endpoint.leaving_since = self._clock.now()
             yield from self._leaves(endpoint, "entry removed")
 
+    def _on_report(self, msg: ReportRead) -> Iterator[Message]:
+        endpoint = self._news(msg.endpoint, msg.born) if msg.is_leaving else None
+        if endpoint is not None:
+            yield from self._leaves(endpoint, "reported by itself")
+            # Only what is news here may be news to other gateways.
+            yield msg
+
+    def _on_told(self, msg: LeavingTold) -> Iterator[Message]:
+        endpoint = self._news(msg.endpoint, msg.born)
+        if endpoint is not None:
+            yield from self._leaves(endpoint, "told by another gateway")
+
+    def _news(self, name: str, born: int) -> Endpoint | None:
+        endpoint = self._endpoints.get(name)
+        if endpoint is None or endpoint.entry.born != born:
+            return None
+        if endpoint.leaving_since is not None:
+            return None
+        endpoint.leaving_since = self._clock.now()
+        return endpoint
+
     def _leaves(self, endpoint: Endpoint, reason: str) -> Iterator[Message]:
         yield Decision(
             "endpoint_leaving",
--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -5,6 +5,10 @@
 from ...core import Clock, Decision, Handlers, Message
 from ..messages import StoreAnswered, StoreFailed
 
+# A feed waits so long for changes and then answers without any; keys that were
+# revoked are refused within seconds, so that the age of a confirmation counts.
+ANSWER_INTERVAL_S = 1.5
+
 
 class FollowStore:
     """Tell the log when a feed of the store is lost or back.
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -23,6 +23,7 @@
     StoreFailed,
 )
 from .reply import ReplyBegan, ReplyEvents
+from .report import ReportAsked, ReportRead
 from .request import Attempt, Migration, Request
 from .stage import AttemptFailed, Closed, Matched, Released, Routed
 
@@ -56,6 +57,8 @@
     "Released",
     "ReplyBegan",
     "ReplyEvents",
+    "ReportAsked",
+    "ReportRead",
     "Request",
     "Routed",
     "StoreAnswered",
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -18,12 +18,15 @@
     Migration,
     Request,
 )
+from .departure import Departure
 from .resumption import Resumption
 
 # Copies while the run goes on; each leaves less for the one that stops it.
 PRE_COPIES = 2
 # A run that has not begun can't be copied yet; its prompt takes some 0.3 s.
 NOT_BEGUN_PAUSE_S = 0.1
+# A run that could not be copied for another reason is tried again after so long.
+FAILED_PAUSE_S = 0.2
 # A run that is over sooner than this needs no copy: one takes 0.2 to 0.4 s.
 MIN_REMAINING_S = 0.4
 # An output that is longer than expected goes on for this share of what it has.
@@ -40,7 +43,8 @@
     """Copy the runs of a leaving endpoint, then go on at the copies.
 
     One run at a time is copied, since all share the link of their endpoint: a run
-    that has stopped must not wait for the copies of others.
+    that has stopped must not wait for the copies of others. Which one is next is
+    decided anew each time, because mirrors come to nothing meanwhile.
 
     Args:
         inflight: Requests that are not answered yet.
@@ -53,13 +57,12 @@
 
     __slots__ = (
         "_clock",
+        "_departures",
         "_directory",
         "_eligible",
         "_endpoints",
         "_inflight",
         "_resumption",
-        "_retry_at",
-        "_waiting",
         "handlers",
     )
 
@@ -78,8 +81,7 @@
         self._directory = directory
         self._resumption = resumption
         self._clock = clock
-        self._waiting: dict[str, list[str]] = {}
-        self._retry_at: dict[str, float] = {}
+        self._departures: dict[str, Departure] = {}
         self.handlers: Handlers = {
             EndpointLeaving: self._on_leaving,
             CopyAnswered: self._on_copied,
@@ -93,40 +95,50 @@
         if endpoint is None:
             return
         endpoint.drop_mirrors()
-        if not self._can_migrate(endpoint):
+        if self._can_migrate(endpoint):
+            self._departures[endpoint.name] = Departure()
+            yield from self._next(endpoint)
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        yield msg
+        for name in list(self._departures):
+            endpoint = self._endpoints.get(name)
+            if endpoint is None or endpoint.leaving_since is None:
+                del self._departures[name]
+            else:
+                yield from self._next(endpoint)
+
+    def _next(self, endpoint: Endpoint) -> Iterator[Message]:
+        departure = self._departures.get(endpoint.name)
+        if departure is None or self._is_copying(departure):
             return
-        exposed = [
-            (self._remaining_s(request, endpoint), attempt_id)
-            for attempt_id, request in endpoint.requests.items()
-            if self._is_exposed(request)
+        departure.copying = ""
+        exposed = filter(self._is_exposed, endpoint.requests.values())
+        waiting = [
+            (self._remaining_s(request, endpoint), request.call_id, request)
+            for request in departure.ready(exposed, self._clock.now())
         ]
         # The longest first: they are worth most, and the others may end by themselves.
-        self._waiting[endpoint.name] = [
-            attempt_id
-            for remaining_s, attempt_id in sorted(exposed, reverse=True)
-            if remaining_s >= MIN_REMAINING_S
-        ]
-        yield from self._next(endpoint)
-
-    def _next(self, endpoint: Endpoint) -> Iterator[Message]:
-        waiting = self._waiting.get(endpoint.name, [])
-        while waiting:
-            request = self._inflight.by_attempt(waiting.pop(0))
-            if request is None:
+        for remaining_s, _, request in sorted(waiting, reverse=True):
+            if remaining_s < MIN_REMAINING_S or request.attempt is None:
                 continue
             target = self._target(request, endpoint)
-            if target is None:
+            if target is not None:
+                departure.copying = request.attempt.attempt_id
+                request.migration = Migration(target.name)
+                yield from self._copy(request, endpoint, target)
+                return
+            if departure.skip(request.attempt.attempt_id):
                 yield Decision(
                     "migration_skipped",
                     request_id=request.request_id,
                     reason="no engine has room",
                     endpoint=endpoint.name,
                 )
-                continue
-            request.migration = Migration(target.name)
-            yield from self._copy(request, endpoint, target)
-            return
-        self._waiting.pop(endpoint.name, None)
+
+    def _is_copying(self, departure: Departure) -> bool:
+        request = self._inflight.by_attempt(departure.copying)
+        return request is not None and request.migration is not None
 
     def _copy(
         self, request: Request, endpoint: Endpoint, target: Endpoint
@@ -157,26 +169,20 @@
             return
         if msg.asked.is_final:
             yield from self._finish(request, endpoint, target, msg)
-            yield from self._next(endpoint)
         elif msg.is_done and target is not None:
             request.migration.n_copies += 1
             yield from self._copy(request, endpoint, target)
+            return
         else:
             request.migration = None
-            if msg.is_unknown:
-                attempt_id = request.attempt.attempt_id
-                self._waiting.setdefault(endpoint.name, []).append(attempt_id)
-            self._retry_at[endpoint.name] = self._clock.now() + NOT_BEGUN_PAUSE_S
+            self._postpone(msg, endpoint)
+        yield from self._next(endpoint)
 
-    def _on_tick(self, msg: Tick) -> Iterator[Message]:
-        yield msg
-        for name, at in list(self._retry_at.items()):
-            if msg.now < at:
-                continue
-            del self._retry_at[name]
-            endpoint = self._endpoints.get(name)
-            if endpoint is not None:
-                yield from self._next(endpoint)
+    def _postpone(self, msg: CopyAnswered, endpoint: Endpoint) -> None:
+        departure = self._departures.get(endpoint.name)
+        if departure is not None:
+            pause_s = NOT_BEGUN_PAUSE_S if msg.is_unknown else FAILED_PAUSE_S
+            departure.postpone(msg.asked.attempt_id, self._clock.now() + pause_s)
 
     def _finish(
         self,
@@ -191,6 +197,7 @@
         if not msg.handle:
             # The run goes on where it is, or its stream breaks and says so.
             request.migration = None
+            self._postpone(msg, endpoint)
             return
         onward = self._onward(endpoint, target if msg.is_done else None)
         if onward is None:
@@ -233,7 +240,8 @@
         attempt = request.attempt
         if attempt is None or not request.route.is_stream:
             return False
-        return self._endpoints.get(attempt.mirror) is None
+        mirror = self._endpoints.get(attempt.mirror)
+        return mirror is None or not self._eligible.may_receive(mirror)
 
     def _remaining_s(self, request: Request, endpoint: Endpoint) -> float:
         rule = self._directory.service(request.service)
@@ -254,6 +262,14 @@
             and other.n_running < other.entry.n_slots
             and other.used_tokens + request.n_tokens <= memory_tokens
         ]
+        domain = endpoint.entry.failure_domain
+        # Between failure domains a copy takes twice as long, and time is short.
         return min(
-            found, key=lambda other: (other.used_tokens, other.name), default=None
+            found,
+            key=lambda other: (
+                other.entry.failure_domain != domain,
+                other.used_tokens,
+                other.name,
+            ),
+            default=None,
         )
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -23,6 +23,7 @@
 from .frame import Frame
 from .greeting import Hello, Proof
 from .heartbeat import GatewayBeat, Heartbeat, Subscribe
+from .leaving import LeavingTold
 from .limit import Demand, Portion
 from .loads import EndpointLoad, GatewayLoads
 from .plan import Loaded, PlanEntry, PlanPush
@@ -50,6 +51,7 @@
     "Generation",
     "Heartbeat",
     "Hello",
+    "LeavingTold",
     "Loaded",
     "PlanEntry",
     "PlanPush",
--- a/hawthornyard/platform/channel.py
+++ b/hawthornyard/platform/channel.py
@@ -1,4 +1,4 @@
-"""Open a connection for one call of an endpoint."""
+"""Call an endpoint over a connection of its own."""
 
 import http.client
 import socket
@@ -56,3 +56,35 @@
     conn = HTTPConnection(host, port, timeout=timeout_s, socket_options=SOCKET_OPTIONS)
     conn.connect()
     return conn
+
+
+def call_once(
+    method: str, address: str, path: str, body: str, timeout_s: float
+) -> tuple[int, bytes]:
+    """Return the status and the body of an answer to a small call.
+
+    Args:
+        method: Method of the call.
+        address: "address:port".
+        path: Path of the call.
+        body: JSON, empty for none.
+        timeout_s: Bound on the wait for the answer.
+
+    Raises:
+        urllib3.exceptions.HTTPError: If there was no answer.
+        http.client.HTTPException: If the answer was not HTTP.
+        OSError: If the endpoint can't be reached.
+    """
+    conn = open_channel(address)
+    try:
+        conn.timeout = timeout_s
+        conn.request(
+            method,
+            path,
+            body=body.encode() or None,
+            headers={"Content-Type": "application/json"} if body else {},
+        )
+        resp = conn.getresponse()
+        return resp.status, resp.data
+    finally:
+        conn.close()
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -9,7 +9,7 @@
 from ..core import Consumers, Inbox
 from ..edge.messages import CopyAnswered, CopyAsked, CopyDropped
 from ..errors import RecordError
-from .channel import FAILURES, open_channel
+from .channel import FAILURES, call_once
 from .fields import decode_object
 from .names import COPY_DROP_PATH, COPY_PATH
 
@@ -46,7 +46,7 @@
         begun_at = time.monotonic()
         body = {"id": msg.request_id, "to": msg.target, "last": msg.is_final}
         try:
-            status, data = _call(
+            status, data = call_once(
                 "POST", msg.source, COPY_PATH, json.dumps(body), msg.timeout_s
             )
         except FAILURES as exc:
@@ -67,29 +67,11 @@
     def _drop(self, msg: CopyDropped) -> None:
         path = f"{COPY_DROP_PATH}{msg.handle}"
         try:
-            _call("DELETE", msg.address, path, "", DROP_TIMEOUT_S)
+            call_once("DELETE", msg.address, path, "", DROP_TIMEOUT_S)
         except FAILURES as exc:
             logger.bind(address=msg.address, detail=str(exc)).info("copy_not_dropped")
 
 
-def _call(
-    method: str, address: str, path: str, body: str, timeout_s: float
-) -> tuple[int, bytes]:
-    conn = open_channel(address)
-    try:
-        conn.timeout = timeout_s
-        conn.request(
-            method,
-            path,
-            body=body.encode() or None,
-            headers={"Content-Type": "application/json"},
-        )
-        resp = conn.getresponse()
-        return resp.status, resp.data
-    finally:
-        conn.close()
-
-
 def _handle(data: bytes) -> str:
     try:
         handle = decode_object(data).get("handle", "")
--- a/hawthornyard/platform/endpoint.py
+++ b/hawthornyard/platform/endpoint.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ..edge.messages import EndpointEntry
+from ..edge.messages import EndpointEntry, ReportRead
 from ..errors import RecordError
 from .fields import decode_object, number, text
 
@@ -10,6 +10,26 @@
 _ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
 
 
+def decode_report(name: str, data: bytes) -> ReportRead:
+    """Return what an engine says of itself.
+
+    Args:
+        name: Name of the engine.
+        data: Body of its report.
+
+    Raises:
+        RecordError: If the report can't be read.
+    """
+    body = decode_object(data)
+    # Milliseconds until it leaves, named only once that is known.
+    is_leaving = body.get("leaves_ms") is not None
+    return ReportRead(
+        name,
+        int(number(body, "born", 0.0)),
+        is_leaving=is_leaving or _STATES.get(body.get("state", ""), False),
+    )
+
+
 def decode_endpoint(name: str, data: bytes) -> EndpointEntry:
     """Return the entry of an endpoint.
 
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -74,5 +74,6 @@
 DOMAIN_OUT_PREFIX = "evacuate/"
 ENDPOINT_TABLE = "servers"
 
+REPORT_PATH = "/report"
 COPY_PATH = "/kv-move"
 COPY_DROP_PATH = "/kv-handle/"
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -20,6 +20,7 @@
     Tick,
 )
 from ..edge.chain import EdgeState, edge_chain
+from ..edge.fleet.store import ANSWER_INTERVAL_S
 from ..edge.messages import (
     AttemptFailed,
     Closed,
@@ -28,10 +29,11 @@
     EndpointsRead,
     ReplyBegan,
     ReplyEvents,
+    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
-from ..frames import GatewayLoads
+from ..frames import GatewayLoads, LeavingTold
 from ..front import HttpServer, ListenerSink, MetricsApplication, Replies
 from ..front.exchange import Environ, StartResponse
 from ..gateway.messages import CallerGone
@@ -57,6 +59,7 @@
 from .gateways import GatewayRows
 from .protocol import strict_protocol
 from .reload import ReloadSink, apply_bounds
+from .reports import ReportSink
 from .runner import RunnerSink
 from .settings import EdgeSettings
 from .store import PlatformStore
@@ -64,9 +67,6 @@
 READINESS_LAG_S = 3.0
 """Seconds until the balancer has taken a gateway out: two probes and one to spare."""
 
-OPERATOR_WAIT_S = 1.5
-"""Wait of one call for changes by operators; a confirmation stays younger than 3 s."""
-
 PAUSE_PER_GATEWAY_S = 0.02
 """Pause after changes of endpoints for each gateway, since each change wakes them all
 and each of their calls is priced."""
@@ -143,7 +143,7 @@
         )
         store = PlatformStore(settings.store)
         self._feeds = [
-            operator_feed(store, self._inbox, self._clock, wait_s=OPERATOR_WAIT_S),
+            operator_feed(store, self._inbox, self._clock, wait_s=ANSWER_INTERVAL_S),
             endpoint_feed(
                 store, self._inbox, self._clock, pause_s=self._endpoint_pause_s
             ),
@@ -159,6 +159,7 @@
             MsgpackCodec(),
             self._inbox,
             GatewayLoads,
+            LeavingTold,
         )
         self._pipeline = Pipeline(
             edge_chain(
@@ -172,6 +173,7 @@
                 Feedback(self._inbox, AttemptFailed, Closed),
                 RunnerSink(self._inbox),
                 CopySink(self._inbox),
+                ReportSink(self._inbox),
                 self._datagrams,
                 DecisionLog(settings.name),
                 Discard(
@@ -183,6 +185,7 @@
                     StoreFailed,
                     EndpointsRead,
                     EndpointLeaving,
+                    ReportRead,
                 ),
                 replies,
                 ListenerSink(self._server),
--- /dev/null
+++ b/hawthornyard/platform/reports.py
@@ -0,0 +1,52 @@
+"""Ask engines what they say of themselves."""
+
+import eventlet
+from loguru import logger
+
+from ..core import Consumers, Inbox
+from ..edge.messages import ReportAsked
+from ..errors import RecordError
+from .channel import FAILURES, call_once
+from .endpoint import decode_report
+from .names import REPORT_PATH
+
+REPORT_TIMEOUT_S = 0.5
+"""Bound on the answer, which takes some ms; a later one would be out of date."""
+
+_OK = 200
+
+
+class ReportSink:
+    """Ask for each report in a green thread of its own.
+
+    Args:
+        inbox: Where the reports go.
+    """
+
+    __slots__ = ("_inbox", "consumers")
+
+    def __init__(self, inbox: Inbox) -> None:
+        self._inbox = inbox
+        self.consumers: Consumers = {ReportAsked: self._on_asked}
+
+    def _on_asked(self, msg: ReportAsked) -> None:
+        eventlet.spawn_n(self._ask, msg)
+
+    def _ask(self, msg: ReportAsked) -> None:
+        log = logger.bind(endpoint=msg.endpoint, address=msg.address)
+        try:
+            status, data = call_once(
+                "GET", msg.address, REPORT_PATH, "", REPORT_TIMEOUT_S
+            )
+        except FAILURES as exc:
+            log.bind(detail=str(exc)).info("report_failed")
+            return
+        if status != _OK:
+            log.bind(status=status).info("report_failed")
+            return
+        try:
+            report = decode_report(msg.endpoint, data)
+        except RecordError as exc:
+            log.bind(detail=str(exc)).warning("report_unreadable")
+            return
+        self._inbox.put(report)
