Compare two drawn engines where many gateways choose, and mirror less

Cause: on the grown sites 26 gateways hear of each other's loads every 0.65 s and then all chose the same engine, new ones first: eight prompts within half a second, first events 2 to 4 s late. Mirrors filled memory to 0.75, so that only engines that had just come had room.

The slow start of a cold engine is not it: the first requests there take the usual time.

--- a/features/edge_requests.feature
+++ b/features/edge_requests.feature
@@ -125,3 +125,13 @@
     And an older report of that gateway without load
     When 1 summaries are sent
     Then all of them went to engine-b
+
+  Scenario Outline: Gateways that know the same do not all choose the same engine
+    Given <n> gateways that know 12 idle engines
+    When each of them sends a summary
+    Then <least> engines or more run them and <mirrors> or more mirror them
+
+    Examples:
+      | n  | least | mirrors |
+      | 26 | 8     | 8       |
+      | 3  | 1     | 1       |
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -1,8 +1,11 @@
 """Steps that drive the chain of a gateway that calls endpoints itself."""
 
+import random
+
 from behave import given, when
 from behave.runner import Context
 
+from features.support.edge import EdgeDrive
 from hawthornyard.edge.messages import (
     AttemptBroke,
     AttemptEnded,
@@ -77,6 +80,19 @@
     context.edge.state.directory.max_age_s = seconds
 
 
+@given("{n:d} gateways that know {n_engines:d} idle engines")
+def add_gateways_of_fleet(context: Context, n: int, n_engines: int) -> None:
+    names = {f"gateway-{index}": f"10.0.0.{index}:7200" for index in range(n)}
+    context.fleet = []
+    for seed, name in enumerate(names):
+        drive = EdgeDrive(name, chance=random.Random(seed))
+        drive.deploy()
+        for index in range(n_engines):
+            drive.add(f"engine-{index}", failure_domain=f"domain-{index % 3}")
+        drive.push(GatewaysRead(names))
+        context.fleet.append(drive)
+
+
 @given("a summary that was sent")
 def send_summary(context: Context) -> None:
     context.call_id = context.edge.call("summary")
@@ -197,6 +213,12 @@
     context.edge.advance(0.9)
 
 
+@when("each of them sends a summary")
+def send_from_each(context: Context) -> None:
+    for drive in context.fleet:
+        drive.call("summary")
+
+
 @when("a {kind} is sent")
 def send_one(context: Context, kind: str) -> None:
     context.call_id = context.edge.call(kind)
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -12,6 +12,13 @@
 HANDLE = "copy-1"
 
 
+@then("{least:d} engines or more run them and {mirrors:d} or more mirror them")
+def check_spread(context: Context, least: int, mirrors: int) -> None:
+    sent = [drive.last(Dispatch) for drive in context.fleet]
+    assert len({msg.endpoint for msg in sent}) >= least, sent
+    assert len({msg.backup_address for msg in sent}) >= mirrors, sent
+
+
 @then("at most {n:d} attempts reach it")
 def check_at_most(context: Context, n: int) -> None:
     sent = context.edge.all(Dispatch)
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -3,6 +3,7 @@
 from typing import Any, TypeVar
 
 from hawthornyard.core import (
+    Chance,
     Decision,
     Drain,
     ManualClock,
@@ -117,7 +118,9 @@
 
     __slots__ = ("clock", "drain", "n_calls", "out", "pipeline", "requests", "state")
 
-    def __init__(self, name: str = "gateway-1") -> None:
+    def __init__(
+        self, name: str = "gateway-1", *, chance: Chance | None = None
+    ) -> None:
         self.clock = ManualClock(START)
         self.state = EdgeState(name, self.clock)
         self.state.repeats.set_bounds(ratio=0.2, slack=10.0, window_s=10.0)
@@ -125,7 +128,7 @@
         self.n_calls = 0
         self.requests: dict[str, str] = {}
         self.drain = Drain(self.state.inflight, self.clock, readiness_lag_s=3.0)
-        chain = edge_chain(self.state, self.drain, self.clock, FirstChoice())
+        chain = edge_chain(self.state, self.drain, self.clock, chance or FirstChoice())
         self.pipeline = Pipeline(chain, [self])
 
     @property
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -20,6 +20,7 @@
 from .repeats import RepeatBudget
 from .reply import Expire, Relay, Settle
 from .request import Match, Retry, Route, Send, WaitForRoom
+from .sampling import Sampling
 from .streams import Migrate, Resume
 from .streams.resumption import Resumption
 
@@ -83,7 +84,8 @@
         mirroring: Chooses where streams are mirrored.
     """
     placement = placement or LeastLoaded(state.directory, state.endpoints)
-    mirroring = mirroring or MirrorWhereRoom(state.directory, state.eligible)
+    sampling = Sampling(state.peers, chance)
+    mirroring = mirroring or MirrorWhereRoom(state.directory, state.eligible, sampling)
     resumption = Resumption(state.inflight, state.eligible, mirroring, clock)
     return [
         FollowStore(clock),
@@ -102,13 +104,14 @@
         Match(state.directory, state.inflight, clock, chance),
         Retry(state.inflight, state.repeats, clock),
         WaitForRoom(state.eligible, placement, clock),
-        Route(state.eligible, placement, state.directory),
+        Route(state.eligible, sampling, placement, state.directory),
         Send(state.inflight, state.endpoints, state.eligible, mirroring, clock),
         Resume(state.inflight, state.endpoints, state.eligible, resumption),
         Migrate(
             state.inflight,
             state.endpoints,
             state.eligible,
+            sampling,
             state.directory,
             resumption,
             clock,
--- a/hawthornyard/edge/fleet/share.py
+++ b/hawthornyard/edge/fleet/share.py
@@ -7,14 +7,11 @@
 from ..eligible import Eligible
 from ..endpoints import Endpoints
 from ..messages import GatewaysRead
-from ..peers import Peers
+from ..peers import FEW_GATEWAYS, Peers
 from ..repeats import RepeatBudget
 
 # A quarter of the time that a prompt takes to be read; older loads mislead.
 SHARE_INTERVAL_S = 0.2
-# With more gateways than this each tells its load less often, so that the number
-# of datagrams grows with their number and not with its square.
-FEW_GATEWAYS = 8
 
 
 class ShareLoads:
--- a/hawthornyard/edge/mirroring.py
+++ b/hawthornyard/edge/mirroring.py
@@ -6,12 +6,13 @@
 from .eligible import Eligible
 from .endpoints import Endpoint
 from .messages import Request
+from .sampling import Sampling
 
 # A shorter output is over before a copy of its prompt would pay.
 MIN_OUTPUT_TOKENS = 64
 # Mirrors fill an engine's memory up to this share only; the rest is for its own
 # work, which they would delay.
-MIRROR_SHARE = 0.75
+MIRROR_SHARE = 0.35
 
 
 class Mirroring(Protocol):
@@ -33,13 +34,17 @@
     Args:
         directory: Tells what engines can hold.
         eligible: Tells which endpoints may get new work.
+        sampling: Draws those that are compared.
     """
 
-    __slots__ = ("_directory", "_eligible")
+    __slots__ = ("_directory", "_eligible", "_sampling")
 
-    def __init__(self, directory: Directory, eligible: Eligible) -> None:
+    def __init__(
+        self, directory: Directory, eligible: Eligible, sampling: Sampling
+    ) -> None:
         self._directory = directory
         self._eligible = eligible
+        self._sampling = sampling
 
     def choose(self, request: Request, endpoint: Endpoint) -> Endpoint | None:
         """Return the endpoint that mirrors a request; see `Mirroring.choose`."""
@@ -59,7 +64,7 @@
             return None
         domain = endpoint.entry.failure_domain
         return min(
-            found,
+            self._sampling.draw(found),
             key=lambda other: (
                 other.entry.failure_domain == domain,
                 other.used_tokens,
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -7,6 +7,9 @@
 
 # A gateway that was not heard for so long runs nothing that counts any longer.
 SILENCE_S = 2.0
+# With more gateways than this each tells its load less often, so that the number
+# of datagrams grows with their number and not with its square.
+FEW_GATEWAYS = 8
 
 
 class _Peer:
--- a/hawthornyard/edge/request/route.py
+++ b/hawthornyard/edge/request/route.py
@@ -8,6 +8,7 @@
 from ..eligible import Eligible
 from ..messages import AttemptFailed, Released, Routed
 from ..placement import Placement, cheapest
+from ..sampling import Sampling
 
 
 class Route:
@@ -15,16 +16,22 @@
 
     Args:
         eligible: Tells which endpoints may get new work.
+        sampling: Draws those that are compared.
         placement: Chooses among them.
         directory: Deployment in force, for the log.
     """
 
-    __slots__ = ("_directory", "_eligible", "_placement", "handlers")
+    __slots__ = ("_directory", "_eligible", "_placement", "_sampling", "handlers")
 
     def __init__(
-        self, eligible: Eligible, placement: Placement, directory: Directory
+        self,
+        eligible: Eligible,
+        sampling: Sampling,
+        placement: Placement,
+        directory: Directory,
     ) -> None:
         self._eligible = eligible
+        self._sampling = sampling
         self._placement = placement
         self._directory = directory
         self.handlers: Handlers = {Released: self._on_released}
@@ -35,7 +42,8 @@
         with_room = [
             end for end in candidates if self._placement.has_room(request, end)
         ]
-        endpoint = cheapest(self._placement, request, with_room or candidates)
+        drawn = self._sampling.draw(with_room or candidates)
+        endpoint = cheapest(self._placement, request, drawn)
         if endpoint is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
             return
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -18,6 +18,7 @@
     Migration,
     Request,
 )
+from ..sampling import Sampling
 from .departure import Departure
 from .resumption import Resumption
 
@@ -50,6 +51,7 @@
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
         eligible: Tells which endpoints may get new work.
+        sampling: Draws the endpoints that are compared.
         directory: Tells what engines can do.
         resumption: Begins the new attempts.
         clock: Source of time.
@@ -63,6 +65,7 @@
         "_endpoints",
         "_inflight",
         "_resumption",
+        "_sampling",
         "handlers",
     )
 
@@ -71,6 +74,7 @@
         inflight: InFlight,
         endpoints: Endpoints,
         eligible: Eligible,
+        sampling: Sampling,
         directory: Directory,
         resumption: Resumption,
         clock: Clock,
@@ -78,6 +82,7 @@
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligible = eligible
+        self._sampling = sampling
         self._directory = directory
         self._resumption = resumption
         self._clock = clock
@@ -262,14 +267,11 @@
             and other.n_running < other.entry.n_slots
             and other.used_tokens + request.n_tokens <= memory_tokens
         ]
-        domain = endpoint.entry.failure_domain
         # Between failure domains a copy takes twice as long, and time is short.
+        domain = endpoint.entry.failure_domain
+        near = [other for other in found if other.entry.failure_domain == domain]
         return min(
-            found,
-            key=lambda other: (
-                other.entry.failure_domain != domain,
-                other.used_tokens,
-                other.name,
-            ),
+            self._sampling.draw(near or found),
+            key=lambda other: (other.used_tokens, other.name),
             default=None,
         )
