Let few of many gateways read often; add stand-ins of the platform and a soak

Three gateways now read often and tell the others by datagram who leaves; the others read at half the bound on leaving endpoints.

Ruled out: reading by three alone, since a datagram may be lost; a longer wait for changes by operators, which would cost requests in the first seconds of an outage.

A port in use is now an error line and not a traceback.

--- a/features/edge_watch.feature
+++ b/features/edge_watch.feature
@@ -73,3 +73,24 @@
       | an earlier incarnation of engine-a reports that it leaves           |
       | another gateway tells that an earlier incarnation of engine-a leaves |
       | engine-a reports that it stays                                      |
+
+  Scenario Outline: Few of many gateways read often, and tell the others
+    Given the engines engine-a
+    And <n> other gateways of which <heard> before this one were heard
+    When engine-a drains
+    Then <told> gateways were told that engine-a leaves
+    And it reads changes after <pause> seconds or less
+
+    Examples:
+      | n  | heard | told | pause |
+      | 25 | 0     | 25   | 0.3   |
+      | 25 | 2     | 25   | 0.3   |
+      | 25 | 3     | 0    | 1.5   |
+      | 4  | 3     | 0    | 0.2   |
+
+  Scenario: Readers that fall silent are followed by others
+    Given the engines engine-a
+    And 25 other gateways of which 3 before this one were heard
+    When 2.5 seconds go by
+    And engine-a drains
+    Then 25 gateways were told that engine-a leaves
--- a/features/environment.py
+++ b/features/environment.py
@@ -16,7 +16,13 @@
 from hawthornyard.rim import configure_log  # noqa: E402
 
 # Made anew for each scenario of a feature with the tag.
-_BY_SCENARIO = ("edge", "operator", "platform_world", "wide_processes")
+_BY_SCENARIO = (
+    "edge",
+    "operator",
+    "platform_standins",
+    "platform_world",
+    "wide_processes",
+)
 _PREFIX = "fixture."
 
 
--- a/features/fixtures.py
+++ b/features/fixtures.py
@@ -14,6 +14,7 @@
 from features.support.fakes import N_TOKENS_BEFORE_SILENCE, OddService, SilentEngine
 from features.support.operator import Operator
 from features.support.peers import PeerPair
+from features.support.platform_standins import PlatformStandIns
 from features.support.platform_world import PlatformWorld
 from features.support.processes import Processes, temporary_folder
 from hawthornyard.demo import Client, Deployment
@@ -282,6 +283,14 @@
     yield context.edge
 
 
+@fixture
+def platform_standins(context: Context) -> Iterator[PlatformStandIns]:
+    """A stand-in store, and engines as the scenario adds them."""
+    context.standins = PlatformStandIns()
+    yield context.standins
+    context.standins.close()
+
+
 @fixture
 def platform_world(context: Context) -> Iterator[PlatformWorld]:
     """A gateway on loopback between callers, endpoints and the platform's store."""
--- a/features/steps/edge_watch.py
+++ b/features/steps/edge_watch.py
@@ -1,13 +1,29 @@
 """Steps about engines that are asked for reports."""
 
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
-from hawthornyard.edge.messages import ReportAsked, ReportRead, StoreFailed
-from hawthornyard.frames import LeavingTold
+from hawthornyard.edge.messages import (
+    GatewaysRead,
+    ReportAsked,
+    ReportRead,
+    StoreFailed,
+)
+from hawthornyard.frames import GatewayLoads, LeavingTold
 
 BORN = 0
 EARLIER = 7
+LEAVE_BOUND_S = 3.0
+
+
+@given("{n:d} other gateways of which {heard:d} before this one were heard")
+def add_heard_gateways(context: Context, n: int, heard: int) -> None:
+    names = [f"a-gateway-{index}" for index in range(heard)]
+    names += [f"z-gateway-{index}" for index in range(n - heard)]
+    addresses = {name: f"10.0.0.{index}:7200" for index, name in enumerate(names)}
+    context.edge.push(GatewaysRead(addresses))
+    for name in names:
+        context.edge.push(GatewayLoads(name, 1, []))
 
 
 @when("the {feed} feed of the store fails")
@@ -71,6 +87,12 @@
     assert len({msg.peer for msg in told}) == n, told
 
 
+@then("it reads changes after {pause:g} seconds or less")
+def check_pause(context: Context, pause: float) -> None:
+    context.edge.state.pace.leave_bound_s = LEAVE_BOUND_S
+    assert context.edge.state.pace.pause_s() <= pause + 1e-9
+
+
 @then("{name} still gets new work")
 def check_eligible(context: Context, name: str) -> None:
     endpoint = context.edge.state.endpoints.get(name)
--- /dev/null
+++ b/features/steps/platform_standins.py
@@ -0,0 +1,170 @@
+"""Steps about the stand-ins of the users' platform."""
+
+import re
+
+import eventlet
+import urllib3
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.platform_standins import STEP_S, TABLE
+from hawthornyard.platform.endpoint import decode_report
+from hawthornyard.platform.names import NOT_RUN
+
+_NUMBER = re.compile(rb"id: (\d+)\n")
+_FAILURES = (urllib3.exceptions.HTTPError, OSError)
+
+
+def _names(text: str) -> list[str]:
+    return text.replace(" and ", ", ").split(", ")
+
+
+@given("a stand-in store with the rows {names}")
+def add_rows(context: Context, names: str) -> None:
+    for name in _names(names):
+        context.standins.store.put(TABLE, name, b"1")
+
+
+@when("the table is read")
+def read_table(context: Context) -> None:
+    pass
+
+
+@when("row {name} is removed while the changes are waited for")
+def remove_while_waiting(context: Context, name: str) -> None:
+    standins = context.standins
+    version = standins.store.version
+    eventlet.spawn_after(0.1, standins.store.remove, TABLE, name)
+    context.changes = standins.client.changes(TABLE, version, 5.0)
+
+
+@when("row {name} is removed on the condition of an earlier version")
+def remove_conditionally(context: Context, name: str) -> None:
+    context.standins.client.remove(TABLE, name, 1)
+
+
+@when("the store forgets its history")
+def forget_history(context: Context) -> None:
+    context.standins.store.forget_history()
+
+
+@then("the rows are {names}")
+def check_rows(context: Context, names: str) -> None:
+    rows = context.standins.client.read(TABLE).rows
+    assert [row.key for row in rows] == _names(names), rows
+
+
+@then("the changes tell that {name} is gone and nothing else")
+def check_changes(context: Context, name: str) -> None:
+    (row,) = context.changes.rows
+    assert (row.key, row.value) == (name, None), row
+
+
+@then("changes since the start are no longer known")
+def check_forgotten(context: Context) -> None:
+    assert context.standins.client.changes(TABLE, 1, 1.0) is None
+
+
+@given("the stand-in engines {names}")
+def add_engines(context: Context, names: str) -> None:
+    for name in _names(names):
+        context.standins.add_engine(name)
+
+
+@when("a stream of {n:d} events is begun at {name}")
+def begin_stand_in_stream(context: Context, n: int, name: str) -> None:
+    context.n_events = n
+    context.stream = context.standins.begin(name, n)
+
+
+@when("a stream of {n:d} events, mirrored at {mirror}, is begun at {name}")
+def begin_mirrored(context: Context, n: int, mirror: str, name: str) -> None:
+    context.n_events = n
+    context.mirror = mirror
+    context.stream = context.standins.begin(name, n, mirror=mirror)
+
+
+@when("its run is copied to {target} and stopped after some events")
+def copy_run(context: Context, target: str) -> None:
+    eventlet.sleep(8 * STEP_S)
+    context.copy = context.standins.copy("engine-a", target)
+    context.copied_to = target
+
+
+@when("the copy is used")
+def use_copy(context: Context) -> None:
+    resp = _resume(context)
+    assert resp.status == 200, resp.status
+    resp.read()
+
+
+@then("its stream ended without an end")
+def check_cut(context: Context) -> None:
+    context.got = b""
+    try:
+        for data in context.stream.stream(1000):
+            context.got += data
+    except _FAILURES:
+        return
+    raise AssertionError(f"the stream looks complete: {context.got!r}")
+
+
+@then("it goes on at {name} with the event after its last one, to number {n:d}")
+def check_goes_on(context: Context, name: str, n: int) -> None:
+    before = [int(number) for number in _NUMBER.findall(context.got)]
+    after = [int(number) for number in _NUMBER.findall(_resume(context).read())]
+    assert before and after, (before, after)
+    assert before + after == list(range(1, n + 1)), (before, after)
+
+
+@then("the copy is refused as not run")
+def check_used(context: Context) -> None:
+    resp = _resume(context)
+    assert resp.status == 503 and resp.headers.get(NOT_RUN), resp.status
+
+
+@then("the mirror can go on after event {last:d}")
+def check_mirror(context: Context, last: int) -> None:
+    eventlet.sleep((last + 8) * STEP_S)
+    resp = context.standins.begin(
+        context.mirror, context.n_events, handle="r-1", last_event=last
+    )
+    numbers = [int(number) for number in _NUMBER.findall(resp.read())]
+    assert numbers == list(range(last + 1, context.n_events + 1)), numbers
+
+
+@when("{name} is told to be {mode}")
+def tell_mode(context: Context, name: str, mode: str) -> None:
+    context.standins.behave(name, mode=mode)
+
+
+@when("{name} is told that it leaves")
+def tell_leave(context: Context, name: str) -> None:
+    context.standins.behave(name, leaves_ms=1500)
+    context.told = name
+
+
+@then("a plain request to it ends as {end}")
+def check_plain(context: Context, end: str) -> None:
+    try:
+        resp = context.standins.call("POST", "engine-a", "/badge/1")
+    except _FAILURES:
+        assert end == "no answer", end
+        return
+    state = f"{resp.status}{', not run' if resp.headers.get(NOT_RUN) else ''}"
+    assert state == end, state
+
+
+@then("its report says so")
+def check_report(context: Context) -> None:
+    report = decode_report(context.told, context.standins.report(context.told))
+    assert report.is_leaving
+
+
+def _resume(context: Context) -> object:
+    return context.standins.begin(
+        context.copied_to,
+        context.n_events,
+        handle=context.copy["handle"],
+        last_event=context.copy["created_rev"],
+    )
--- /dev/null
+++ b/features/steps/soak.py
@@ -0,0 +1,37 @@
+"""Steps that run the soak as a process."""
+
+import subprocess
+import sys
+
+from behave import then, when
+from behave.runner import Context
+
+from features.support.processes import ROOT
+
+TIMEOUT_S = 400.0
+
+
+@when("seed {seed:d} is soaked for {seconds:g} seconds of faults")
+def soak_seed(context: Context, seed: int, seconds: float) -> None:
+    _soak(context, "--seeds", str(seed), "--harm-s", str(seconds))
+
+
+@when("the kept seeds are soaked")
+def soak_kept(context: Context) -> None:
+    _soak(context, "--kept")
+
+
+@then("the soak found nothing broken")
+def check_held(context: Context) -> None:
+    assert context.soak.returncode == 0, context.soak.stdout[-5000:]
+
+
+def _soak(context: Context, *args: str) -> None:
+    context.soak = subprocess.run(
+        [sys.executable, "-m", "soak", *args],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+        timeout=TIMEOUT_S,
+    )
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -44,7 +44,6 @@
     ReplyBegan,
     ReplyEvents,
     ReportAsked,
-    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
@@ -154,7 +153,6 @@
             CopyAnswered,
             EndpointLeaving,
             EndpointsRead,
-            ReportRead,
             StoreAnswered,
             StoreFailed,
             Tick,
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -5,11 +5,11 @@
 
 import eventlet
 
-from features.support.platform_store import PlatformStoreApp
 from features.support.scripted import DarkEndpoint, ScriptedEndpoint, exchange
 from hawthornyard.front import HttpServer
 from hawthornyard.platform.program import EdgeGateway
 from hawthornyard.platform.settings import EdgeSettings
+from hawthornyard.platform.standins import PlatformStoreApp
 
 ANY = ("127.0.0.1", 0)
 READY_TIMEOUT_S = 5.0
--- a/hawthornyard/cli/standin.py
+++ b/hawthornyard/cli/standin.py
@@ -1,10 +1,13 @@
 """Start stand-ins of the systems outside."""
 
+from pathlib import Path
+
 import cyclopts
 import eventlet
 from loguru import logger
 
 from ..front import HttpServer
+from ..platform.standins import EndpointStandIn, Journal, PlatformStoreApp
 from ..rim import MonotonicClock, configure_log, split_address
 from ..standins import (
     EngineModel,
@@ -92,6 +95,42 @@
     _serve(listen, HostStandIn().app)
 
 
+@standin_app.command
+def platform_store(*, listen: str) -> None:
+    """Run a stand-in store of the users' platform.
+
+    Args:
+        listen: "address:port" to listen on.
+    """
+    _serve(listen, PlatformStoreApp())
+
+
+@standin_app.command
+def platform_endpoint(
+    *,
+    listen: str,
+    name: str,
+    slots: int = 24,
+    step_s: float = 0.02,
+    born: int = 0,
+    journal: Path | None = None,
+) -> None:
+    """Run a stand-in endpoint of the users' platform.
+
+    Args:
+        listen: "address:port" to listen on.
+        name: Name of the endpoint.
+        slots: Requests that it runs at once.
+        step_s: Seconds between events, and that a plain request takes.
+        born: Incarnation that it reports, a number of milliseconds.
+        journal: File that tells what was run, one JSON object a line.
+    """
+    endpoint = EndpointStandIn(
+        name, Journal(journal), born=born, n_slots=slots, step_s=step_s
+    )
+    _serve(listen, endpoint)
+
+
 def _serve(listen: str, app: object) -> None:
     configure_log()
     server = HttpServer(split_address(listen), app)
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -15,6 +15,7 @@
 )
 from .inflight import InFlight
 from .mirroring import Mirroring, MirrorWhereRoom
+from .pace import ReadPace
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .repeats import RepeatBudget
@@ -34,6 +35,7 @@
         eligible: Tells which endpoints may get new work.
         inflight: Requests that are not answered yet.
         name: Name of the gateway.
+        pace: Chooses how often the changes of endpoints are read.
         peers: The other gateways.
         repeats: Bounds the attempts beyond the first.
     """
@@ -44,6 +46,7 @@
         "endpoints",
         "inflight",
         "name",
+        "pace",
         "peers",
         "repeats",
     )
@@ -55,6 +58,7 @@
     ) -> None:
         self.name = name
         self.peers = Peers(name, clock)
+        self.pace = ReadPace(self.peers)
         self.directory = Directory(clock)
         self.endpoints = Endpoints(self.peers, clock)
         self.eligible = Eligible(self.directory, self.endpoints, clock)
@@ -91,7 +95,7 @@
         FollowStore(clock),
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
-        WatchEngines(state.endpoints, state.directory, state.peers, clock),
+        WatchEngines(state.endpoints, state.directory, state.peers, state.pace, clock),
         ShareLoads(
             state.name,
             state.peers,
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -9,6 +9,7 @@
     EndpointEntry,
     EndpointLeaving,
     EndpointsRead,
+    Origin,
     ReportRead,
     StoreAnswered,
     StoreFailed,
@@ -82,7 +83,7 @@
                 cold_s=entry.cold_s,
             )
         if endpoint.leaving_since is not None and not was_leaving:
-            yield from self._leaves(endpoint, "draining")
+            yield from self._leaves(endpoint, "draining", Origin.STORE)
 
     def _on_gone(self, name: str) -> Iterator[Message]:
         endpoint = self._endpoints.get(name)
@@ -94,19 +95,17 @@
             return
         if endpoint.leaving_since is None:
             endpoint.leaving_since = self._clock.now()
-            yield from self._leaves(endpoint, "entry removed")
+            yield from self._leaves(endpoint, "entry removed", Origin.STORE)
 
     def _on_report(self, msg: ReportRead) -> Iterator[Message]:
         endpoint = self._news(msg.endpoint, msg.born) if msg.is_leaving else None
         if endpoint is not None:
-            yield from self._leaves(endpoint, "reported by itself")
-            # Only what is news here may be news to other gateways.
-            yield msg
+            yield from self._leaves(endpoint, "reported by itself", Origin.ENDPOINT)
 
     def _on_told(self, msg: LeavingTold) -> Iterator[Message]:
         endpoint = self._news(msg.endpoint, msg.born)
         if endpoint is not None:
-            yield from self._leaves(endpoint, "told by another gateway")
+            yield from self._leaves(endpoint, "told by another gateway", Origin.GATEWAY)
 
     def _news(self, name: str, born: int) -> Endpoint | None:
         endpoint = self._endpoints.get(name)
@@ -117,14 +116,16 @@
         endpoint.leaving_since = self._clock.now()
         return endpoint
 
-    def _leaves(self, endpoint: Endpoint, reason: str) -> Iterator[Message]:
+    def _leaves(
+        self, endpoint: Endpoint, reason: str, origin: Origin
+    ) -> Iterator[Message]:
         yield Decision(
             "endpoint_leaving",
             reason=reason,
             endpoint=endpoint.name,
             n_running=len(endpoint.requests),
         )
-        yield EndpointLeaving(endpoint.name)
+        yield EndpointLeaving(endpoint.name, origin)
 
     def _on_answered(self, msg: StoreAnswered) -> Iterator[Message]:
         if msg.feed == ENDPOINT_FEED and self._is_lost:
--- a/hawthornyard/edge/fleet/watch.py
+++ b/hawthornyard/edge/fleet/watch.py
@@ -1,4 +1,4 @@
-"""Ask engines whether they leave while the store can't tell."""
+"""Ask engines whether they leave while the store can't tell; tell other gateways."""
 
 from collections.abc import Iterator
 
@@ -7,11 +7,13 @@
 from ..directory import Directory
 from ..endpoints import Endpoint, Endpoints
 from ..messages import (
+    EndpointLeaving,
+    Origin,
     ReportAsked,
-    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
+from ..pace import ReadPace
 from ..peers import Peers
 from .deployment import OPERATOR_FEED
 from .store import ANSWER_INTERVAL_S
@@ -37,6 +39,7 @@
         endpoints: Known endpoints.
         directory: Tells which endpoints are engines.
         peers: The other gateways.
+        pace: Tells whether others wait for what is read here.
         clock: Source of time.
     """
 
@@ -48,16 +51,23 @@
         "_is_watching",
         "_lost",
         "_next_at",
+        "_pace",
         "_peers",
         "handlers",
     )
 
     def __init__(
-        self, endpoints: Endpoints, directory: Directory, peers: Peers, clock: Clock
+        self,
+        endpoints: Endpoints,
+        directory: Directory,
+        peers: Peers,
+        pace: ReadPace,
+        clock: Clock,
     ) -> None:
         self._endpoints = endpoints
         self._directory = directory
         self._peers = peers
+        self._pace = pace
         self._clock = clock
         self._answered_at = clock.now()
         self._lost: set[str] = set()
@@ -66,7 +76,7 @@
         self.handlers: Handlers = {
             StoreAnswered: self._on_answered,
             StoreFailed: self._on_failed,
-            ReportRead: self._on_report,
+            EndpointLeaving: self._on_leaving,
             Tick: self._on_tick,
         }
 
@@ -80,10 +90,18 @@
         self._lost.add(msg.feed)
         yield msg
 
-    def _on_report(self, msg: ReportRead) -> Iterator[Message]:
+    def _on_leaving(self, msg: EndpointLeaving) -> Iterator[Message]:
         yield msg
+        endpoint = self._endpoints.get(msg.endpoint)
+        if endpoint is None or not self._is_news_to_others(msg.origin):
+            return
         for address in self._peers.addresses():
-            yield LeavingTold(msg.endpoint, msg.born).at(address)
+            yield LeavingTold(msg.endpoint, endpoint.entry.born).at(address)
+
+    def _is_news_to_others(self, origin: Origin) -> bool:
+        if origin is Origin.STORE:
+            return self._pace.must_tell
+        return origin is Origin.ENDPOINT
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield msg
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -19,6 +19,7 @@
     EndpointLeaving,
     EndpointsRead,
     GatewaysRead,
+    Origin,
     StoreAnswered,
     StoreFailed,
 )
@@ -54,6 +55,7 @@
     "GenerationSize",
     "Matched",
     "Migration",
+    "Origin",
     "Released",
     "ReplyBegan",
     "ReplyEvents",
--- a/hawthornyard/edge/messages/news.py
+++ b/hawthornyard/edge/messages/news.py
@@ -1,11 +1,20 @@
 """Define what is learnt about the deployment and its endpoints."""
 
 from collections.abc import Mapping, Sequence
+from enum import Enum
 
 from ...core import Message
 from ..deployment import Deployment
 
 
+class Origin(Enum):
+    """Where news of an endpoint come from."""
+
+    STORE = "store"
+    ENDPOINT = "endpoint"
+    GATEWAY = "gateway"
+
+
 class DeploymentRead(Message):
     """A deployment that was read from the store."""
 
@@ -95,12 +104,18 @@
 
 
 class EndpointLeaving(Message):
-    """An endpoint that gets no new work and will be gone soon."""
+    """An endpoint that gets no new work and will be gone soon.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        origin: Who says so.
+    """
 
-    __slots__ = ("endpoint",)
+    __slots__ = ("endpoint", "origin")
 
-    def __init__(self, endpoint: str) -> None:
+    def __init__(self, endpoint: str, origin: Origin) -> None:
         self.endpoint = endpoint
+        self.origin = origin
 
 
 class GatewaysRead(Message):
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -10,6 +10,9 @@
 # With more gateways than this each tells its load less often, so that the number
 # of datagrams grows with their number and not with its square.
 FEW_GATEWAYS = 8
+# Among many, so many read the changes of endpoints often; one may be cut off and
+# another killed.
+N_READERS = 3
 
 
 class _Peer:
@@ -42,6 +45,17 @@
         """Return the number of gateways, this one included."""
         return 1 + len(self._addresses)
 
+    @property
+    def are_many(self) -> bool:
+        """Return whether work is divided because gateways are many."""
+        return self.n_gateways > FEW_GATEWAYS
+
+    @property
+    def is_reader(self) -> bool:
+        """Return whether this gateway is among the first that are heard of."""
+        live = [name for name, peer in self._heard.items() if self._is_live(peer)]
+        return sum(name < self._name for name in live) < N_READERS
+
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Replace the known gateways."""
         self._addresses = {
--- a/hawthornyard/edge/sampling.py
+++ b/hawthornyard/edge/sampling.py
@@ -4,7 +4,7 @@
 
 from ..core import Chance
 from .endpoints import Endpoint
-from .peers import FEW_GATEWAYS, Peers
+from .peers import Peers
 
 # Endpoints that are compared where loads are told seldom. Two even out most of a
 # random choice; with three or six more requests met at the same endpoint.
@@ -30,6 +30,6 @@
 
     def draw(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
         """Return the endpoints to compare, all of them among few gateways."""
-        if self._peers.n_gateways <= FEW_GATEWAYS or len(endpoints) <= N_DRAWN:
+        if not self._peers.are_many or len(endpoints) <= N_DRAWN:
             return list(endpoints)
         return self._chance.sample(endpoints, N_DRAWN)
--- a/hawthornyard/platform/__main__.py
+++ b/hawthornyard/platform/__main__.py
@@ -30,6 +30,9 @@
     log = configure_bounded_log(BootClock())
     try:
         EdgeGateway(settings, path, log).run()
+    except SettingsError as exc:
+        print(f"error: {exc}", file=sys.stderr)
+        return 1
     finally:
         log.flush()
     return 0
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -29,7 +29,6 @@
     EndpointsRead,
     ReplyBegan,
     ReplyEvents,
-    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
@@ -67,13 +66,6 @@
 READINESS_LAG_S = 3.0
 """Seconds until the balancer has taken a gateway out: two probes and one to spare."""
 
-PAUSE_PER_GATEWAY_S = 0.02
-"""Pause after changes of endpoints for each gateway, since each change wakes them all
-and each of their calls is priced."""
-
-MAX_PAUSE_SHARE = 0.25
-"""Share of the time to notice a leaving endpoint that the pause may take."""
-
 TICK_S = 0.05
 
 
@@ -145,7 +137,7 @@
         self._feeds = [
             operator_feed(store, self._inbox, self._clock, wait_s=ANSWER_INTERVAL_S),
             endpoint_feed(
-                store, self._inbox, self._clock, pause_s=self._endpoint_pause_s
+                store, self._inbox, self._clock, pause_s=self.state.pace.pause_s
             ),
         ]
         self._gateways = GatewayRows(
@@ -185,7 +177,6 @@
                     StoreFailed,
                     EndpointsRead,
                     EndpointLeaving,
-                    ReportRead,
                 ),
                 replies,
                 ListenerSink(self._server),
@@ -234,10 +225,6 @@
         for server in self._servers():
             server.close()
 
-    def _endpoint_pause_s(self) -> float:
-        longest_s = MAX_PAUSE_SHARE * self._settings.leave_bound_s
-        return min(longest_s, PAUSE_PER_GATEWAY_S * self.state.peers.n_gateways)
-
     def _add_gauges(self, log: LogQueue | None) -> None:
         state = self.state
         add = self._metrics.gauge
--- a/hawthornyard/platform/reload.py
+++ b/hawthornyard/platform/reload.py
@@ -56,6 +56,7 @@
         slack=settings.repeat_slack,
         window_s=settings.repeat_window_s,
     )
+    state.pace.leave_bound_s = settings.leave_bound_s
     max_age_s = settings.key_max_age_s
     if max_age_s is not None:
         max_age_s -= KEY_MARGIN_S
--- /dev/null
+++ b/hawthornyard/platform/standins/run.py
@@ -0,0 +1,66 @@
+"""Hold one run of a stand-in engine."""
+
+from collections.abc import Iterator
+
+import eventlet
+
+from ...errors import EndpointError
+
+
+class Run:
+    """One stream that is being made.
+
+    Args:
+        request_id: Id of the request, the run's name as well.
+        n_events: Events of the whole stream.
+        first: Number of its first event here.
+        step_s: Seconds between events.
+
+    Attributes:
+        is_copying: Whether a copy of it is under way.
+        is_stopped: Whether it goes on elsewhere.
+        n_made: Number of the newest event.
+        request_id: Id of the request.
+    """
+
+    __slots__ = (
+        "_n_events",
+        "_step_s",
+        "is_copying",
+        "is_stopped",
+        "n_made",
+        "request_id",
+    )
+
+    def __init__(
+        self, request_id: str, n_events: int, *, first: int = 1, step_s: float = 0.02
+    ) -> None:
+        self.request_id = request_id
+        self.n_made = first - 1
+        self.is_copying = False
+        self.is_stopped = False
+        self._n_events = n_events
+        self._step_s = step_s
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether there is anything to copy."""
+        return self.n_made > 0
+
+    def events(self) -> Iterator[bytes]:
+        """Yield the events as they are made.
+
+        Raises:
+            EndpointError: If the run is stopped on the way.
+        """
+        while self.n_made < self._n_events:
+            eventlet.sleep(self._step_s)
+            if self.is_stopped:
+                raise EndpointError("the run was stopped for its last copy")
+            self.n_made += 1
+            yield event(self.request_id, self.n_made)
+
+
+def event(request_id: str, number: int) -> bytes:
+    """Return one event; the same for every run of a request."""
+    return f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
--- a/hawthornyard/platform/standins/store.py
+++ b/hawthornyard/platform/standins/store.py
@@ -1,7 +1,8 @@
-"""A small store of the users' platform on loopback, to test the adapter against."""
+"""Stand in for the platform's store."""
 
 import base64
 import json
+import time
 from collections.abc import Iterable
 from typing import Any
 from urllib.parse import parse_qs
@@ -9,15 +10,33 @@
 import eventlet
 from eventlet.event import Event
 
-from hawthornyard.front.exchange import Environ, StartResponse
+from ...front.exchange import Environ, StartResponse
 
-NOW_MS = 5000
+MAX_ROWS = 500
+"""Rows of one answer, as many as the platform gives."""
 
 
 class PlatformStoreApp:
-    """Rows with versions, read, written and followed as the platform's pages tell."""
-
-    __slots__ = ("_changed", "is_down", "n_calls", "oldest", "rows", "version")
+    """Rows with versions that are read, written and followed.
+
+    Attributes:
+        delay_s: Seconds that each answer takes.
+        is_down: Whether all calls are refused.
+        n_calls: Calls that came.
+        oldest: Version after which the history is kept.
+        rows: Value and version by table and key; None for a removed row.
+        version: Version of the newest change.
+    """
+
+    __slots__ = (
+        "_changed",
+        "delay_s",
+        "is_down",
+        "n_calls",
+        "oldest",
+        "rows",
+        "version",
+    )
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
@@ -25,28 +44,35 @@
         self.oldest = 0
         self.n_calls = 0
         self.is_down = False
+        self.delay_s = 0.0
         self._changed = Event()
 
     def put(self, table: str, key: str, value: bytes | dict[str, Any]) -> None:
+        """Write a row, whatever it held."""
         data = value if isinstance(value, bytes) else json.dumps(value).encode()
         self._write(table, key, data)
 
     def remove(self, table: str, key: str) -> None:
+        """Remove a row."""
         self._write(table, key, None)
 
     def forget_history(self) -> None:
+        """Keep no changes but those to come."""
         self.oldest = self.version
         self._wake()
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one HTTP request."""
         self.n_calls += 1
+        if self.delay_s:
+            eventlet.sleep(self.delay_s)
         if self.is_down:
             start("503 Service Unavailable", [])
             return [b""]
-        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        query = {k: v[0] for k, v in parse_qs(environ.get("QUERY_STRING", "")).items()}
         path = environ["PATH_INFO"]
         if path == "/rows-get":
-            return self._answer(start, self._rows(query["table_name"], 0, False))
+            return self._read(query, start)
         if path == "/rows-feed":
             return self._feed(query, start)
         if path == "/rows-tx":
@@ -54,16 +80,27 @@
         start("404 Not Found", [])
         return [b""]
 
+    def _read(self, query: dict[str, str], start: StartResponse) -> Iterable[bytes]:
+        first = query.get("from", "")
+        limit = min(MAX_ROWS, int(query.get("limit", MAX_ROWS)))
+        rows = self._rows(query["table_name"], 0, with_removed=False)
+        found = sorted(
+            (row for row in rows if row["key"] >= first), key=lambda row: row["key"]
+        )
+        return self._answer(start, found[:limit], has_more=len(found) > limit)
+
     def _feed(self, query: dict[str, str], start: StartResponse) -> Iterable[bytes]:
         after = int(query["after"])
         table = query["table_name"]
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
-            while after >= self.oldest and not self._rows(table, after, True):
+            while after >= self.oldest and not self._rows(
+                table, after, with_removed=True
+            ):
                 self._changed.wait()
         if after < self.oldest:
             start("410 Gone", [])
             return [b""]
-        return self._answer(start, self._rows(table, after, True))
+        return self._answer(start, self._rows(table, after, with_removed=True))
 
     def _transact(self, body: Any, start: StartResponse) -> Iterable[bytes]:
         for row in body["expect"]:
@@ -87,9 +124,11 @@
         changed, self._changed = self._changed, Event()
         changed.send()
 
-    def _rows(self, table: str, after: int, with_removed: bool) -> list[dict[str, Any]]:
+    def _rows(
+        self, table: str, after: int, *, with_removed: bool
+    ) -> list[dict[str, Any]]:
         found = []
-        for (name, key), (value, version) in sorted(self.rows.items()):
+        for (name, key), (value, version) in self.rows.items():
             if name != table or version <= after:
                 continue
             if value is None and not with_removed:
@@ -101,11 +140,21 @@
             else:
                 row["value"] = base64.b64encode(value).decode()
             found.append(row)
-        return found
+        return sorted(found, key=lambda row: int(row["ver"]))
 
     def _answer(
-        self, start: StartResponse, rows: list[dict[str, Any]]
+        self,
+        start: StartResponse,
+        rows: list[dict[str, Any]],
+        *,
+        has_more: bool = False,
     ) -> Iterable[bytes]:
-        body = {"rows": rows, "ver": self.version, "now_ms": NOW_MS, "has_more": False}
+        now_ms = time.monotonic() * 1000
+        body = {
+            "rows": rows,
+            "ver": self.version,
+            "now_ms": now_ms,
+            "has_more": has_more,
+        }
         start("200 OK", [("Content-Type", "application/json")])
         return [json.dumps(body).encode()]
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,22 @@
+"""Soak gateways of the platform; `python -m soak --help`."""
+
+import os
+import sys
+import warnings
+
+
+def main() -> None:
+    """Patch the standard library for eventlet, then run the command."""
+    warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
+    os.environ["EVENTLET_NO_GREENDNS"] = "yes"
+    import eventlet
+
+    # Processes are started with the plain module, whose short reads may block.
+    eventlet.monkey_patch(os=False, subprocess=False)
+    from .command import app
+
+    sys.exit(app())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/deployment.py
@@ -0,0 +1,123 @@
+"""Describe the deployment that is soaked."""
+
+from typing import Any
+
+DOMAINS = ("domain-a", "domain-b", "domain-c")
+KEYS = {"key-of-kiosk": "kiosk", "key-of-school": "school"}
+REVOKED_KEY = "key-of-school"
+
+CONTACT_S = 3.0
+"""Time without disturbance until a gateway is in touch, as on the sites."""
+CONFIG_S = 2.0
+"""Bound on the time until a version is in force, as on the sites."""
+DRAIN_S = 2.0
+"""Bound on the time until a leaving endpoint gets nothing more, as on the sites."""
+REVOKE_S = 5.0
+"""Bound on the use of a key that was taken away, as on the sites."""
+GRACE_S = 8.0
+"""Time between SIGTERM and SIGKILL, as on the sites."""
+RECOVER_S = 12.0
+"""Bound on the time until requests are served after a fault, as on the sites."""
+COLD_S = 1.0
+COLD_PER_S = 20.0
+"""Requests a second that a cold endpoint bears."""
+COLD_OVER = 1.5
+COLD_SLACK = 5
+REPEAT_RATIO = 0.2
+REPEAT_SLACK = 52
+REPEAT_WINDOW_S = 10.0
+
+TIMEOUTS_S = {"summary": 20.0, "badge": 1.5, "lookup": 1.5}
+SERVICES = {"summary": "scribe", "badge": "desk", "lookup": "desk"}
+N_EVENTS = 200
+"""Events of a summary; at 20 ms each it outlives the notice of a leaving engine."""
+
+
+def config(version: int, *, keys: set[str], removed: set[str]) -> dict[str, Any]:
+    """Return what operators write.
+
+    Args:
+        version: Version of the configuration.
+        keys: Keys that hold.
+        removed: Kinds of request without a route.
+    """
+    return {
+        "version": version,
+        "routes": [_route(kind) for kind in TIMEOUTS_S if kind not in removed],
+        "services": [
+            {
+                "name": "scribe",
+                "max_connections": 200,
+                "health_check_path": "/health",
+                "cold_per_s": COLD_PER_S,
+                "engine": {
+                    "slots": 24,
+                    "kv_cache_tokens": 34_000,
+                    "kv_token_bytes": 160_000,
+                    "link_mbps": 24_000,
+                    "moves": True,
+                    "backups": True,
+                    "handle_s": 8.0,
+                    "stride": 4,
+                },
+            },
+            {"name": "desk", "max_connections": 200, "cold_per_s": COLD_PER_S},
+        ],
+        "limits": {
+            "max_header_bytes": 16_384,
+            "max_body_bytes": 100_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 8000,
+        },
+        "tenants": [
+            {"name": team, "api_keys": [key] if key in keys else []}
+            for key, team in KEYS.items()
+        ],
+    }
+
+
+def _route(kind: str) -> dict[str, Any]:
+    kinds = {"summary": "streaming", "badge": "non_idempotent", "lookup": "idempotent"}
+    return {
+        "name": kind,
+        "host": "kiosk.example",
+        "prefix": f"/{kind}/",
+        "kind": kinds[kind],
+        "timeout_ms": int(TIMEOUTS_S[kind] * 1000),
+        "target_latency_ms": 1800 if kind == "summary" else 200,
+        "gap_aim_ms": 180 if kind == "summary" else 0,
+        "service": SERVICES[kind],
+        "max_attempts": 1 if kind == "badge" else 2,
+    }
+
+
+def settings(
+    name: str, domain: str, ports: list[int], store_port: int
+) -> dict[str, Any]:
+    """Return the settings file of a gateway.
+
+    Args:
+        name: Name of the gateway.
+        domain: Its failure domain.
+        ports: Ports for callers, probes, other gateways and metrics.
+        store_port: Port of the store.
+    """
+    return {
+        "node": name,
+        "zone": domain,
+        "ip": "127.0.0.1",
+        "listen": {
+            "front": f"127.0.0.1:{ports[0]}",
+            "ready": f"127.0.0.1:{ports[1]}",
+        },
+        "internal_ports": ports[2:4],
+        "platform": {"address": f"127.0.0.1:{store_port}"},
+        "bounds": {
+            "revoke_ms": int(REVOKE_S * 1000),
+            "fail_closed": True,
+            "drain_ms": int(DRAIN_S * 1000),
+            "retry_budget_ratio": REPEAT_RATIO,
+            "budget_slack": REPEAT_SLACK,
+            "budget_window_s": REPEAT_WINDOW_S,
+        },
+    }
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,71 @@
+"""Start processes and signal them by their ids."""
+
+import os
+import signal
+import subprocess
+import sys
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import eventlet
+
+ROOT = Path(__file__).resolve().parent.parent
+POLL_S = 0.02
+
+
+class Process:
+    """One process that can be paused, killed and started again.
+
+    Args:
+        log: File for what it writes.
+        args: Arguments after the interpreter.
+        env: Variables besides those of this process.
+    """
+
+    __slots__ = ("_args", "_env", "_handle", "_log")
+
+    def __init__(
+        self, log: Path, args: list[str], env: Mapping[str, str] | None = None
+    ) -> None:
+        self._log = log
+        self._args = args
+        self._env = {**os.environ, **(env or {})}
+        self._handle: Any = None
+
+    @property
+    def is_running(self) -> bool:
+        """Return whether the process exists."""
+        return self._handle is not None and self._handle.poll() is None
+
+    def log_text(self) -> str:
+        """Return what it has written."""
+        return self._log.read_text(errors="replace") if self._log.exists() else ""
+
+    def start(self) -> None:
+        """Start it; its log goes on."""
+        with self._log.open("ab") as log:
+            self._handle = subprocess.Popen(
+                [sys.executable, *self._args],
+                cwd=ROOT,
+                env=self._env,
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Send a signal if the process still exists."""
+        if self.is_running:
+            self._handle.send_signal(number)
+
+    def kill(self) -> None:
+        """End it at once, also when it is paused."""
+        self.signal(signal.SIGKILL)
+        self.wait(5.0)
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for its end without holding up others; return whether it came."""
+        with eventlet.Timeout(timeout_s, False):
+            while self.is_running:
+                eventlet.sleep(POLL_S)
+        return not self.is_running
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,127 @@
+"""Hold what callers saw and what endpoints ran."""
+
+import json
+from pathlib import Path
+
+
+class Sent:
+    """One attempt of a caller.
+
+    Attributes:
+        request_id: Its id.
+        kind: Kind of request: "summary", "badge" or "lookup".
+        gateway: Name of the gateway.
+        key: Key that it carried.
+        path: Path that it named.
+        sent_at: Monotonic seconds at which its last byte was written.
+        ended_at: Monotonic seconds of its end, None while it goes on.
+        status: Status of the answer, None without one.
+        outcome: "whole", "cut", "unconnected", "left" or "unanswered".
+        events: Numbers of the events that came, in order.
+        problem: What was wrong with the answer, empty if nothing was.
+    """
+
+    __slots__ = (
+        "ended_at",
+        "events",
+        "gateway",
+        "key",
+        "kind",
+        "outcome",
+        "path",
+        "problem",
+        "request_id",
+        "sent_at",
+        "status",
+    )
+
+    def __init__(
+        self, request_id: str, kind: str, gateway: str, key: str, path: str
+    ) -> None:
+        self.request_id = request_id
+        self.kind = kind
+        self.gateway = gateway
+        self.key = key
+        self.path = path
+        self.sent_at = 0.0
+        self.ended_at: float | None = None
+        self.status: int | None = None
+        self.outcome = ""
+        self.events: list[int] = []
+        self.problem = ""
+
+    def __repr__(self) -> str:
+        fields = (f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"Sent({', '.join(fields)})"
+
+
+class Ran:
+    """One run at an endpoint.
+
+    Attributes:
+        request_id: Id of the request.
+        endpoint: Name of the endpoint.
+        service: Service that it belongs to.
+        team: Team that was named to it.
+        path: Path that was asked for.
+        at: Monotonic seconds of the start.
+        ended_at: Monotonic seconds of the end, None if it was never seen.
+        is_resumed: Whether it went on from a copy.
+        has_key: Whether the caller's key was passed on.
+    """
+
+    __slots__ = (
+        "at",
+        "ended_at",
+        "endpoint",
+        "has_key",
+        "is_resumed",
+        "path",
+        "request_id",
+        "service",
+        "team",
+    )
+
+    def __init__(self, line: dict[str, object], service: str) -> None:
+        self.request_id = str(line["request_id"])
+        self.endpoint = str(line["endpoint"])
+        self.service = service
+        self.team = str(line["team"])
+        self.path = str(line["path"])
+        self.at = float(str(line["at"]))
+        self.ended_at: float | None = None
+        self.is_resumed = bool(line["is_resumed"])
+        self.has_key = bool(line["has_key"])
+
+    def __repr__(self) -> str:
+        fields = (f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"Ran({', '.join(fields)})"
+
+
+def read_runs(path: Path, service: str) -> list[Ran]:
+    """Return the runs in the journal of an endpoint.
+
+    Args:
+        path: The journal, which may end within a line.
+        service: Service of the endpoint.
+    """
+    runs: list[Ran] = []
+    if not path.exists():
+        return runs
+    for text in path.read_text().splitlines():
+        try:
+            line = json.loads(text)
+        except ValueError:
+            # The process was killed within its last line.
+            continue
+        if line["event"] == "run":
+            runs.append(Ran(line, service))
+        elif line["event"] == "end":
+            open_runs = [
+                run
+                for run in runs
+                if run.request_id == line["request_id"] and run.ended_at is None
+            ]
+            for run in open_runs[:1]:
+                run.ended_at = line["at"]
+    return runs
