Tell other gateways at once where a stream begins

Cause: between two load reports (0.2 s, 0.65 s among 26 gateways) others took an engine for as free as before. Where few engines had room, six streams began at one within 0.3 s and their first events came after 3 to 5 s.

--- a/features/edge_requests.feature
+++ b/features/edge_requests.feature
@@ -135,3 +135,15 @@
       | n  | least | mirrors |
       | 26 | 8     | 8       |
       | 3  | 1     | 1       |
+
+  Scenario: Other gateways hear at once of a stream that begins, and of its mirror
+    Given the engines engine-a and engine-b
+    And 2 other gateways
+    When a summary is sent
+    Then each of 2 gateways was told the loads of engine-a and engine-b alone
+
+  Scenario: A part of a gateway's loads leaves the others as they were
+    Given the engines engine-a and engine-b
+    And another gateway that has 9000 unread prompt tokens at engine-a
+    When that gateway tells of 5000 unread prompt tokens at engine-b alone
+    Then 9000 tokens are unread at engine-a and 5000 at engine-b
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -213,6 +213,12 @@
     context.edge.advance(0.9)
 
 
+@when("that gateway tells of {n:d} unread prompt tokens at {name} alone")
+def tell_part(context: Context, n: int, name: str) -> None:
+    load = EndpointLoad(name, 1, n, n, 0.0)
+    context.edge.push(GatewayLoads("gateway-2", 8, [load], False))
+
+
 @when("each of them sends a summary")
 def send_from_each(context: Context) -> None:
     for drive in context.fleet:
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -7,6 +7,7 @@
 
 from features.support.edge import ENGINE
 from hawthornyard.edge.messages import Cancel, CopyAsked, CopyDropped, Dispatch
+from hawthornyard.frames import GatewayLoads
 from hawthornyard.gateway.messages import ReplyFailed, ReplyWhole
 
 HANDLE = "copy-1"
@@ -19,6 +20,22 @@
     assert len({msg.backup_address for msg in sent}) >= mirrors, sent
 
 
+@then("each of {n:d} gateways was told the loads of {names} alone")
+def check_told_loads(context: Context, n: int, names: str) -> None:
+    told = context.edge.all(GatewayLoads)
+    assert len({msg.peer for msg in told}) == len(told) == n, told
+    for msg in told:
+        assert not msg.is_whole
+        assert [load.endpoint for load in msg.loads] == names.split(" and "), msg
+
+
+@then("{n:d} tokens are unread at {name} and {m:d} at {other}")
+def check_unread(context: Context, n: int, name: str, m: int, other: str) -> None:
+    endpoints = context.edge.state.endpoints
+    unread = [endpoints.get(name).n_unread, endpoints.get(other).n_unread]
+    assert unread == [n, m], unread
+
+
 @then("at most {n:d} attempts reach it")
 def check_at_most(context: Context, n: int) -> None:
     sent = context.edge.all(Dispatch)
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -96,14 +96,6 @@
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
         WatchEngines(state.endpoints, state.directory, state.peers, state.pace, clock),
-        ShareLoads(
-            state.name,
-            state.peers,
-            state.endpoints,
-            state.eligible,
-            state.repeats,
-            clock,
-        ),
         drain,
         Match(state.directory, state.inflight, clock, chance),
         Retry(state.inflight, state.repeats, clock),
@@ -124,4 +116,12 @@
         Expire(state.inflight, state.endpoints),
         *measure,
         Settle(state.inflight, clock),
+        ShareLoads(
+            state.name,
+            state.peers,
+            state.endpoints,
+            state.eligible,
+            state.repeats,
+            clock,
+        ),
     ]
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,7 +1,7 @@
 """Keep what the gateway believes about the deployment and its endpoints.
 
-The chain is FollowStore, FollowDeployment, FollowEndpoints, WatchEngines,
-ShareLoads.
+The chain begins with FollowStore, FollowDeployment, FollowEndpoints and WatchEngines;
+ShareLoads is its end, where it sees what was dispatched.
 """
 
 from .deployment import FollowDeployment
--- a/hawthornyard/edge/fleet/share.py
+++ b/hawthornyard/edge/fleet/share.py
@@ -1,12 +1,12 @@
 """Tell the other gateways what this one runs, and learn what they run."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 
 from ...core import Clock, Decision, Handlers, Message, Tick
 from ...frames import EndpointLoad, GatewayLoads
 from ..eligible import Eligible
-from ..endpoints import Endpoints
-from ..messages import GatewaysRead
+from ..endpoints import Endpoint, Endpoints
+from ..messages import Dispatch, GatewaysRead
 from ..peers import FEW_GATEWAYS, Peers
 from ..repeats import RepeatBudget
 
@@ -59,6 +59,7 @@
         self.handlers: Handlers = {
             GatewaysRead: self._on_gateways,
             GatewayLoads: self._on_loads,
+            Dispatch: self._on_dispatch,
             Tick: self._on_tick,
         }
 
@@ -75,12 +76,31 @@
         self._peers.take(msg)
         yield from ()
 
+    def _on_dispatch(self, msg: Dispatch) -> Iterator[Message]:
+        yield msg
+        if not msg.is_stream:
+            return
+        # Others choose within milliseconds; until they hear they take it for free.
+        changed = [
+            endpoint
+            for endpoint in self._endpoints
+            if endpoint.name == msg.endpoint
+            or endpoint.entry.address == msg.backup_address
+        ]
+        yield from self._tell(changed, is_whole=False)
+
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield msg
         if msg.now < self._next_at:
             return
         n_shares = max(1.0, self._peers.n_gateways / FEW_GATEWAYS)
         self._next_at = msg.now + SHARE_INTERVAL_S * n_shares
+        busy = [end for end in self._endpoints if end.n_own or end.own_tokens]
+        yield from self._tell(busy, is_whole=True)
+
+    def _tell(
+        self, endpoints: Sequence[Endpoint], *, is_whole: bool
+    ) -> Iterator[Message]:
         self._sequence += 1
         loads = [
             EndpointLoad(
@@ -90,8 +110,7 @@
                 endpoint.own_unread,
                 endpoint.own_prefill_rate,
             )
-            for endpoint in self._endpoints
-            if endpoint.n_own or endpoint.own_tokens
+            for endpoint in endpoints
         ]
         for address in self._peers.addresses():
-            yield GatewayLoads(self._name, self._sequence, loads).at(address)
+            yield GatewayLoads(self._name, self._sequence, loads, is_whole).at(address)
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -78,7 +78,8 @@
             return
         peer.sequence = report.sequence
         peer.heard_at = self._clock.now()
-        peer.loads = {load.endpoint: load for load in report.loads}
+        loads = {load.endpoint: load for load in report.loads}
+        peer.loads = loads if report.is_whole else {**peer.loads, **loads}
 
     def n_running(self, endpoint: str) -> int:
         """Return the requests that other gateways run at an endpoint."""
--- a/hawthornyard/frames/loads.py
+++ b/hawthornyard/frames/loads.py
@@ -35,17 +35,25 @@
 
 
 class GatewayLoads(Frame):
-    """Gateway to gateway: all that the gateway runs.
+    """Gateway to gateway: what the gateway runs.
 
     Attributes:
         name: Name of the gateway.
         sequence: Number of the report; a smaller one came late.
-        loads: The endpoints that it runs something at.
+        loads: Endpoints that it runs something at.
+        is_whole: Whether it runs nothing at other endpoints.
     """
 
-    __slots__ = ("name", "sequence", "loads")
+    __slots__ = ("name", "sequence", "loads", "is_whole")
 
-    def __init__(self, name: str, sequence: int, loads: Sequence[EndpointLoad]) -> None:
+    def __init__(
+        self,
+        name: str,
+        sequence: int,
+        loads: Sequence[EndpointLoad],
+        is_whole: bool = True,
+    ) -> None:
         self.name = name
         self.sequence = sequence
         self.loads = loads
+        self.is_whole = is_whole
