--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from .deployment import DOMAINS, GRACE_S, KEYS, REVOKED_KEY
+from .deployment import DOMAINS, GRACE_S, KEYS, REVOKE_S, REVOKED_KEY
 from .gateway import Gateway
 from .relay import Relay
 from .touch import PLANNED, STORE
@@ -241,6 +241,24 @@
         world.configure(set(KEYS), set())
 
 
+class RevokeUnseen:
+    """Take a key away while a gateway can't hear of it."""
+
+    __slots__ = ()
+
+    def run(self, world: World, chance: random.Random) -> None:
+        """Do the harm; see `Fault.run`."""
+        gateway = chance.choice(world.gateways)
+        begun = time.monotonic()
+        gateway.link.is_cut = gateway.link.is_cut_back = True
+        eventlet.sleep(chance.uniform(0.1, 1.0))
+        world.configure(set(KEYS) - {REVOKED_KEY}, world.versions[-1].removed)
+        eventlet.sleep(REVOKE_S + chance.uniform(1.0, 3.0))
+        world.configure(set(KEYS), set())
+        gateway.link.heal()
+        world.disturbances.note(gateway.name, "link cut", begun, time.monotonic())
+
+
 class TakeDomainOut:
     """Take a failure domain out for a while."""
 
@@ -273,6 +291,7 @@
     SpoilEndpoint,
     HarmEndpointLink,
     ChangeDeployment,
+    RevokeUnseen,
     TakeDomainOut,
 )
 """What is drawn from; what stands twice comes twice as often."""
