Keep gateways out of step, and survive SIGHUP while starting

Ruled out: asking more often (priced), a shorter wait of all calls (priced as well).

New scenarios fail on the code before: out of step (feeds, questions), SIGHUP before the port is bound, a port in use.

--- a/features/edge_watch.feature
+++ b/features/edge_watch.feature
@@ -34,7 +34,8 @@
     Then the engines engine-b were asked for reports
 
   Scenario Outline: Gateways share the questions
-    Given the engines engine-a
+    Given a gateway that draws by seed 1
+    And the engines engine-a
     And <n> other gateways
     When the endpoints feed of the store fails
     And 10 seconds go by
@@ -94,3 +95,13 @@
     When 2.5 seconds go by
     And engine-a drains
     Then 25 gateways were told that engine-a leaves
+
+  Scenario: Gateways that notice together do not ask in step
+    Given 3 gateways in step that know an engine
+    When all of them lose the store and 10 seconds go by
+    Then no two of them asked at the same moments
+
+  Scenario: Feeds that a change has woken do not wait in step again
+    Given 3 feeds of one table with waits of 10 seconds
+    When the table is read and changes once
+    Then the waits that follow the change differ, and those after them do not
--- /dev/null
+++ b/features/platform_process.feature
@@ -0,0 +1,11 @@
+Feature: A gateway of the platform as a process
+
+  Scenario: A change of the settings while it starts does not end it
+    Given a gateway of the platform that has just been started
+    When SIGHUP comes before it listens
+    Then it starts all the same and reads its settings again
+
+  Scenario: A port that is in use is told in one line
+    Given a settings file whose port for callers is in use
+    When a gateway of the platform is started with it
+    Then it ends with status 1 and one line that names the port
--- a/features/steps/edge_watch.py
+++ b/features/steps/edge_watch.py
@@ -1,8 +1,13 @@
 """Steps about engines that are asked for reports."""
 
+import random
+
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.edge import TICK_S, EdgeDrive
+from features.support.waiting_store import WaitingStore
 from hawthornyard.edge.messages import (
     GatewaysRead,
     ReportAsked,
@@ -10,6 +15,8 @@
     StoreFailed,
 )
 from hawthornyard.frames import GatewayLoads, LeavingTold
+from hawthornyard.platform.feeds import operator_feed
+from hawthornyard.rim import EventletInbox, MonotonicClock
 
 BORN = 0
 EARLIER = 7
@@ -26,6 +33,41 @@
         context.edge.push(GatewayLoads(name, 1, []))
 
 
+@given("a gateway that draws by seed {seed:d}")
+def draw_by_seed(context: Context, seed: int) -> None:
+    context.edge = EdgeDrive(chance=random.Random(seed))
+
+
+@given("{n:d} gateways in step that know an engine")
+def add_in_step(context: Context, n: int) -> None:
+    context.fleet = []
+    for seed in range(n):
+        drive = EdgeDrive(f"gateway-{seed}", chance=random.Random(seed))
+        drive.deploy()
+        drive.add("engine-a")
+        context.fleet.append(drive)
+
+
+@when("all of them lose the store and {seconds:g} seconds go by")
+def lose_store_together(context: Context, seconds: float) -> None:
+    context.asked_at = []
+    for drive in context.fleet:
+        begun_at = drive.clock.now()
+        drive.push(StoreFailed("operator", "no answer"))
+        times = []
+        while drive.clock.now() < begun_at + seconds:
+            n_before = len(drive.all(ReportAsked))
+            drive.advance(TICK_S)
+            if len(drive.all(ReportAsked)) > n_before:
+                times.append(round(drive.clock.now() - begun_at, 3))
+        context.asked_at.append(tuple(times))
+
+
+@then("no two of them asked at the same moments")
+def check_out_of_step(context: Context) -> None:
+    assert len(set(context.asked_at)) == len(context.asked_at), context.asked_at
+
+
 @when("the {feed} feed of the store fails")
 def fail_feed(context: Context, feed: str) -> None:
     context.edge.push(StoreFailed(feed, "no answer"))
@@ -97,3 +139,31 @@
 def check_eligible(context: Context, name: str) -> None:
     endpoint = context.edge.state.endpoints.get(name)
     assert context.edge.state.eligible.accepts(endpoint)
+
+
+@given("{n:d} feeds of one table with waits of {wait_s:g} seconds")
+def add_feeds(context: Context, n: int, wait_s: float) -> None:
+    context.wait_s = wait_s
+    context.stores = [WaitingStore() for _ in range(n)]
+    context.feeds = [
+        operator_feed(
+            store, EventletInbox(), MonotonicClock(), random.Random(seed), wait_s=wait_s
+        )
+        for seed, store in enumerate(context.stores)
+    ]
+
+
+@when("the table is read and changes once")
+def change_once(context: Context) -> None:
+    for feed, store in zip(context.feeds, context.stores, strict=True):
+        thread = eventlet.spawn(feed.run)
+        store.done.wait()
+        thread.kill()
+
+
+@then("the waits that follow the change differ, and those after them do not")
+def check_waits(context: Context) -> None:
+    waits = [store.waits for store in context.stores]
+    assert len({found[1] for found in waits}) == len(waits), waits
+    assert all(found[1] < context.wait_s for found in waits), waits
+    assert all(found[2] == context.wait_s for found in waits), waits
--- /dev/null
+++ b/features/steps/platform_process.py
@@ -0,0 +1,84 @@
+"""Steps that start a gateway of the platform as a process."""
+
+import signal
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+import eventlet
+from behave import given, then, when
+from behave.runner import Context
+
+from features.support.processes import temporary_folder
+from soak.deployment import DOMAINS
+from soak.gateway import Gateway
+from soak.ports import LOOPBACK
+
+START_TIMEOUT_S = 8.0
+POLL_S = 0.002
+
+
+def _gateway(context: Context) -> Gateway:
+    folder = temporary_folder()
+    context.add_cleanup(folder.cleanup)
+    return Gateway(Path(folder.name), "gateway-1", DOMAINS[0], store_port=1)
+
+
+@given("a gateway of the platform that has just been started")
+def start_gateway(context: Context) -> None:
+    context.gateway = _gateway(context)
+    context.gateway.process.start()
+    context.add_cleanup(context.gateway.process.kill)
+
+
+@when("SIGHUP comes before it listens")
+def send_early(context: Context) -> None:
+    process = context.gateway.process
+    _wait(lambda: process.handles(signal.SIGHUP))
+    assert not _is_listening(context.gateway.port)
+    process.signal(signal.SIGHUP)
+
+
+@then("it starts all the same and reads its settings again")
+def check_started(context: Context) -> None:
+    process = context.gateway.process
+    _wait(lambda: '"started"' in process.log_text() or not process.is_running)
+    _wait(lambda: '"reloaded"' in process.log_text() or not process.is_running)
+    assert process.is_running, process.log_text()
+
+
+@given("a settings file whose port for callers is in use")
+def take_port(context: Context) -> None:
+    context.gateway = _gateway(context)
+    context.taken = eventlet.listen((LOOPBACK, context.gateway.port), reuse_port=False)
+
+
+@when("a gateway of the platform is started with it")
+def start_in_vain(context: Context) -> None:
+    context.gateway.process.start()
+    context.add_cleanup(context.gateway.process.kill)
+    process = context.gateway.process
+    assert process.wait(START_TIMEOUT_S), process.log_text()
+
+
+@then("it ends with status 1 and one line that names the port")
+def check_refused(context: Context) -> None:
+    process = context.gateway.process
+    (line,) = process.log_text().splitlines()
+    assert process.status == 1, process.status
+    assert line.startswith("error: ") and str(context.gateway.port) in line, line
+
+
+def _is_listening(port: int) -> bool:
+    try:
+        eventlet.connect((LOOPBACK, port)).close()
+    except OSError:
+        return False
+    return True
+
+
+def _wait(is_true: Callable[[], bool]) -> None:
+    deadline = time.monotonic() + START_TIMEOUT_S
+    while not is_true():
+        assert time.monotonic() < deadline
+        eventlet.sleep(POLL_S)
--- a/hawthornyard/edge/fleet/watch.py
+++ b/hawthornyard/edge/fleet/watch.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ...core import Clock, Decision, Handlers, Message, Tick
+from ...core import Chance, Clock, Decision, Handlers, Message, Tick
 from ...frames import LeavingTold
 from ..directory import Directory
 from ..endpoints import Endpoint, Endpoints
@@ -41,10 +41,12 @@
         peers: The other gateways.
         pace: Tells whether others wait for what is read here.
         clock: Source of time.
+        chance: Source of randomness.
     """
 
     __slots__ = (
         "_answered_at",
+        "_chance",
         "_clock",
         "_directory",
         "_endpoints",
@@ -63,12 +65,14 @@
         peers: Peers,
         pace: ReadPace,
         clock: Clock,
+        chance: Chance,
     ) -> None:
         self._endpoints = endpoints
         self._directory = directory
         self._peers = peers
         self._pace = pace
         self._clock = clock
+        self._chance = chance
         self._answered_at = clock.now()
         self._lost: set[str] = set()
         self._is_watching = False
@@ -114,7 +118,8 @@
             return
         interval_s = COMMON_INTERVAL_S * self._peers.n_gateways
         interval_s = min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, interval_s))
-        self._next_at = msg.now + interval_s
+        # Gateways that notice together must not ask in step.
+        self._next_at = msg.now + interval_s * (0.5 + self._chance.random())
         for endpoint in self._endpoints:
             if endpoint.leaving_since is None and self._can_report(endpoint):
                 yield ReportAsked(endpoint.name, endpoint.entry.address)
--- a/hawthornyard/platform/__main__.py
+++ b/hawthornyard/platform/__main__.py
@@ -1,12 +1,16 @@
 """Run a gateway on the platform; `python -m hawthornyard.platform`."""
 
 import os
+import signal
 import sys
 import warnings
 
 
 def main() -> int:
     """Patch the standard library for eventlet, then run until SIGTERM."""
+    changes: list[int] = []
+    # The default action would end a process that is still starting.
+    signal.signal(signal.SIGHUP, lambda number, _: changes.append(number))
     warnings.filterwarnings("ignore", message=r"\s*Eventlet is deprecated")
     # All addresses are IP numbers; the resolver would cost a third of the start.
     os.environ["EVENTLET_NO_GREENDNS"] = "yes"
@@ -29,7 +33,7 @@
         return 1
     log = configure_bounded_log(BootClock())
     try:
-        EdgeGateway(settings, path, log).run()
+        EdgeGateway(settings, path, log).run(is_changed=lambda: bool(changes))
     except SettingsError as exc:
         print(f"error: {exc}", file=sys.stderr)
         return 1
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -6,7 +6,7 @@
 import eventlet
 from loguru import logger
 
-from ..core import Clock, Inbox
+from ..core import Chance, Clock, Inbox
 from ..edge.fleet.deployment import OPERATOR_FEED
 from ..edge.fleet.endpoints import ENDPOINT_FEED
 from ..edge.messages import (
@@ -121,16 +121,19 @@
         decoder: Turns rows into messages.
         inbox: Told whether the store answers.
         clock: Source of time.
-        wait_s: Wait of one call for changes.
+        chance: Source of randomness.
+        wait_s: Longest wait of one call for changes.
         pause_s: Returns the pause after changes, so that those that come close
             together are read by one call.
     """
 
     __slots__ = (
+        "_chance",
         "_clock",
         "_decoder",
         "_inbox",
         "_name",
+        "_next_wait_s",
         "_pause_s",
         "_store",
         "_table",
@@ -146,6 +149,7 @@
         decoder: TableDecoder,
         inbox: Inbox,
         clock: Clock,
+        chance: Chance,
         *,
         wait_s: float,
         pause_s: Callable[[], float],
@@ -156,7 +160,9 @@
         self._decoder = decoder
         self._inbox = inbox
         self._clock = clock
+        self._chance = chance
         self._wait_s = wait_s
+        self._next_wait_s = wait_s
         self._pause_s = pause_s
         self._version: int | None = None
 
@@ -172,11 +178,13 @@
     def _step(self) -> None:
         asked_at = self._clock.now()
         as_of = asked_at
+        wait_s, self._next_wait_s = self._next_wait_s, self._wait_s
         if self._version is None:
             page = self._store.read(self._table)
             self._decoder.decode(page.rows, is_complete=True)
+            self._next_wait_s = self._chance.random() * self._wait_s
         else:
-            changes = self._store.changes(self._table, self._version, self._wait_s)
+            changes = self._store.changes(self._table, self._version, wait_s)
             if changes is None:
                 logger.bind(feed=self._name).info("history_gone")
                 self._version = None
@@ -185,11 +193,14 @@
             if page.rows:
                 self._decoder.decode(page.rows, is_complete=False)
                 self._put_answered(page.version, as_of)
+                # A change wakes all gateways; if they went on in step, all of them
+                # would notice an outage as late as the last.
+                self._next_wait_s = self._chance.random() * self._wait_s
                 eventlet.sleep(self._pause_s())
                 return
             else:
                 # The store held the call for the whole wait.
-                as_of = min(self._clock.now(), asked_at + self._wait_s)
+                as_of = min(self._clock.now(), asked_at + wait_s)
         self._put_answered(page.version, as_of)
 
     def _put_answered(self, version: int, as_of: float) -> None:
@@ -198,7 +209,12 @@
 
 
 def operator_feed(
-    store: PlatformStore, inbox: Inbox, clock: Clock, *, wait_s: float
+    store: PlatformStore,
+    inbox: Inbox,
+    clock: Clock,
+    chance: Chance,
+    *,
+    wait_s: float,
 ) -> Feed:
     """Return the feed of deployments and failure domains.
 
@@ -206,7 +222,8 @@
         store: The platform's store.
         inbox: Where messages go.
         clock: Source of time.
-        wait_s: Wait of one call; the age of a confirmation stays under twice this.
+        chance: Source of randomness.
+        wait_s: Longest wait of one call; confirmations stay younger than twice this.
     """
     decoder = OperatorTable(inbox)
     return Feed(
@@ -216,6 +233,7 @@
         decoder,
         inbox,
         clock,
+        chance,
         wait_s=wait_s,
         # A change of the deployment is rare, and must be in force soon.
         pause_s=lambda: 0.0,
@@ -226,6 +244,7 @@
     store: PlatformStore,
     inbox: Inbox,
     clock: Clock,
+    chance: Chance,
     *,
     pause_s: Callable[[], float],
 ) -> Feed:
@@ -235,6 +254,7 @@
         store: The platform's store.
         inbox: Where messages go.
         clock: Source of time.
+        chance: Source of randomness.
         pause_s: Returns the pause after changes.
     """
     return Feed(
@@ -244,6 +264,7 @@
         EndpointTable(inbox),
         inbox,
         clock,
+        chance,
         wait_s=ENDPOINT_WAIT_S,
         pause_s=pause_s,
     )
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -2,7 +2,7 @@
 
 import random
 import signal
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
 
@@ -134,10 +134,13 @@
             MetricsApplication(self._metrics.text),
         )
         store = PlatformStore(settings.store)
+        chance = random.Random()
         self._feeds = [
-            operator_feed(store, self._inbox, self._clock, wait_s=ANSWER_INTERVAL_S),
+            operator_feed(
+                store, self._inbox, self._clock, chance, wait_s=ANSWER_INTERVAL_S
+            ),
             endpoint_feed(
-                store, self._inbox, self._clock, pause_s=self.state.pace.pause_s
+                store, self._inbox, self._clock, chance, pause_s=self.state.pace.pause_s
             ),
         ]
         self._gateways = GatewayRows(
@@ -158,7 +161,7 @@
                 self.state,
                 self._drain,
                 self._clock,
-                random.Random(),
+                chance,
                 measure=[MeasureEdge(self._metrics, self.state.inflight, self._clock)],
             ),
             [
@@ -206,11 +209,17 @@
             server.start()
         return eventlet.spawn(run_loop, self._inbox, self._pipeline, self._stop)
 
-    def run(self) -> None:
-        """Run until SIGTERM and the end of all requests."""
+    def run(self, *, is_changed: Callable[[], bool]) -> None:
+        """Run until SIGTERM and the end of all requests.
+
+        Args:
+            is_changed: Tells whether the settings changed during the start.
+        """
         for number in (signal.SIGTERM, signal.SIGINT):
             signal.signal(number, lambda *_: self._inbox.put(StopRequested()))
         signal.signal(signal.SIGHUP, lambda *_: self._inbox.put(ReloadRequested()))
+        if is_changed():
+            self._inbox.put(ReloadRequested())
         loop = self.start()
         logger.bind(process=self._settings.name).info("started")
         loop.wait()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -165,10 +165,12 @@
     late = []
     for sent, run in left:
         gone_at = sent.ended_at or 0.0
+        # A frozen endpoint reads what was sent to it before its caller left.
+        if not world.disturbances.is_calm(sent.sent_at, run.at + 1.0, run.endpoint):
+            continue
         if run.at > gone_at + GONE_S:
             yield f"ran after its caller left: {sent} {run}"
-        is_calm = world.disturbances.is_calm(run.at, gone_at + 1.0, run.endpoint)
-        if is_calm and (run.ended_at or 0.0) > gone_at + GONE_S:
+        if (run.ended_at or 0.0) > gone_at + GONE_S:
             late.append((sent, run))
     if len(late) > 3 and len(late) > LATE_SHARE * len(left):
         yield f"{len(late)} of {len(left)} ran on after their caller left: {late[0]}"
--- a/soak/process.py
+++ b/soak/process.py
@@ -38,6 +38,18 @@
         """Return whether the process exists."""
         return self._handle is not None and self._handle.poll() is None
 
+    @property
+    def status(self) -> int | None:
+        """Return its exit status, None while it exists."""
+        status: int | None = self._handle.poll()
+        return status
+
+    def handles(self, number: int) -> bool:
+        """Return whether it has set a handler for a signal."""
+        text = Path(f"/proc/{self._handle.pid}/status").read_text()
+        (line,) = (line for line in text.splitlines() if line.startswith("SigCgt"))
+        return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+
     def log_text(self) -> str:
         """Return what it has written."""
         return self._log.read_text(errors="replace") if self._log.exists() else ""
