Say once how a fault of the soak lasts and is noted

A context manager now holds them, so that a new fault can't forget to note what it disturbed.

Ruled out: a common base class, which the shape of the code leaves out.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,8 @@
 import random
 import signal
 import time
+from collections.abc import Iterator
+from contextlib import contextmanager
 from typing import Protocol
 
 import eventlet
@@ -73,11 +75,10 @@
     def run(self, world: World, chance: random.Random) -> None:
         """Do the harm; see `Fault.run`."""
         gateway = chance.choice(world.gateways)
-        begun = time.monotonic()
         gateway.process.signal(signal.SIGSTOP)
-        eventlet.sleep(chance.choice([0.3, 1.0, 3.0, 6.0]))
-        gateway.process.signal(signal.SIGCONT)
-        world.disturbances.note(gateway.name, "paused", begun, time.monotonic())
+        pause_s = chance.choice([0.3, 1.0, 3.0, 6.0])
+        with _harming(world, gateway.name, "paused", pause_s):
+            gateway.process.signal(signal.SIGCONT)
 
 
 class ReloadGateway:
@@ -98,11 +99,9 @@
     def run(self, world: World, chance: random.Random) -> None:
         """Do the harm; see `Fault.run`."""
         gateway = chance.choice(world.gateways)
-        begun = time.monotonic()
         how = _harm(gateway.link, chance)
-        eventlet.sleep(chance.uniform(0.5, 7.0))
-        gateway.link.heal()
-        world.disturbances.note(gateway.name, f"link {how}", begun, time.monotonic())
+        with _harming(world, gateway.name, f"link {how}", chance.uniform(0.5, 7.0)):
+            gateway.link.heal()
 
 
 class HarmStore:
@@ -112,7 +111,6 @@
 
     def run(self, world: World, chance: random.Random) -> None:
         """Do the harm; see `Fault.run`."""
-        begun = time.monotonic()
         how = chance.choice(["down", "slow", "forgetful", "silent"])
         if how == "forgetful":
             world.store.forget_history()
@@ -123,12 +121,11 @@
         else:
             for gateway in world.gateways:
                 gateway.link.is_cut = gateway.link.is_cut_back = True
-        eventlet.sleep(chance.uniform(0.5, 7.0))
-        world.store.is_down = False
-        world.store.delay_s = 0.0
-        for gateway in world.gateways:
-            gateway.link.heal()
-        world.disturbances.note(STORE, how, begun, time.monotonic())
+        with _harming(world, STORE, how, chance.uniform(0.5, 7.0)):
+            world.store.is_down = False
+            world.store.delay_s = 0.0
+            for gateway in world.gateways:
+                gateway.link.heal()
 
 
 class LeaveEndpoint:
@@ -183,11 +180,9 @@
         endpoint = world.pick_endpoint(chance, chance.choice(["scribe", "desk"]))
         if endpoint is None:
             return
-        begun = time.monotonic()
         endpoint.process.signal(signal.SIGSTOP)
-        eventlet.sleep(chance.uniform(0.3, 3.0))
-        endpoint.process.signal(signal.SIGCONT)
-        world.disturbances.note(endpoint.name, "paused", begun, time.monotonic())
+        with _harming(world, endpoint.name, "paused", chance.uniform(0.3, 3.0)):
+            endpoint.process.signal(signal.SIGCONT)
 
 
 class SpoilEndpoint:
@@ -200,12 +195,10 @@
         endpoint = world.pick_endpoint(chance, chance.choice(["scribe", "desk"]))
         if endpoint is None:
             return
-        begun = time.monotonic()
         mode = chance.choice(["failing", "full", "hanging", "mute"])
         endpoint.behave(mode=mode)
-        eventlet.sleep(chance.uniform(0.5, 4.0))
-        endpoint.behave(mode="sound")
-        world.disturbances.note(endpoint.name, mode, begun, time.monotonic())
+        with _harming(world, endpoint.name, mode, chance.uniform(0.5, 4.0)):
+            endpoint.behave(mode="sound")
 
 
 class HarmEndpointLink:
@@ -218,11 +211,9 @@
         endpoint = world.pick_endpoint(chance, chance.choice(["scribe", "desk"]))
         if endpoint is None:
             return
-        begun = time.monotonic()
         how = _harm(endpoint.link, chance)
-        eventlet.sleep(chance.uniform(0.5, 4.0))
-        endpoint.link.heal()
-        world.disturbances.note(endpoint.name, f"link {how}", begun, time.monotonic())
+        with _harming(world, endpoint.name, f"link {how}", chance.uniform(0.5, 4.0)):
+            endpoint.link.heal()
 
 
 class ChangeDeployment:
@@ -249,14 +240,12 @@
     def run(self, world: World, chance: random.Random) -> None:
         """Do the harm; see `Fault.run`."""
         gateway = chance.choice(world.gateways)
-        begun = time.monotonic()
         gateway.link.is_cut = gateway.link.is_cut_back = True
-        eventlet.sleep(chance.uniform(0.1, 1.0))
-        world.configure(set(KEYS) - {REVOKED_KEY}, world.versions[-1].removed)
-        eventlet.sleep(REVOKE_S + chance.uniform(1.0, 3.0))
-        world.configure(set(KEYS), set())
-        gateway.link.heal()
-        world.disturbances.note(gateway.name, "link cut", begun, time.monotonic())
+        with _harming(world, gateway.name, "link cut", chance.uniform(0.1, 1.0)):
+            world.configure(set(KEYS) - {REVOKED_KEY}, world.versions[-1].removed)
+            eventlet.sleep(REVOKE_S + chance.uniform(1.0, 3.0))
+            world.configure(set(KEYS), set())
+            gateway.link.heal()
 
 
 class TakeDomainOut:
@@ -297,6 +286,15 @@
 """What is drawn from; what stands twice comes twice as often."""
 
 
+@contextmanager
+def _harming(world: World, name: str, kind: str, seconds: float) -> Iterator[None]:
+    """Let harm last, then let the body end it, and note the whole span."""
+    begun = time.monotonic()
+    eventlet.sleep(seconds)
+    yield
+    world.disturbances.note(name, kind, begun, time.monotonic())
+
+
 def _restart(world: World, gateway: Gateway, kind: str, begun: float) -> None:
     gateway.process.start()
     gateway.is_busy = False
