Stop a server's thread before its socket is closed

Cause: a gateway that was stopping died with IOClosed (soak, seed 219, once in 50): it closed its listening socket while the server's thread still waited on it; a new connection got the descriptor before that thread was told, so that the hub threw into it a second time, past the handler, and ended the process with all streams.

Ruled out: a second SIGTERM, and the pause before it (the trace shows the stop three seconds after SIGTERM, at the end of the readiness lag).

Before and after: the new scenario in platform_process.feature ends in IOClosed on the code before and passes now.

--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -8,8 +8,10 @@
 import eventlet
 from behave import given, then, when
 from behave.runner import Context
+from eventlet.event import Event
 
 from features.support.processes import temporary_folder
+from hawthornyard.front import HttpServer
 from soak.deployment import DOMAINS
 from soak.gateway import Gateway
 from soak.ports import LOOPBACK
@@ -69,6 +71,46 @@
     assert line.startswith("error: ") and str(context.gateway.port) in line, line
 
 
+@given("a server with a call under way")
+def begin_call(context: Context) -> None:
+    context.may_answer = Event()
+    context.server = HttpServer((LOOPBACK, 0), _slow_app(context.may_answer))
+    context.server.start()
+    context.call = eventlet.connect((LOOPBACK, context.server.port))
+    context.call.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    eventlet.sleep(0.05)
+
+
+@when("it stops listening and the next socket gets its descriptor")
+def stop_listening(context: Context) -> None:
+    context.others = []
+    # Runs after the close and before the server's thread hears of it.
+    eventlet.spawn_n(_take_descriptors, context.others)
+    context.server.close()
+    eventlet.sleep(0.05)
+
+
+@then("the call is answered and the server has ended")
+def check_answered(context: Context) -> None:
+    context.may_answer.send()
+    with eventlet.Timeout(START_TIMEOUT_S):
+        assert b"200 OK" in context.call.recv(1000)
+        context.server.wait()
+
+
+def _take_descriptors(taken: list[object]) -> None:
+    taken.extend(eventlet.listen((LOOPBACK, 0)) for _ in range(3))
+
+
+def _slow_app(may_answer: Event) -> Callable[..., list[bytes]]:
+    def app(environ: object, start: Callable[..., object]) -> list[bytes]:
+        may_answer.wait()
+        start("200 OK", [])
+        return [b"done"]
+
+    return app
+
+
 def _is_listening(port: int) -> bool:
     try:
         eventlet.connect((LOOPBACK, port)).close()
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -54,9 +54,7 @@
 
     def close(self) -> None:
         """Accept no further connection; open exchanges go on."""
-        self._sock.close()
-        # Its finally clause closes idle connections and waits for the others.
-        eventlet.spawn_n(self._thread.kill)
+        eventlet.spawn_n(self._stop)
 
     def wait(self) -> None:
         """Wait until all exchanges have ended."""
@@ -65,6 +63,13 @@
         except (greenlet.GreenletExit, OSError):
             return
 
+    def _stop(self) -> None:
+        # Its finally clause closes idle connections and waits for the others.
+        self._thread.kill()
+        # Not before: the hub tells a thread that waits on a closed socket once more
+        # if the descriptor is used again, wherever the thread waits then.
+        self._sock.close()
+
     def _serve(self) -> None:
         eventlet.wsgi.server(
             self._sock,
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -8,7 +8,14 @@
 
 import eventlet
 
-from hawthornyard.platform.standins.endpoint import sign
+from hawthornyard.platform.names import (
+    MODEL,
+    REQUEST_ID,
+    SIGNATURE,
+    SIZE,
+    TIMEOUT_MS,
+)
+from hawthornyard.platform.standins.endpoint import TOKENS_PER_EVENT, sign
 
 from .deployment import KEYS, N_EVENTS, REVOKED_KEY, TIMEOUTS_S
 from .gateway import Gateway
@@ -24,6 +31,7 @@
 MAX_RETRY_AFTER_S = 2.0
 _PROMISES = frozenset({408, 421, 429, 503})
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
+_SIGNATURE = re.compile(rb"%s: (\w+)" % SIGNATURE.encode(), re.IGNORECASE)
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
 
@@ -157,7 +165,7 @@
     def _check(self, sent: Sent, head: bytes, body: bytes) -> None:
         if sent.status != 200:
             return
-        signature = re.search(rb"response-seal: (\w+)", head, re.IGNORECASE)
+        signature = _SIGNATURE.search(head)
         signed = b"" if sent.kind == "summary" else body
         wanted = sign(sent.request_id, signed).encode()
         if signature is None or signature[1] != wanted:
@@ -177,14 +185,14 @@
     lines = [
         f"POST {sent.path} HTTP/1.1",
         "Host: kiosk.example",
-        f"X-Hawthornyard-Request-Id: {sent.request_id}",
-        f"X-Hawthornyard-Deadline-Ms: {int(TIMEOUTS_S[sent.kind] * 1000)}",
+        f"{REQUEST_ID}: {sent.request_id}",
+        f"{TIMEOUT_MS}: {int(TIMEOUTS_S[sent.kind] * 1000)}",
         f"Authorization: Bearer {sent.key}",
         "Content-Length: 5",
     ]
     if sent.kind == "summary":
-        lines.append(f"X-Hawthornyard-Token-Usage: 1000,{N_EVENTS * 4}")
-        lines.append("X-Hawthornyard-Model: m")
+        lines.append(f"{SIZE}: 1000,{N_EVENTS * TOKENS_PER_EVENT}")
+        lines.append(f"{MODEL}: m")
     return ("\r\n".join(lines) + "\r\n\r\nhello").encode()
 
 
