--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -97,7 +97,9 @@
         """Tell it how to behave, if it can be told."""
         address = f"{LOOPBACK}:{self._port}"
         try:
-            call_once("POST", address, BEHAVE_PATH, json.dumps(fields), 1.0)
+            call_once(
+                "POST", address, BEHAVE_PATH, json.dumps(fields), BEHAVE_TIMEOUT_S
+            )
         except FAILURES:
             # Killed or paused by another fault, which then is what it does.
             return
