--- a/hawthornyard/edge/fleet/watch.py
+++ b/hawthornyard/edge/fleet/watch.py
@@ -18,8 +18,8 @@
 from .deployment import OPERATOR_FEED
 from .store import ANSWER_INTERVAL_S
 
-# A call for changes that is overdue by so long is not answered any more; a slow
-# store takes some 0.3 s.
+# A call for changes that is overdue by so long counts as unanswered, as does one of
+# a slow store, which takes some 0.3 s; a sound one takes 4 ms.
 OVERDUE_S = 0.2
 # All gateways together ask an engine this often: it leaves some 1.5 s after its
 # notice, and copies take most of that.
