Reserve ports between choosing and listening, and keep strangers off them

Cause: `_free_port` of the demo closed the socket it had chosen a port with, and `soak/ports.py` did the same, so another process could get the number before its owner listened: the owner failed with "Address already in use", or gateways greeted the stranger, whose server then wrote a line to the standard error that is no JSON (the JSONDecodeError of the known reds). A killed process's port was free as well while others still called it.

Change: `ReservedPort` binds port 0 with SO_REUSEADDR and holds it without listening; the kernel then gives the number neither to port 0 nor to an outgoing connection, while `listen` of our own servers can still take it, also after a restart. A platform gateway publishes the port for peers that it got, so the soak uses port 0 there. Test deployments draw a key per process, so a stranger's greeting is refused. Messages of the HTTP server's base class go to the log.

Ruled out: handing over listening sockets (a gateway that is not started would accept connections and time out handshakes), a range below the ephemeral ports (two soaks may share one).

--- a/features/steps/platform_process.py
+++ b/features/steps/platform_process.py
@@ -14,7 +14,7 @@
 from hawthornyard.front import HttpServer
 from soak.deployment import DOMAINS
 from soak.gateway import Gateway
-from soak.ports import LOOPBACK
+from soak.loopback import LOOPBACK
 
 START_TIMEOUT_S = 8.0
 POLL_S = 0.002
--- a/features/steps/processes.py
+++ b/features/steps/processes.py
@@ -67,7 +67,6 @@
 def start_second(context: Context, program: str) -> None:
     processes = context.processes
     context.address_port = getattr(processes, program).port()
-    processes.fix_port(program, context.address_port)
     context.daemon = processes.start(program, f"second-{program}")
 
 
--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import secrets
 import subprocess
 import sys
 import tempfile
@@ -12,14 +13,14 @@
 import yaml
 
 from hawthornyard.demo.deployment import LOOPBACK, wait_until
+from hawthornyard.io import ReservedPort
 from hawthornyard.operator import apply_documents
 from hawthornyard.records import Document, hash_secret
 from hawthornyard.stores import HttpTableStore
 
 ROOT = Path(__file__).resolve().parents[2]
-PEER_KEY = "a-secret-of-the-processes"
+PEER_KEY = secrets.token_hex(16)
 TEAM_KEY = "hy.kiosk.secret-of-the-kiosk"
-ANY_PORT = f"{LOOPBACK}:0"
 EXIT_TIMEOUT_S = 20.0
 
 
@@ -89,6 +90,7 @@
     __slots__ = (
         "_daemons",
         "_folder",
+        "_ports",
         "_table_url",
         "engine",
         "gateway",
@@ -103,6 +105,7 @@
     def __init__(self, folder: Path) -> None:
         self._folder = folder
         self._daemons: list[Daemon] = []
+        self._ports: list[ReservedPort] = []
         self.settings: dict[str, Path] = {}
 
     def start_all(self, *, step_s: float = 0.02) -> None:
@@ -111,9 +114,15 @@
         Args:
             step_s: Duration of a step of the engine, in seconds.
         """
-        self.table = self._run("table", "standin", "table", "--listen", ANY_PORT)
+        self.table = self._run("table", "standin", "table", "--listen", self._address())
         self.engine = self._run(
-            "engine", "standin", "engine", "--listen", ANY_PORT, "--step-s", str(step_s)
+            "engine",
+            "standin",
+            "engine",
+            "--listen",
+            self._address(),
+            "--step-s",
+            str(step_s),
         )
         self._table_url = f"http://{LOOPBACK}:{self.table.port()}"
         self.sidecar = self._start_sidecar(self.engine.port())
@@ -134,7 +143,7 @@
             "standin",
             "service",
             "--listen",
-            ANY_PORT,
+            self._address(),
             "--delay-s",
             str(delay_s),
         )
@@ -158,21 +167,22 @@
         return f"http://{LOOPBACK}:{self.gateway.port()}"
 
     def kill(self) -> None:
-        """Kill all processes that were started."""
+        """Kill all processes that were started and give back their ports."""
         for daemon in self._daemons:
             daemon.kill()
+        for port in self._ports:
+            port.close()
 
     def start(self, program: str, name: str, *, key: str = PEER_KEY) -> Daemon:
         """Start a program with the settings file of `name`, else of the program."""
         path = str(self.settings.get(name, self.settings[program]))
         return self._run(name, program, "--config", path, key=key)
 
-    def fix_port(self, program: str, port: int) -> None:
-        """Write a fixed port into the settings file of a program."""
-        path = self.settings[program]
-        document = yaml.safe_load(path.read_text())
-        document["listen"] = f"{LOOPBACK}:{port}"
-        path.write_text(yaml.safe_dump(document))
+    def _address(self) -> str:
+        # Stays reserved after a process is killed: no process of another test may get
+        # the calls of those that still know its address.
+        self._ports.append(ReservedPort(LOOPBACK))
+        return self._ports[-1].address
 
     def _run(self, name: str, *args: str, key: str = PEER_KEY) -> Daemon:
         daemon = Daemon(self._folder, name, *args, key=key)
@@ -185,7 +195,7 @@
             name="scribe-1",
             endpoint=f"http://{LOOPBACK}:{engine_port}",
             protocol="generation",
-            metrics=ANY_PORT,
+            metrics=f"{LOOPBACK}:0",
         )
         return self.start("sidecar", "sidecar")
 
@@ -197,7 +207,7 @@
         document = {
             "program": file,
             "failure_domain": "new-kingston",
-            "listen": ANY_PORT,
+            "listen": self._address(),
             **fields,
         }
         path = self._folder / f"{file}.yaml"
--- a/hawthornyard/demo/deployment.py
+++ b/hawthornyard/demo/deployment.py
@@ -1,5 +1,6 @@
 """Compose a deployment in one process, on loopback addresses and one event loop."""
 
+import secrets
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -7,6 +8,7 @@
 
 from ..front import HttpServer
 from ..gateway.program import Gateway
+from ..io import ReservedPort
 from ..operator import apply_documents
 from ..records import Document, new_key
 from ..settings import GatewaySettings, SidecarSettings
@@ -23,7 +25,9 @@
 
 LOOPBACK = "127.0.0.1"
 ANY_PORT = f"{LOOPBACK}:0"
-PEER_KEY = b"demo-peer-key-of-one-process"
+PEER_KEY = secrets.token_hex(16).encode()
+"""Drawn anew by each process, whose gateways a deployment of another one refuses."""
+
 GATEWAY_NAMES = ("gateway-1", "gateway-2", "gateway-3")
 POLL_INTERVAL_S = 0.02
 WAIT_TIMEOUT_S = 20.0
@@ -80,7 +84,7 @@
 
     __slots__ = (
         "_key_hash",
-        "_peer_addresses",
+        "_peer_ports",
         "_table_url",
         "gateways",
         "hosts",
@@ -91,9 +95,7 @@
     def __init__(self) -> None:
         self.table = TableStandIn(MemoryTable())
         self._table_url = _url(_start_server(self.table.app))
-        self._peer_addresses = {
-            name: f"{LOOPBACK}:{_free_port()}" for name in GATEWAY_NAMES
-        }
+        self._peer_ports = {name: ReservedPort(LOOPBACK) for name in GATEWAY_NAMES}
         self.hosts: dict[str, EndpointHost] = {}
         self.gateways: list[Gateway] = []
         self.key, self._key_hash = new_key("kiosk")
@@ -134,10 +136,10 @@
             ANY_PORT,
             url,
             PEER_KEY,
-            peer_listen=self._peer_addresses[name],
+            peer_listen=self._peer_ports[name].address,
             peers={
-                peer: address
-                for peer, address in self._peer_addresses.items()
+                peer: port.address
+                for peer, port in self._peer_ports.items()
                 if peer != name
             },
         )
@@ -154,6 +156,10 @@
         """Return the URL of the gateway at an index of `gateways`."""
         return f"http://{LOOPBACK}:{self.gateways[index].port}"
 
+    def peer_address(self, name: str) -> str:
+        """Return the "address:port" at which other gateways connect to a gateway."""
+        return self._peer_ports[name].address
+
     def documents(self) -> list[Document]:
         """Return the records of the hosts, their failure domains, services and team."""
         domains = sorted({host.failure_domain for host in self.hosts.values()})
@@ -242,13 +248,6 @@
     return f"http://{LOOPBACK}:{server.port}"
 
 
-def _free_port() -> int:
-    sock = eventlet.listen((LOOPBACK, 0))
-    port: int = sock.getsockname()[1]
-    sock.close()
-    return port
-
-
 def _start_server(app: Any) -> HttpServer:
     server = HttpServer((LOOPBACK, 0), app)
     server.start()
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -20,6 +20,14 @@
 SOCKET_TIMEOUT_S = 30.0
 
 
+class LoggedProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
+    """HTTP protocol whose messages go to the log, not to the standard error."""
+
+    def log_message(self, format: str, *args: object) -> None:
+        """Log a message of the base class, such as the reason of a status 400."""
+        self.server.log.debug(format % args)
+
+
 class HttpServer:
     """An HTTP server that runs a WSGI application in green threads.
 
@@ -36,7 +44,7 @@
         address: tuple[str, int],
         app: Any,
         *,
-        protocol: type[Any] = eventlet.wsgi.HttpProtocol,
+        protocol: type[Any] = LoggedProtocol,
     ) -> None:
         self._app = app
         self._protocol = protocol
--- a/hawthornyard/io/__init__.py
+++ b/hawthornyard/io/__init__.py
@@ -12,6 +12,7 @@
 from .mailbox import Mailbox
 from .peer_links import PeerLinks, split_address
 from .peer_listener import PeerListener
+from .reserved_port import ReservedPort
 from .timer import run_timer
 
 __all__ = [
@@ -27,6 +28,7 @@
     "PeerLinks",
     "PeerListener",
     "RandomIdentifiers",
+    "ReservedPort",
     "StopSink",
     "configure_log",
     "listen",
--- a/hawthornyard/io/datagrams.py
+++ b/hawthornyard/io/datagrams.py
@@ -21,7 +21,7 @@
     A lost frame is not sent again: the next one of its type supersedes it.
 
     Args:
-        address: IP address and port to receive on.
+        address: IP address and port to receive on; port 0 picks a free one.
         codec: Codec of the frames.
         inbox: Receives the frames that arrive.
         types: Frame types that are sent to the address in their `peer`.
@@ -42,6 +42,12 @@
         self._sock.bind(address)
         self.consumers: Consumers = dict.fromkeys(types, self._send)
 
+    @property
+    def port(self) -> int:
+        """Return the port that frames are received on."""
+        port: int = self._sock.getsockname()[1]
+        return port
+
     def run(self) -> None:
         """Read frames into the inbox; never returns."""
         while True:
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -155,12 +155,6 @@
                 pause_s=self.state.pace.pause_s,
             ),
         ]
-        self._registry = GatewayRegistry(
-            settings.name,
-            f"{settings.address}:{settings.peer_port}",
-            store,
-            self._inbox,
-        )
         self._datagrams = DatagramTransport(
             (settings.address, settings.peer_port),
             MsgpackCodec(),
@@ -168,6 +162,12 @@
             GatewayLoads,
             LeavingNotice,
         )
+        self._registry = GatewayRegistry(
+            settings.name,
+            f"{settings.address}:{self._datagrams.port}",
+            store,
+            self._inbox,
+        )
         self._pipeline = Pipeline(
             edge_chain(
                 self.state,
--- a/hawthornyard/platform/protocol.py
+++ b/hawthornyard/platform/protocol.py
@@ -3,9 +3,8 @@
 import re
 from typing import Any
 
-from eventlet import wsgi
-
 from ..edge.directory import Directory
+from ..front.server import LoggedProtocol
 
 CLOSE_CONNECTION_KEY = "hawthornyard.close_connection"
 """Key in the WSGI environment of a callable that makes the server close the connection
@@ -21,14 +20,14 @@
 _SINGLE_VALUED = ("content-length", "transfer-encoding", "host")
 
 
-def strict_protocol(directory: Directory) -> type[wsgi.HttpProtocol]:
+def strict_protocol(directory: Directory) -> type[LoggedProtocol]:
     """Return a protocol class that enforces the limits of a directory.
 
     Args:
         directory: Holds the limits on what callers may send.
     """
 
-    class StrictProtocol(wsgi.HttpProtocol):  # type: ignore[misc]
+    class StrictProtocol(LoggedProtocol):
         """HTTP protocol that refuses requests with more than one interpretation."""
 
         def setup(self) -> None:
@@ -85,7 +84,4 @@
         def _close_after_response(self) -> None:
             self.close_connection = True
 
-        def log_message(self, format: str, *args: object) -> None:
-            self.server.log.debug(format % args)
-
     return StrictProtocol
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -19,7 +19,7 @@
 
 from .deployment import KEYS, N_EVENTS, REVOKED_KEY, TIMEOUTS_S
 from .gateway import Gateway
-from .ports import LOOPBACK
+from .loopback import LOOPBACK
 from .record import Attempt
 
 CONNECT_TIMEOUT_S = 1.0
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -102,14 +102,15 @@
 
 
 def gateway_settings(
-    name: str, domain: str, ports: list[int], store_port: int
+    name: str, domain: str, listen: str, ready_listen: str, store_port: int
 ) -> dict[str, Any]:
     """Return the content of a gateway's settings file.
 
     Args:
         name: Name of the gateway.
         domain: Failure domain of the gateway.
-        ports: Ports for callers, probes, other gateways and metrics.
+        listen: "address:port" for callers.
+        ready_listen: "address:port" for readiness probes.
         store_port: Port of the store.
     """
     return {
@@ -117,10 +118,10 @@
         "zone": domain,
         "ip": "127.0.0.1",
         "listen": {
-            "front": f"127.0.0.1:{ports[0]}",
-            "ready": f"127.0.0.1:{ports[1]}",
+            "front": listen,
+            "ready": ready_listen,
         },
-        "internal_ports": ports[2:4],
+        "internal_ports": [0, 0],
         "platform": {"address": f"127.0.0.1:{store_port}"},
         "bounds": {
             "revoke_ms": int(REVOKE_LIMIT_S * 1000),
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -6,10 +6,11 @@
 
 import eventlet
 
+from hawthornyard.io import ReservedPort
 from hawthornyard.platform.connections import CALL_ERRORS, call_once
 from hawthornyard.platform.standins.endpoint import BEHAVIOUR_PATH
 
-from .ports import LOOPBACK, free_ports
+from .loopback import LOOPBACK
 from .process import Process
 from .relay import Relay
 
@@ -55,13 +56,13 @@
         self.cold_until = 0.0
         self.sequence = 0
         self._born = born
-        (self._port,) = free_ports(1)
-        self.link = Relay(self._port)
+        self._port = ReservedPort(LOOPBACK)
+        self.link = Relay(self._port.number)
         self.process = Process(
             folder / f"{name}.log",
             [
                 *("-m", "hawthornyard", "standin", "platform-endpoint"),
-                *("--listen", f"{LOOPBACK}:{self._port}", "--name", name),
+                *("--listen", self._port.address, "--name", name),
                 *("--born", str(born), "--journal", str(self.journal)),
                 *("--step-s", STEP_S[service]),
             ],
@@ -95,10 +96,13 @@
 
     def set_behaviour(self, **fields: Any) -> None:
         """Set the stand-in's behaviour; do nothing if it can't be reached."""
-        address = f"{LOOPBACK}:{self._port}"
         try:
             call_once(
-                "POST", address, BEHAVIOUR_PATH, json.dumps(fields), BEHAVIOUR_TIMEOUT_S
+                "POST",
+                self._port.address,
+                BEHAVIOUR_PATH,
+                json.dumps(fields),
+                BEHAVIOUR_TIMEOUT_S,
             )
         except CALL_ERRORS:
             # Another fault has killed or paused the process and stays in effect.
@@ -106,7 +110,7 @@
 
     def _is_listening(self) -> bool:
         try:
-            eventlet.connect((LOOPBACK, self._port)).close()
+            eventlet.connect((LOOPBACK, self._port.number)).close()
         except OSError:
             return False
         return True
--- a/soak/gateway.py
+++ b/soak/gateway.py
@@ -7,8 +7,10 @@
 
 import eventlet
 
+from hawthornyard.io import ReservedPort
+
 from .deployment import gateway_settings
-from .ports import LOOPBACK, free_ports
+from .loopback import LOOPBACK
 from .process import Process
 from .relay import Relay
 
@@ -32,6 +34,7 @@
     """
 
     __slots__ = (
+        "_front_port",
         "_ready_port",
         "_settings",
         "_settings_path",
@@ -46,9 +49,16 @@
     def __init__(self, folder: Path, name: str, domain: str, store_port: int) -> None:
         self.name = name
         self.link = Relay(store_port)
-        ports = free_ports(4)
-        self.port, self._ready_port = ports[:2]
-        self._settings = gateway_settings(name, domain, ports, self.link.port)
+        self._front_port = ReservedPort(LOOPBACK)
+        self._ready_port = ReservedPort(LOOPBACK)
+        self.port = self._front_port.number
+        self._settings = gateway_settings(
+            name,
+            domain,
+            self._front_port.address,
+            self._ready_port.address,
+            self.link.port,
+        )
         self._settings_path = folder / f"{name}.json"
         self.write_settings()
         self.process = Process(
@@ -84,7 +94,7 @@
     def _probe_succeeds(self) -> bool:
         try:
             with eventlet.Timeout(PROBE_TIMEOUT_S):
-                sock = eventlet.connect((LOOPBACK, self._ready_port))
+                sock = eventlet.connect((LOOPBACK, self._ready_port.number))
                 try:
                     sock.sendall(b"GET /readiness HTTP/1.1\r\nHost: a\r\n\r\n")
                     return bool(sock.recv(12) == b"HTTP/1.1 200")
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from .ports import LOOPBACK
+from .loopback import LOOPBACK
 
 READ_CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 1.0
--- a/soak/world.py
+++ b/soak/world.py
@@ -14,7 +14,7 @@
 from .endpoint import Endpoint
 from .fault_spans import FaultSpans
 from .gateway import Gateway
-from .ports import LOOPBACK
+from .loopback import LOOPBACK
 from .record import Attempt, Execution, read_executions
 
 N_GATEWAYS = 3
