Notice the return of a silent store with short calls

Cause: after a failed call a feed went straight back to its long poll, so while the store was silent each try took up to 2.5 s (operators) or 6 s (endpoints).

Change: the call after a failure asks for an answer at once and gives up after 0.75 s. The scenario on it is red with the flag of the failure left unset.

--- a/features/edge_watch.feature
+++ b/features/edge_watch.feature
@@ -101,6 +101,13 @@
     When all of them lose the store and 10 seconds go by
     Then no two of them asked for reports at the same times
 
+  Scenario: The return of a silent store is noticed within a second
+    Given 1 feeds of one table with waits of 5 seconds
+    And the store is silent during the second poll of each feed
+    When the table is read and changes once
+    Then the poll after it does not wait for changes and fails within 0.75 seconds
+    And the next one waits for changes again
+
   Scenario: Feeds woken by the same change do not poll in step afterwards
     Given 3 feeds of one table with waits of 10 seconds
     When the table is read and changes once
--- a/features/steps/edge_watch.py
+++ b/features/steps/edge_watch.py
@@ -22,6 +22,8 @@
 OTHER_INCARNATION = 7
 LEAVE_BOUND_S = 3.0
 
+READ_TIMEOUT_S = 5.0
+
 
 @given("{n:d} other gateways heard from, {n_before:d} of them before this one by name")
 def add_reporting_gateways(context: Context, n: int, n_before: int) -> None:
@@ -157,11 +159,32 @@
     ]
 
 
+@given("the store is silent during the second poll of each feed")
+def fail_second_poll(context: Context) -> None:
+    for store in context.stores:
+        store.failing_call = 2
+
+
+@then(
+    "the poll after it does not wait for changes and fails within {seconds:g} seconds"
+)
+def check_probe(context: Context, seconds: float) -> None:
+    for store in context.stores:
+        assert store.waits[2] == 0.0, store.waits
+        assert store.longest_s[2] <= seconds, store.longest_s
+
+
+@then("the next one waits for changes again")
+def check_long_poll(context: Context) -> None:
+    assert all(store.waits[3] > 0.0 for store in context.stores)
+
+
 @when("the table is read and changes once")
 def read_and_change_once(context: Context) -> None:
     for feed, store in zip(context.feeds, context.stores, strict=True):
         thread = eventlet.spawn(feed.run)
-        store.all_recorded.wait()
+        with eventlet.Timeout(READ_TIMEOUT_S):
+            store.all_recorded.wait()
         thread.kill()
 
 
--- a/features/support/wait_recording_store.py
+++ b/features/support/wait_recording_store.py
@@ -2,6 +2,7 @@
 
 from eventlet.event import Event
 
+from hawthornyard.errors import PlatformError
 from hawthornyard.platform.store import RowPage, StoredRow
 
 N_RECORDED_CALLS = 4
@@ -14,21 +15,30 @@
     poll numbered N_RECORDED_CALLS never returns.
 
     Attributes:
+        failing_call: Number of the poll that fails, 0 for none.
+        longest_s: Seconds that each poll may take before it fails.
         waits: Requested waits in seconds.
         all_recorded: Event sent at the poll numbered N_RECORDED_CALLS.
     """
 
-    __slots__ = ("all_recorded", "waits")
+    __slots__ = ("all_recorded", "failing_call", "longest_s", "waits")
 
     def __init__(self) -> None:
         self.waits: list[float] = []
+        self.longest_s: list[float] = []
+        self.failing_call = 0
         self.all_recorded = Event()
 
     def read(self, table: str) -> RowPage:
         return RowPage([], 1)
 
-    def read_changes(self, table: str, after_version: int, wait_s: float) -> RowPage:
+    def read_changes(
+        self, table: str, after_version: int, wait_s: float, *, timeout_s: float
+    ) -> RowPage:
         self.waits.append(wait_s)
+        self.longest_s.append(wait_s + timeout_s)
+        if len(self.waits) == self.failing_call:
+            raise PlatformError("store: no response")
         if len(self.waits) == N_RECORDED_CALLS:
             self.all_recorded.send()
             Event().wait()
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -25,10 +25,15 @@
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
 )
-from .store import PlatformStore, StoredRow
+from .store import READ_TIMEOUT_S, PlatformStore, StoredRow
 
 RETRY_DELAY_S = 0.25
-"""Delay after a failed call; bounds how late a recovery of the store is noticed."""
+"""Delay after a failed call."""
+
+PROBE_TIMEOUT_S = 0.75
+"""Read timeout of the calls after a failed one, which do not wait for changes. With
+`RETRY_DELAY_S` it bounds how late the return of a silent store is noticed; a slow store
+answers in less."""
 
 ENDPOINT_LONG_POLL_S = 5.0
 """Long-poll timeout for changes of endpoints; limits a connection's time without
@@ -132,6 +137,7 @@
     __slots__ = (
         "_clock",
         "_decoder",
+        "_has_failed",
         "_inbox",
         "_name",
         "_next_wait_s",
@@ -167,13 +173,16 @@
         self._next_wait_s = wait_s
         self._pause_s = pause_s
         self._version: int | None = None
+        self._has_failed = False
 
     def run(self) -> None:
         """Follow the table; never returns."""
         while True:
             try:
                 self._poll()
+                self._has_failed = False
             except PlatformError as exc:
+                self._has_failed = True
                 self._inbox.put(StoreFailed(self._name, str(exc)))
                 eventlet.sleep(RETRY_DELAY_S)
 
@@ -181,12 +190,17 @@
         requested_at = self._clock.now()
         as_of = requested_at
         wait_s, self._next_wait_s = self._next_wait_s, self._wait_s
+        timeout_s = READ_TIMEOUT_S
+        if self._has_failed:
+            wait_s, timeout_s = 0.0, PROBE_TIMEOUT_S
         if self._version is None:
             page = self._store.read(self._table)
             self._decoder.decode(page.rows, is_complete=True)
             self._next_wait_s = self._random_source.random() * self._wait_s
         else:
-            changes = self._store.read_changes(self._table, self._version, wait_s)
+            changes = self._store.read_changes(
+                self._table, self._version, wait_s, timeout_s=timeout_s
+            )
             if changes is None:
                 logger.bind(feed=self._name).info("history_gone")
                 self._version = None
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -99,7 +99,12 @@
             start = page[-1].key + "\0"
 
     def read_changes(
-        self, table: str, after_version: int, wait_s: float
+        self,
+        table: str,
+        after_version: int,
+        wait_s: float,
+        *,
+        timeout_s: float = READ_TIMEOUT_S,
     ) -> RowPage | None:
         """Return the changes of a table, waiting until there are some.
 
@@ -108,6 +113,7 @@
             after_version: Version that the caller has already read.
             wait_s: Long-poll timeout in seconds; without a change until then, the page
                 has no rows.
+            timeout_s: Seconds beyond `wait_s` within which the store must answer.
 
         Returns:
             The changes, or None if the store no longer keeps changes that far back.
@@ -125,7 +131,7 @@
             "/rows-feed",
             fields=fields,
             expected_statuses=frozenset({_GONE}),
-            timeout_s=wait_s + READ_TIMEOUT_S,
+            timeout_s=wait_s + timeout_s,
         )
         if answer.status == _GONE:
             return None
