Answer what has arrived before a stop, and use no connection twice

(1) Every client on a pool used a connection again: a server that sent a second copy of an answer once the next request was there had it taken for that request's answer (store, engine load, orders: [1, 1] instead of [1, 2]). A request whose body was still arriving was not in flight, so the loop ended under it and it got no answer.

Change: the pool closes a connection after its response; a server gives the hub three turns at a stop, in which what has arrived is accepted and read; Drain also waits for requests that are being read or answered.

--- a/hawthornyard/core/drain.py
+++ b/hawthornyard/core/drain.py
@@ -17,12 +17,15 @@
     Args:
         inflight: Requests in flight.
         clock: Monotonic clock.
+        exchanges: Callers' requests that are being read or answered. One that is still
+            being read is not in flight yet.
         readiness_lag_s: Seconds between failing readiness and closing the
             listener.
     """
 
     __slots__ = (
         "_clock",
+        "_exchanges",
         "_has_stopped_listening",
         "_inflight",
         "_readiness_lag_s",
@@ -35,10 +38,12 @@
         inflight: Sized,
         clock: Clock,
         *,
+        exchanges: Sized = (),
         readiness_lag_s: float = READINESS_LAG_S,
     ) -> None:
         self._inflight = inflight
         self._clock = clock
+        self._exchanges = exchanges
         self._readiness_lag_s = readiness_lag_s
         self._stop_requested_at: float | None = None
         self._has_stopped_listening = False
@@ -66,5 +71,5 @@
         if not self._has_stopped_listening:
             self._has_stopped_listening = True
             yield StopListening()
-        elif not len(self._inflight):
+        elif not len(self._inflight) and not len(self._exchanges):
             yield Stopped()
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -1,5 +1,6 @@
 """Serve a WSGI application on eventlet."""
 
+import functools
 import resource
 from typing import Any
 
@@ -18,11 +19,31 @@
 MINIMUM_CHUNK_BYTES = 1
 IDLE_TIMEOUT_S = 75.0
 SOCKET_TIMEOUT_S = 30.0
+# Turns of the hub at a stop, in which what has arrived is accepted and then read.
+STOP_TURNS = 3
+
+
+class Exchanges:
+    """Count of a server's requests that are being read or answered.
+
+    Attributes:
+        n_open: Number of these requests.
+    """
+
+    __slots__ = ("n_open",)
+
+    def __init__(self) -> None:
+        self.n_open = 0
 
 
 class ServerProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
     """HTTP protocol that bounds the time for a request's head and logs its messages.
 
+    Args:
+        conn_state: State of the connection, as the base class has it.
+        server: Server of the base class.
+        exchanges: Counts the requests.
+
     Attributes:
         head_timeout_s: Seconds within which the whole head of a request must arrive,
             in addition to the idle time before it.
@@ -30,6 +51,20 @@
 
     head_timeout_s = SOCKET_TIMEOUT_S
 
+    def __init__(self, conn_state: Any, server: Any, exchanges: Exchanges) -> None:
+        self._exchanges = exchanges
+        self._is_open = False
+        # Handles the connection until its end.
+        super().__init__(conn_state, server)
+
+    def handle_one_request(self) -> None:
+        """Read and answer a request, which counts as open from its first line on."""
+        try:
+            super().handle_one_request()
+        finally:
+            self._exchanges.n_open -= self._is_open
+            self._is_open = False
+
     def parse_request(self) -> bool:
         """Read the rest of the head; see the base class for the result.
 
@@ -46,6 +81,8 @@
     def _read_request_line(self) -> bytes:
         self.connection.limit_time(self.server.keepalive + self.head_timeout_s)
         line: bytes = super()._read_request_line()
+        self._is_open = bool(line)
+        self._exchanges.n_open += self._is_open
         return line
 
     def log_message(self, format: str, *args: object) -> None:
@@ -62,20 +99,25 @@
         protocol: Class that reads requests from and writes answers to a connection.
     """
 
-    __slots__ = ("_app", "_protocol", "_sock", "_thread")
+    __slots__ = ("_app", "_exchanges", "_protocol", "_sock", "_thread")
 
     def __init__(
         self,
         address: tuple[str, int],
         app: Any,
         *,
-        protocol: type[Any] = ServerProtocol,
+        protocol: type[ServerProtocol] = ServerProtocol,
     ) -> None:
         self._app = app
-        self._protocol = protocol
+        self._exchanges = Exchanges()
+        self._protocol = functools.partial(protocol, exchanges=self._exchanges)
         self._sock = listen(address)
         self._thread: Any = None
 
+    def __len__(self) -> int:
+        """Return the number of requests that are being read or answered."""
+        return self._exchanges.n_open
+
     @property
     def port(self) -> int:
         """Return the port that the server listens on."""
@@ -87,7 +129,7 @@
         self._thread = eventlet.spawn(self._serve)
 
     def close(self) -> None:
-        """Stop accepting connections; open exchanges continue."""
+        """Stop accepting connections; requests that have arrived are answered."""
         eventlet.spawn_n(self._stop)
 
     def wait(self) -> None:
@@ -98,6 +140,10 @@
             return
 
     def _stop(self) -> None:
+        # Closing the listener resets what waits to be accepted, and when it ends,
+        # `eventlet.wsgi.server` cuts connections whose request is still unread.
+        for _ in range(STOP_TURNS):
+            eventlet.sleep(0)
         # The finally clause of `eventlet.wsgi.server` closes idle connections and
         # waits for the others.
         self._thread.kill()
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -124,7 +124,6 @@
         self.catalog = Catalog()
         self.inflight = InFlight()
         self.fleet = Fleet(self.catalog, self._clock)
-        self._drain = Drain(self.inflight, self._clock)
         identifiers = RandomIdentifiers()
         connections = Connections(self._inbox)
         codec = MsgpackCodec()
@@ -134,6 +133,9 @@
         self._link_sink = LinkSink(self.catalog, links, settings)
         self._listener = _peer_listener(settings, codec, connections, self._inbox)
         replies = ReplyQueues()
+        app = Application(self._inbox, replies, identifiers, self)
+        self._server = HttpServer(split_address(settings.listen), app)
+        self._drain = Drain(self.inflight, self._clock, exchanges=self._server)
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoller(table, self._inbox)
         peer_gateways = PeerGateways(settings.name, settings.peers, self._clock)
@@ -178,8 +180,6 @@
             ],
         )
         self._add_gauges(connections, replies)
-        app = Application(self._inbox, replies, identifiers, self)
-        self._server = HttpServer(split_address(settings.listen), app)
         self._pipeline = Pipeline(
             chain,
             [
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -64,11 +64,22 @@
 
 
 class _BoundedPool(HTTPConnectionPool):
+    """Pool that opens a connection for each request.
+
+    On a connection in use again, a late second copy of an earlier response would be
+    taken for the response to the next request.
+    """
+
     ConnectionCls = BoundedConnection
 
+    def _put_conn(self, conn: Any) -> None:
+        if conn is not None:
+            conn.close()
+        super()._put_conn(None)
+
 
 def new_pool(**kwargs: Any) -> urllib3.PoolManager:
-    """Return a pool of bounded connections.
+    """Return a source of bounded connections, each for one request.
 
     Args:
         kwargs: Arguments of `urllib3.PoolManager`.
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -117,9 +117,6 @@
         self._stop = StopSink()
         self.state = EdgeState(settings.name, self._clock)
         apply_bounds(self.state, settings)
-        self._drain = Drain(
-            self.state.inflight, self._clock, readiness_lag_s=READINESS_LAG_S
-        )
         self._metrics = ProgramMetrics(self._clock)
         self._add_gauges(log_queue)
         replies = ReplyQueues(ReplyBegan, ReplyEvents)
@@ -135,6 +132,12 @@
             front,
             protocol=strict_protocol(self.state.directory),
         )
+        self._drain = Drain(
+            self.state.inflight,
+            self._clock,
+            exchanges=self._server,
+            readiness_lag_s=READINESS_LAG_S,
+        )
         self._ready_server = HttpServer(
             split_address(settings.ready_listen), ReadinessApplication(self.is_ready)
         )
@@ -238,7 +241,7 @@
             is_reload_pending: Returns whether SIGHUP came during start-up.
         """
         for signal_number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(signal_number, lambda *_: self._inbox.put(StopRequested()))
+            signal.signal(signal_number, lambda *_: self.stop())
         signal.signal(signal.SIGHUP, lambda *_: self._inbox.put(ReloadRequested()))
         if is_reload_pending():
             self._inbox.put(ReloadRequested())
@@ -249,6 +252,10 @@
         self._server.wait()
         logger.bind(process=self._settings.name).info("stopped")
 
+    def stop(self) -> None:
+        """Fail readiness, finish the requests in flight, then end the loop."""
+        self._inbox.put(StopRequested())
+
     def close(self) -> None:
         """Stop at once and drop open requests.
 
