Let malformed rows, answers and addresses end no thread

A deployment whose limits are a list, or a store's answer of deep lists, raised outside the closed list and ended the feed for good: no later version came into force. A report with a list as its state and a claim without its fields did the same to their green threads. A gateway's row with a malformed address raised in the middle of a tick, each tick. A malformed peer address was never tried again, an accept that failed for want of descriptors ended the peer listener, a row that is no record the poller.

Change: decoders raise RecordError or PlatformError; the links, the listener, the poller and the claims log the reason and go on; a claim that can't be read is answered as not run, since nothing was sent.

--- /dev/null
+++ b/features/odd_rows.feature
@@ -0,0 +1,43 @@
+Feature: A malformed row, answer or address ends no thread and holds up nothing else
+
+  @fixture.platform_world
+  Scenario Outline: A malformed deployment leaves the feed running
+    When the deployment is overwritten with <value> and then with a valid version
+    Then the valid version is in force
+
+    Examples:
+      | value                  |
+      | limits that are a list |
+      | routes that are a text |
+      | deeply nested lists    |
+
+  Scenario Outline: A malformed answer is an error of the closed list
+    When a process decodes <answer>
+    Then the error has a kind of the closed list
+
+    Examples:
+      | answer                               |
+      | a report whose state is a list       |
+      | a report of deeply nested lists      |
+      | a store's answer of deep lists       |
+      | a claim without its fields           |
+      | a claim that is a list               |
+
+  Scenario: A gateway whose row has a malformed address holds up no datagram
+    When frames are sent to the addresses "nowhere" and "127.0.0.1:many"
+    Then none of them raises an error
+
+  Scenario: A peer is connected to after its malformed address was mended
+    Given a link to a peer whose address is malformed
+    When the address is mended
+    Then the link is up
+
+  Scenario: A peer listener goes on after accepting has failed
+    Given a peer listener whose next accept fails
+    When a peer connects to it
+    Then the peer is greeted
+
+  Scenario: A malformed row among records holds back no other record
+    Given a table with the rows "records/team", "records/team/a" and one that is no JSON
+    When the records are polled
+    Then the entry of "a" is put into the inbox
--- a/hawthornyard/io/claim_codec.py
+++ b/hawthornyard/io/claim_codec.py
@@ -4,6 +4,7 @@
 import json
 from typing import Any
 
+from ..errors import RecordError
 from ..gateway.claims import ClaimRow, ClaimState
 from ..gateway.messages import ReplyResponse
 
@@ -33,15 +34,21 @@
     """Return the claim that a row's text encodes.
 
     The `outcome` is None if the row has none, or if it was too large to store.
+
+    Raises:
+        RecordError: If the text is not an encoded claim.
     """
-    value = json.loads(text)
-    return ClaimRow(
-        ClaimState(value["state"]),
-        value["claim_id"],
-        value["digest"],
-        value["lapses_at"],
-        _decode_outcome(value),
-    )
+    try:
+        value = json.loads(text)
+        return ClaimRow(
+            ClaimState(value["state"]),
+            str(value["claim_id"]),
+            str(value["digest"]),
+            float(value["lapses_at"]),
+            _decode_outcome(value),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError) as exc:
+        raise RecordError(f"the claim is malformed: {exc!r}") from exc
 
 
 def _decode_outcome(value: dict[str, Any]) -> ReplyResponse | None:
--- a/hawthornyard/io/claims.py
+++ b/hawthornyard/io/claims.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ..core import Consumers, Inbox
-from ..errors import ConflictError, ErrorKind, PlatformError
+from ..errors import ConflictError, ErrorKind, PlatformError, RecordError
 from ..gateway.claims import (
     ClaimRow,
     answer_claim,
@@ -88,7 +88,8 @@
                 return self._claim_or_answer(msg)
             except ConflictError:
                 continue
-            except PlatformError:
+            except (PlatformError, RecordError) as exc:
+                logger.bind(row=msg.row_key, detail=str(exc)).warning("claim_failed")
                 return ClaimAnswered(msg.call_id, ErrorKind.PLATFORM_UNAVAILABLE)
         return ClaimAnswered(msg.call_id, ErrorKind.KEY_IN_PROGRESS)
 
@@ -178,8 +179,8 @@
             self._table.settle(msg)
         except ConflictError:
             return False
-        except PlatformError as exc:
-            logger.bind(detail=str(exc)).warning("settle_failed")
+        except (PlatformError, RecordError) as exc:
+            logger.bind(row=msg.row_key, detail=str(exc)).warning("settle_failed")
             return False
         return True
 
--- a/hawthornyard/io/config_poller.py
+++ b/hawthornyard/io/config_poller.py
@@ -55,15 +55,20 @@
             return
         # `page.head` would also advance with rows that are not records.
         revision = page.rows[-1].revision
-        entries = [_build_entry(row) for row in page.rows]
+        entries = [entry for row in page.rows if (entry := _build_entry(row))]
         self._inbox.put(
             ConfigPush(self._seen_revision, revision, entries).with_peer("")
         )
         self._seen_revision = revision
 
 
-def _build_entry(row: Row) -> RecordEntry:
-    _, kind, name = row.key.split("/", 2)
-    document = json.loads(row.value) if row.value else {}
-    text = "" if document.get("retired") else row.value
-    return RecordEntry(kind, name, row.revision, text)
+def _build_entry(row: Row) -> RecordEntry | None:
+    # None for a malformed row, which changes no record.
+    try:
+        _, kind, name = row.key.split("/", 2)
+        document = json.loads(row.value) if row.value else {}
+        is_retired = bool(document.get("retired"))
+    except (ValueError, AttributeError, RecursionError) as exc:
+        logger.bind(row=row.key, detail=str(exc)).error("record_unreadable")
+        return None
+    return RecordEntry(kind, name, row.revision, "" if is_retired else row.value)
--- a/hawthornyard/io/datagrams.py
+++ b/hawthornyard/io/datagrams.py
@@ -71,5 +71,6 @@
     def _send(self, frame: Frame) -> None:
         try:
             self._sock.sendto(self._codec.encode(frame), split_address(frame.peer))
-        except OSError as exc:
+        except (OSError, ValueError) as exc:
+            # The address comes from the peer's row, which may be malformed.
             logger.bind(peer=frame.peer, detail=str(exc)).debug("datagram_not_sent")
--- a/hawthornyard/io/peer_links.py
+++ b/hawthornyard/io/peer_links.py
@@ -106,7 +106,8 @@
     def _connect_once(self, peer: str) -> bool:
         try:
             sock, reader = self._connect(peer)
-        except (HawthornyardError, OSError) as exc:
+        except (HawthornyardError, OSError, ValueError) as exc:
+            # A malformed address is tried again, as a later one may be valid.
             logger.bind(peer=peer, detail=str(exc)).debug("peer_unreachable")
             return False
         conn = Connection(sock, peer, self._codec)
--- a/hawthornyard/io/peer_listener.py
+++ b/hawthornyard/io/peer_listener.py
@@ -13,6 +13,7 @@
 from .listening_socket import listen
 
 MAX_CONCURRENT_HANDSHAKES = 256
+ACCEPT_RETRY_DELAY_S = 0.1
 
 
 class PeerListener:
@@ -31,6 +32,7 @@
         "_codec",
         "_connections",
         "_inbox",
+        "_is_closed",
         "_key",
         "_n_handshakes",
         "_name",
@@ -53,6 +55,7 @@
         self._connections = connections
         self._inbox = inbox
         self._n_handshakes = 0
+        self._is_closed = False
 
     @property
     def port(self) -> int:
@@ -61,12 +64,17 @@
         return port
 
     def run(self) -> None:
-        """Accept connections until the listener is closed or accepting fails."""
-        while True:
+        """Accept connections until the listener is closed."""
+        while not self._is_closed:
             try:
                 sock, _ = self._sock.accept()
-            except OSError:
-                return
+            except OSError as exc:
+                if self._is_closed:
+                    return
+                # The process may be out of descriptors; connections end in time.
+                logger.bind(detail=str(exc)).warning("accept_failed")
+                eventlet.sleep(ACCEPT_RETRY_DELAY_S)
+                continue
             if self._n_handshakes >= MAX_CONCURRENT_HANDSHAKES:
                 sock.close()
                 continue
@@ -75,6 +83,7 @@
 
     def close(self) -> None:
         """Stop accepting connections; open ones stay."""
+        self._is_closed = True
         self._sock.close()
 
     def _serve(self, sock: Any) -> None:
--- a/hawthornyard/platform/deployment.py
+++ b/hawthornyard/platform/deployment.py
@@ -15,6 +15,7 @@
     decode_object,
     get_flag,
     get_number,
+    get_object,
     get_objects,
     get_text,
     get_texts,
@@ -37,7 +38,7 @@
         [_decode_route(item) for item in get_objects(body, "routes")],
         [_decode_service(item) for item in get_objects(body, "services")],
         [_decode_team(item) for item in get_objects(body, "tenants")],
-        _decode_limits(body.get("limits") or {}),
+        _decode_limits(get_object(body, "limits")),
     )
 
 
--- a/hawthornyard/platform/endpoint.py
+++ b/hawthornyard/platform/endpoint.py
@@ -23,11 +23,11 @@
     body = decode_object(data)
     # Milliseconds until the engine leaves; absent until that is known.
     is_leaving = body.get("leaves_ms") is not None
+    state = get_text(body, "state") if "state" in body else ""
     return ReportRead(
         name,
         int(get_number(body, "born", 0.0)),
-        is_leaving=is_leaving
-        or _IS_DRAINING_BY_STATE.get(body.get("state", ""), False),
+        is_leaving=is_leaving or _IS_DRAINING_BY_STATE.get(state, False),
     )
 
 
--- a/hawthornyard/platform/fields.py
+++ b/hawthornyard/platform/fields.py
@@ -64,6 +64,20 @@
     return value
 
 
+def get_object(source: dict[str, Any], name: str) -> dict[str, Any]:
+    """Return the object in a field, empty if the field is missing or null.
+
+    Raises:
+        RecordError: If the field is of another type.
+    """
+    value = source.get(name)
+    if value is None:
+        return {}
+    if not isinstance(value, dict):
+        raise RecordError(f"field {name!r} is {value!r}, expected an object")
+    return value
+
+
 def get_objects(source: dict[str, Any], name: str) -> list[dict[str, Any]]:
     """Return the list of objects in a field, empty if the field is missing or null.
 
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -180,7 +180,7 @@
 def _decode_body(data: bytes) -> dict[str, Any]:
     try:
         body = json.loads(data)
-    except ValueError as exc:
+    except (ValueError, RecursionError) as exc:
         raise PlatformError(f"store: the response is not JSON: {exc}") from exc
     if not isinstance(body, dict):
         raise PlatformError("store: the response is not a JSON object")
