Refuse cut heads, expired keys at the send, and clocks that stand still

(1) A response whose head was cut after the endpoint's signature reached the caller as status 200 with an empty body: http.client takes the end of the bytes for the end of the head. (2) A key was checked on arrival only, so a request that a pause or a refusal sent on 5 s later went out although no store had confirmed the key for longer than it may live. (3) Gateway and sidecar ran on a clock that stands still while the host is suspended, and so did their leases and limits.

Change: BoundedConnection refuses a head at whose reading the peer's bytes ended; Send looks at the keys again right before the dispatch and answers as not run; both programs use the clock that counts suspension, as platform gateways did.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -14,6 +14,11 @@
       | a whole answer without length | resets | 502    |
       | an answer that is cut         | closes | 502    |
       | an answer that is cut         | resets | 502    |
+      | a whole answer in chunks      | closes | 200    |
+      | a chunked answer that is cut  | closes | 502    |
+      | a chunk that is cut           | closes | 502    |
+      | chunks without the last one   | resets | 502    |
+      | a head that is cut            | closes | 502    |
       | an answer to another request  | closes | 502    |
       | an answer that is not signed  | closes | 502    |
       | an encoded answer             | closes | 502    |
@@ -122,6 +127,12 @@
     When the store forgets its history and the entry of the endpoint is removed
     Then 0 endpoints remain in use
 
+  Scenario: A gateway that starts while the store is silent serves nobody
+    Given the store is silent and the gateway starts again
+    When a caller of the platform sends a badge
+    Then it gets status 503
+    And the gateway is not ready
+
   Scenario: A gateway keeps serving while the store is down
     Given an endpoint that answers with a whole answer and then closes
     When the store has been down for a second
--- a/features/edge_requests.feature
+++ b/features/edge_requests.feature
@@ -49,6 +49,15 @@
     And its caller disconnects
     Then the attempt is cancelled
 
+  Scenario: A request whose key has expired meanwhile is not sent again
+    Given the engines engine-a and engine-b
+    And keys stay valid for 4.5 seconds without a confirmation
+    And a summary that was sent
+    When 5 seconds go by
+    And the endpoint refuses the attempt
+    Then 1 attempts were sent for it
+    And the request ends as platform_unavailable
+
   Scenario: Keys expire when the store has not confirmed the deployment for too long
     Given the plain endpoints desk-a
     And keys stay valid for 4.5 seconds without a confirmation
--- a/features/late_bytes.feature
+++ b/features/late_bytes.feature
@@ -11,6 +11,21 @@
       | the engine client  |
       | the order client   |
 
+  Scenario: A slow but sound stream is not cut
+    Given an engine whose events come every 0.3 s, and 5 of them
+    When a generation is run there with 0.5 s for each event
+    Then all 5 tokens arrive and the generation ends
+
+  Scenario: A stream that stalls and sends a byte now and then is ended
+    Given an engine that sends a byte of its first event every 0.1 s
+    When a generation is run there with 0.5 s for each event
+    Then it fails within 4 s
+
+  Scenario: Leases run out while the host is suspended
+    Given a gateway and a sidecar
+    When the host is suspended for 100 s
+    Then the clocks of both have counted it
+
   Scenario: Requests that were sent before a stop are answered
     Given a server with 5 kept connections
     When 20 new connections and the kept ones send requests and the server stops
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -24,6 +24,9 @@
 )
 from features.support.platform_world import CONFIG, READY_TIMEOUT_S
 
+CHUNKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\n" + SIGNATURE_HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
+)
 ANSWERS = {
     "a whole answer": b"HTTP/1.1 200 OK\r\n"
     + SIGNATURE_HEADERS
@@ -37,6 +40,11 @@
     "an answer that is cut": b"HTTP/1.1 200 OK\r\n"
     + SIGNATURE_HEADERS
     + b"Content-Length: 40\r\n\r\nbody",
+    "a whole answer in chunks": CHUNKED_HEAD + chunk(b"body") + LAST_CHUNK,
+    "a chunked answer that is cut": CHUNKED_HEAD + chunk(b"body"),
+    "a chunk that is cut": CHUNKED_HEAD + b"ff\r\nbody",
+    "chunks without the last one": CHUNKED_HEAD + chunk(b"body") + chunk(b"more"),
+    "a head that is cut": b"HTTP/1.1 200 OK\r\n" + SIGNATURE_HEADERS,
     "an answer to another request": b"HTTP/1.1 200 OK\r\n"
     b"X-Hawthornyard-Request-Id: other\r\nX-Hawthornyard-Response-Seal: s\r\n"
     b"Content-Length: 4\r\n\r\nbody",
@@ -225,6 +233,20 @@
     context.world.store.forget_history()
 
 
+@given("the store is silent and the gateway starts again")
+def restart_in_silence(context: Context) -> None:
+    context.world.add_endpoint([ANSWERS["a whole answer"]], "close")
+    context.world.wait_ready()
+    context.world.store.is_down = True
+    context.world.restart_gateway()
+    eventlet.sleep(0.3)
+
+
+@then("the gateway is not ready")
+def check_not_ready(context: Context) -> None:
+    assert not context.world.gateway.is_ready()
+
+
 @when("the store has been down for a second")
 def lose_store(context: Context) -> None:
     context.world.store.is_down = True
--- a/features/steps/late_bytes.py
+++ b/features/steps/late_bytes.py
@@ -1,6 +1,8 @@
 """Steps about bytes that arrive late, and about stops while requests arrive."""
 
+import contextlib
 import json
+import time
 from typing import Any
 
 import eventlet
@@ -8,18 +10,29 @@
 from behave.runner import Context
 from eventlet import patcher
 
+from features.support.peers import RecordingInbox
 from features.support.platform_bytes import (
     BADGE_REQUEST_LINE,
+    LAST_CHUNK,
     SIGNATURE_HEADERS,
     VALID_HEADERS,
+    chunk,
 )
 from features.support.platform_world import PlatformWorld
 from features.support.scripted import read_message
+from hawthornyard.demo import Deployment
 from hawthornyard.demo.deployment import LOOPBACK
+from hawthornyard.frames import Dispatch, Generation
 from hawthornyard.front import HttpServer
 from hawthornyard.io.engine import EngineClient
 from hawthornyard.io.orders import EngineOrderClient
 from hawthornyard.platform.store import PlatformStore
+from hawthornyard.sidecar.messages import (
+    Attempt,
+    EndpointEnded,
+    EndpointFailed,
+    EndpointTokens,
+)
 
 TIMEOUT_S = 8.0
 BODY_DELAY_S = 3.5
@@ -55,6 +68,75 @@
     assert context.numbers == [1, 2], context.numbers
 
 
+@given("an engine whose events come every {interval_s:g} s, and {n:d} of them")
+def start_slow_engine(context: Context, interval_s: float, n: int) -> None:
+    events = [b'data: {"token": "a"}\n\n'] * (n - 1)
+    events.append(b'data: {"token": "a", "finish_reason": "stop"}\n\n')
+    _serve_pieces(context, events, interval_s)
+
+
+@given("an engine that sends a byte of its first event every {interval_s:g} s")
+def start_stalled_engine(context: Context, interval_s: float) -> None:
+    _serve_pieces(context, [b"d", *[b"a"] * 100], interval_s)
+
+
+@when("a generation is run there with {seconds:g} s for each event")
+def run_generation(context: Context, seconds: float) -> None:
+    context.inbox = RecordingInbox()
+    client = EngineClient(f"http://{context.address}", token_timeout_s=seconds)
+    work = Generation("m", "hello", 9)
+    dispatch = Dispatch("a-1", "r-1", "kiosk", "summaries", work, True, TIMEOUT_S)
+    attempt = Attempt(dispatch.with_peer("gateway-1"), now=0.0)
+    started_at = time.monotonic()
+    with eventlet.Timeout(TIMEOUT_S, False):
+        client.run(attempt, context.inbox)
+    context.seconds = time.monotonic() - started_at
+
+
+@then("all {n:d} tokens arrive and the generation ends")
+def check_generation(context: Context, n: int) -> None:
+    messages = context.inbox.messages
+    assert sum(isinstance(msg, EndpointTokens) for msg in messages) == n, messages
+    assert isinstance(messages[-1], EndpointEnded), messages
+
+
+@then("it fails within {seconds:g} s")
+def check_failed(context: Context, seconds: float) -> None:
+    assert isinstance(context.inbox.messages[-1], EndpointFailed)
+    assert context.seconds <= seconds, context.seconds
+
+
+@given("a gateway and a sidecar")
+def make_programs(context: Context) -> None:
+    context.deployment = Deployment()
+    host = context.deployment.add_service("frontdesk-1", "new-kingston")
+    gateway = context.deployment.add_gateway("gateway-1", "new-kingston")
+    context.clocks = [gateway._clock, host.sidecar._clock]
+
+
+@when("the host is suspended for {seconds:g} s")
+def suspend_host(context: Context, seconds: float) -> None:
+    before = [clock.now() for clock in context.clocks]
+    # A suspension moves this clock on and leaves the monotonic one where it was.
+    read = time.clock_gettime
+    time.clock_gettime = lambda number: (
+        read(number) + (seconds if number == time.CLOCK_BOOTTIME else 0.0)
+    )
+    try:
+        context.spans = [
+            clock.now() - earlier
+            for clock, earlier in zip(context.clocks, before, strict=True)
+        ]
+    finally:
+        time.clock_gettime = read
+    context.suspended_s = seconds
+
+
+@then("the clocks of both have counted it")
+def check_clocks(context: Context) -> None:
+    assert min(context.spans) >= context.suspended_s, context.spans
+
+
 @given("a server with {n:d} kept connections")
 def start_server(context: Context, n: int) -> None:
     context.server = HttpServer((LOOPBACK, 0), _answer_slowly)
@@ -115,6 +197,30 @@
         eventlet.spawn_n(_answer_with_copies, context, sock)
 
 
+def _serve_pieces(context: Context, pieces: list[bytes], interval_s: float) -> None:
+    listener = eventlet.listen((LOOPBACK, 0))
+    context.address = f"{LOOPBACK}:{listener.getsockname()[1]}"
+
+    def serve(sock: Any) -> None:
+        read_message(sock)
+        with contextlib.suppress(OSError):
+            sock.sendall(
+                b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+            for piece in pieces:
+                eventlet.sleep(interval_s)
+                sock.sendall(chunk(piece))
+            sock.sendall(LAST_CHUNK)
+        sock.close()
+
+    def accept() -> None:
+        while True:
+            eventlet.spawn_n(serve, listener.accept()[0])
+
+    context.add_cleanup(eventlet.spawn(accept).kill)
+
+
 def _answer_with_copies(context: Context, sock: Any) -> None:
     last_answer = b""
     while read_message(sock):
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -60,7 +60,14 @@
         thread: Green thread of the gateway's loop.
     """
 
-    __slots__ = ("_store_server", "endpoints", "gateway", "store", "thread")
+    __slots__ = (
+        "_settings",
+        "_store_server",
+        "endpoints",
+        "gateway",
+        "store",
+        "thread",
+    )
 
     def __init__(self) -> None:
         self.store = PlatformStoreApp()
@@ -78,9 +85,16 @@
             repeat_slack=50.0,
             key_max_age_s=5.0,
         )
+        self._settings = settings
         self.gateway = EdgeGateway(settings, Path("absent"))
         self.thread = self.gateway.start()
 
+    def restart_gateway(self) -> None:
+        """Replace the gateway by one that knows nothing."""
+        self.gateway.close()
+        self.gateway = EdgeGateway(self._settings, Path("absent"))
+        self.thread = self.gateway.start()
+
     def add_endpoint(self, answers: list[bytes], close_mode: str = "close") -> None:
         endpoint = ScriptedEndpoint(answers, close_mode)
         self.endpoints.append(endpoint)
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -113,7 +113,14 @@
         Retry(state.inflight, state.retry_budget, clock),
         WaitForCapacity(state.eligibility, placement, clock),
         Route(state.eligibility, sampling, placement, state.directory),
-        Send(state.inflight, state.endpoints, state.eligibility, mirroring, clock),
+        Send(
+            state.inflight,
+            state.endpoints,
+            state.eligibility,
+            mirroring,
+            state.directory,
+            clock,
+        ),
         Resume(state.inflight, state.endpoints, state.eligibility, resumption),
         Migrate(
             state.inflight,
--- a/hawthornyard/edge/request/__init__.py
+++ b/hawthornyard/edge/request/__init__.py
@@ -1,6 +1,7 @@
 """Carry a call from the caller to an endpoint.
 
-The chain is Match, RefuseAtStop, Retry, WaitForCapacity, Route, Send; `core.Drain` precedes it.
+The chain is Match, RefuseAtStop, Retry, WaitForCapacity, Route, Send; `core.Drain`
+precedes it.
 """
 
 from .match import Match
--- a/hawthornyard/edge/request/send.py
+++ b/hawthornyard/edge/request/send.py
@@ -4,6 +4,8 @@
 
 from ...core import Clock, Handlers, Message
 from ...errors import ErrorKind
+from ...gateway.messages import ReplyFailed
+from ..directory import Directory
 from ..eligibility import Eligibility
 from ..endpoints import Endpoints
 from ..inflight import InFlight
@@ -23,11 +25,13 @@
         endpoints: Known endpoints.
         eligibility: Counts what is sent to cold endpoints.
         mirroring: Chooses where streams are mirrored.
+        directory: Tells whether the teams' keys are still valid.
         clock: Source of time.
     """
 
     __slots__ = (
         "_clock",
+        "_directory",
         "_eligibility",
         "_endpoints",
         "_inflight",
@@ -41,12 +45,14 @@
         endpoints: Endpoints,
         eligibility: Eligibility,
         mirroring: Mirroring,
+        directory: Directory,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligibility = eligibility
         self._mirroring = mirroring
+        self._directory = directory
         self._clock = clock
         self.handlers: Handlers = {Routed: self._on_routed}
 
@@ -58,6 +64,10 @@
         if endpoint is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT, "the endpoint is gone")
             return
+        if request.team and not self._directory.are_keys_valid:
+            # Since the key was checked, the process may have been paused.
+            yield ReplyFailed(request.call_id, ErrorKind.PLATFORM_UNAVAILABLE)
+            return
         left_s = request.deadline - self._clock.now()
         if left_s < MIN_REMAINING_S:
             yield AttemptFailed(
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -27,7 +27,6 @@
     DiscardSink,
     EventletInbox,
     FrameSink,
-    MonotonicClock,
     PeerLinks,
     PeerListener,
     RandomIdentifiers,
@@ -39,6 +38,7 @@
 )
 from ..io.calendar import UtcCalendar
 from ..io.claims import ClaimWriter
+from ..io.clock import BootClock
 from ..io.gateway_metrics import CallTimes, MeasureReplies, RecordArrivals
 from ..io.host_poller import HostPoller
 from ..io.metrics import ProgramMetrics
@@ -118,7 +118,7 @@
 
     def __init__(self, settings: GatewaySettings, table: TableStore) -> None:
         self._settings = settings
-        self._clock = MonotonicClock()
+        self._clock = BootClock()
         self._inbox = EventletInbox()
         self._stop = StopSink()
         self.catalog = Catalog()
--- a/hawthornyard/net/fair_socket.py
+++ b/hawthornyard/net/fair_socket.py
@@ -40,10 +40,14 @@
     from running.
 
     The arguments are those of `socket.socket`, or a socket to wrap.
+
+    Attributes:
+        has_ended: Whether a read has met the end of the peer's bytes.
     """
 
     def __init__(self, family: Any = socket.AF_INET, *args: Any, **kwargs: Any) -> None:
         super().__init__(family, *args, **kwargs)
+        self.has_ended = False
         self._n_turn_bytes = 0
         self._n_bytes_left: int | None = None
         self._deadline: float | None = None
@@ -78,6 +82,7 @@
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive bytes into a buffer; see `_take_turn` for what it raises."""
         n_bytes: int = super().recv_into(buffer, nbytes, flags)
+        self.has_ended = not n_bytes
         self._take_turn(n_bytes)
         return n_bytes
 
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -1,5 +1,6 @@
 """HTTP connections whose responses are bounded in bytes and in time."""
 
+import http.client
 from typing import Any
 
 import urllib3
@@ -33,6 +34,8 @@
 
         Raises:
             OversizedMessageError: If the head is longer than `MAX_HEAD_BYTES`.
+            RemoteDisconnected: If the peer closes the connection within the head, whose
+                first lines would otherwise pass for a whole head with an empty body.
             TimeoutError: If the head does not arrive within the timeout.
         """
         # The base class drops the socket of a connection that is not kept alive.
@@ -40,6 +43,9 @@
         self._reader.limit_bytes(MAX_HEAD_BYTES)
         self._reader.limit_time(self.timeout)
         resp = super().getresponse()
+        if self._reader.has_ended:
+            resp.close()
+            raise http.client.RemoteDisconnected("the head of the response is cut")
         self.limit_body(MAX_BODY_BYTES)
         return resp
 
--- a/hawthornyard/sidecar/program.py
+++ b/hawthornyard/sidecar/program.py
@@ -22,7 +22,6 @@
     DiscardSink,
     EventletInbox,
     FrameSink,
-    MonotonicClock,
     PeerListener,
     RandomIdentifiers,
     StopSink,
@@ -31,6 +30,7 @@
     run_timer,
     split_address,
 )
+from ..io.clock import BootClock
 from ..io.endpoint import EndpointClient, EndpointSink
 from ..io.engine import EngineClient
 from ..io.metrics import ProgramMetrics
@@ -56,7 +56,7 @@
 
     def __init__(self, settings: SidecarSettings) -> None:
         self._settings = settings
-        self._clock = MonotonicClock()
+        self._clock = BootClock()
         self._inbox = EventletInbox()
         self._stop = StopSink()
         incarnation = RandomIdentifiers().new()
