--- a/features/endless.feature
+++ b/features/endless.feature
@@ -12,13 +12,13 @@
       | prefix                      | unit                   |
       | nothing                     | interim responses      |
       | nothing                     | letters                |
-      | the begin of a head         | letters                |
-      | the begin of a head         | header lines           |
+      | the start of a head         | letters                |
+      | the start of a head         | header lines           |
       | a head with a length        | letters                |
       | a head without a length     | letters                |
       | a head of a chunked body    | chunks of one byte     |
       | a head of a chunked body    | zeros                  |
-      | the begin of an extension   | letters                |
+      | the start of an extension   | letters                |
       | the last chunk              | header lines           |
 
   Scenario Outline: A stream without end is cut and never shown as complete
@@ -45,8 +45,8 @@
     Examples:
       | prefix                       | unit               |
       | nothing                      | letters            |
-      | the begin of a request       | header lines       |
-      | the begin of a request       | letters            |
+      | the start of a request       | header lines       |
+      | the start of a request       | letters            |
       | a request with a length      | letters            |
       | a request of a chunked body  | zeros              |
       | a request and an extension   | letters            |
@@ -70,7 +70,7 @@
       | a report  | the last chunk            | header lines       |
       | the store | nothing                   | interim responses  |
       | the store | a head without a length   | letters            |
-      | the store | the begin of an extension | letters            |
+      | the store | the start of an extension | letters            |
       | the store | a head of a chunked body  | chunks of one byte |
 
   Scenario: An answer that comes a byte now and then ends at its deadline
--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -40,16 +40,16 @@
 _CHUNKED_REQUEST = _REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 PREFIXES = {
     "nothing": b"",
-    "the begin of a head": _HEAD + b"X-A: ",
+    "the start of a head": _HEAD + b"X-A: ",
     "a head with a length": _HEAD + b"Content-Length: 999999999999\r\n\r\n",
     "a head without a length": _HEAD + b"Connection: close\r\n\r\n",
     "a head of a chunked body": _CHUNKED_HEAD,
-    "the begin of an extension": _CHUNKED_HEAD + b"5;",
+    "the start of an extension": _CHUNKED_HEAD + b"5;",
     "the last chunk": _CHUNKED_HEAD + b"0\r\n",
     "a head of a stream": STREAM_HEAD.replace(
         b"Transfer-Encoding: chunked", b"Connection: close"
     ),
-    "the begin of a request": _REQUEST_HEAD + b"X-A: ",
+    "the start of a request": _REQUEST_HEAD + b"X-A: ",
     "a request with a length": _REQUEST_HEAD + b"Content-Length: 999999999\r\n\r\n",
     "a request of a chunked body": _CHUNKED_REQUEST,
     "a request and an extension": _CHUNKED_REQUEST + b"5;",
@@ -153,7 +153,6 @@
 @when("a caller sends one byte of a head every {interval_s:g} s")
 def send_slow_head(context: Context, interval_s: float) -> None:
     context.world.wait_ready()
-    context.meter = StallMeter()
     program = (
         "import socket, sys, time\n"
         "sock = socket.create_connection(('127.0.0.1', int(sys.argv[1])))\n"
@@ -162,14 +161,12 @@
         "    sock.sendall(b'a')\n"
         "    time.sleep(float(sys.argv[2]))\n"
     )
-    port = str(context.world.gateway.port)
-    context.sender = _popen(context, "-c", program, port, str(interval_s))
+    _run_watched(context, program, context.world.gateway.port, interval_s)
 
 
 @when("another process sends the gateway datagrams for {seconds:g} s")
 def send_datagrams(context: Context, seconds: float) -> None:
     context.world.wait_ready()
-    context.meter = StallMeter()
     program = (
         "import socket, sys, time\n"
         "sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)\n"
@@ -177,8 +174,7 @@
         "while time.monotonic() < end:\n"
         "    sock.sendto(b'x', ('127.0.0.1', int(sys.argv[1])))\n"
     )
-    port = str(context.world.gateway.peer_port)
-    context.sender = _popen(context, "-c", program, port, str(seconds))
+    _run_watched(context, program, context.world.gateway.peer_port, seconds)
     _wait_for_exit(context.sender, seconds + CALL_TIMEOUT_S)
 
 
@@ -239,6 +235,11 @@
     return _popen(context, *words)
 
 
+def _run_watched(context: Context, program: str, port: int, seconds: float) -> None:
+    context.meter = StallMeter()
+    context.sender = _popen(context, "-c", program, str(port), str(seconds))
+
+
 def _popen(context: Context, *words: str) -> Any:
     process = subprocess.Popen(
         [sys.executable, *words],
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -24,16 +24,23 @@
 
 
 class Exchanges:
-    """Count of a server's requests that are being read or answered.
+    """Count of a server's requests that are being read or answered."""
 
-    Attributes:
-        n_open: Number of these requests.
-    """
-
-    __slots__ = ("n_open",)
+    __slots__ = ("_n_open",)
 
     def __init__(self) -> None:
-        self.n_open = 0
+        self._n_open = 0
+
+    def __len__(self) -> int:
+        return self._n_open
+
+    def begin(self) -> None:
+        """Count a request of which the first line has been read."""
+        self._n_open += 1
+
+    def end(self) -> None:
+        """Leave out a request that has been answered or given up."""
+        self._n_open -= 1
 
 
 class ServerProtocol(eventlet.wsgi.HttpProtocol):  # type: ignore[misc]
@@ -62,8 +69,9 @@
         try:
             super().handle_one_request()
         finally:
-            self._exchanges.n_open -= self._is_open
-            self._is_open = False
+            if self._is_open:
+                self._is_open = False
+                self._exchanges.end()
 
     def parse_request(self) -> bool:
         """Read the rest of the head; see the base class for the result.
@@ -81,8 +89,9 @@
     def _read_request_line(self) -> bytes:
         self.connection.limit_time(self.server.keepalive + self.head_timeout_s)
         line: bytes = super()._read_request_line()
-        self._is_open = bool(line)
-        self._exchanges.n_open += self._is_open
+        if line:
+            self._is_open = True
+            self._exchanges.begin()
         return line
 
     def log_message(self, format: str, *args: object) -> None:
@@ -97,9 +106,12 @@
         address: Address and port to listen on; port 0 picks a free one.
         app: WSGI application.
         protocol: Class that reads requests from and writes answers to a connection.
+
+    Attributes:
+        exchanges: Its requests that are being read or answered.
     """
 
-    __slots__ = ("_app", "_exchanges", "_protocol", "_sock", "_thread")
+    __slots__ = ("_app", "_protocol", "_sock", "_thread", "exchanges")
 
     def __init__(
         self,
@@ -109,15 +121,11 @@
         protocol: type[ServerProtocol] = ServerProtocol,
     ) -> None:
         self._app = app
-        self._exchanges = Exchanges()
-        self._protocol = functools.partial(protocol, exchanges=self._exchanges)
+        self.exchanges = Exchanges()
+        self._protocol = functools.partial(protocol, exchanges=self.exchanges)
         self._sock = listen(address)
         self._thread: Any = None
 
-    def __len__(self) -> int:
-        """Return the number of requests that are being read or answered."""
-        return self._exchanges.n_open
-
     @property
     def port(self) -> int:
         """Return the port that the server listens on."""
--- a/hawthornyard/gateway/program.py
+++ b/hawthornyard/gateway/program.py
@@ -135,7 +135,9 @@
         replies = ReplyQueues()
         app = Application(self._inbox, replies, identifiers, self)
         self._server = HttpServer(split_address(settings.listen), app)
-        self._drain = Drain(self.inflight, self._clock, exchanges=self._server)
+        self._drain = Drain(
+            self.inflight, self._clock, exchanges=self._server.exchanges
+        )
         self._claims = ClaimWriter(table, self._inbox)
         self._poll = ConfigPoller(table, self._inbox)
         peer_gateways = PeerGateways(settings.name, settings.peers, self._clock)
--- a/hawthornyard/net/fair_socket.py
+++ b/hawthornyard/net/fair_socket.py
@@ -73,21 +73,21 @@
         return left_s if timeout_s is None else min(timeout_s, left_s)
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
-        """Receive bytes; see `_take_turn` for what it raises."""
+        """Receive bytes within the limits; see `_take_turn` for the errors."""
         data: bytes = super().recv(bufsize, flags)
         if not flags & socket.MSG_PEEK:
             self._take_turn(len(data))
         return data
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Receive bytes into a buffer; see `_take_turn` for what it raises."""
+        """Receive bytes into a buffer; see `_take_turn` for the errors."""
         n_bytes: int = super().recv_into(buffer, nbytes, flags)
         self.has_ended = not n_bytes
         self._take_turn(n_bytes)
         return n_bytes
 
     def recvfrom(self, bufsize: int, flags: int = 0) -> tuple[bytes, Any]:
-        """Receive a datagram; see `_take_turn` for what it raises."""
+        """Receive a datagram; see `_take_turn` for the errors."""
         data, address = super().recvfrom(bufsize, flags)
         self._take_turn(len(data))
         return data, address
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -27,7 +27,7 @@
     within which the whole response must arrive.
     """
 
-    _reader: Any
+    _reader: FairSocket
 
     def getresponse(self) -> Any:
         """Return the response, of which the head has been read.
@@ -39,6 +39,7 @@
             TimeoutError: If the head does not arrive within the timeout.
         """
         # The base class drops the socket of a connection that is not kept alive.
+        assert isinstance(self.sock, FairSocket)
         self._reader = self.sock
         self._reader.limit_bytes(MAX_HEAD_BYTES)
         self._reader.limit_time(self.timeout)
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -135,7 +135,7 @@
         self._drain = Drain(
             self.state.inflight,
             self._clock,
-            exchanges=self._server,
+            exchanges=self._server.exchanges,
             readiness_lag_s=READINESS_LAG_S,
         )
         self._drain.grace_s = settings.stop_grace_s
