--- a/features/platform_standins.feature
+++ b/features/platform_standins.feature
@@ -2,9 +2,9 @@
 Feature: Stand-ins for the systems of the users' platform
 
   Scenario: Rows are read in pages, sorted by key
-    Given a stand-in store with the rows c, a and b
+    Given a stand-in store with 1200 rows in no order
     When the table is read
-    Then the rows are a, b and c
+    Then all 1200 rows are there in order, after 3 calls
 
   Scenario: A change ends a long poll, and a removal is reported
     Given a stand-in store with the rows a and b
--- a/features/steps/platform_standins.py
+++ b/features/steps/platform_standins.py
@@ -25,9 +25,17 @@
         context.standins.store.put(TABLE, name, b"1")
 
 
+@given("a stand-in store with {n:d} rows in no order")
+def add_many_rows(context: Context, n: int) -> None:
+    for number in range(n):
+        context.standins.store.put(TABLE, f"row-{number}", b"1")
+
+
 @when("the table is read")
 def read_table(context: Context) -> None:
-    pass
+    n_calls = context.standins.store.n_calls
+    context.rows = context.standins.client.read(TABLE).rows
+    context.n_calls = context.standins.store.n_calls - n_calls
 
 
 @when("row {name} is removed during a long poll for changes")
@@ -54,6 +62,13 @@
     assert [row.key for row in rows] == _names(names), rows
 
 
+@then("all {n:d} rows are there in order, after {n_calls:d} calls")
+def check_all_rows(context: Context, n: int, n_calls: int) -> None:
+    keys = [row.key for row in context.rows]
+    assert keys == sorted(set(keys)) and len(keys) == n, keys
+    assert context.n_calls == n_calls, context.n_calls
+
+
 @then("the changes report only the removal of {name}")
 def check_changes(context: Context, name: str) -> None:
     (row,) = context.changes.rows
--- a/features/support/fakes.py
+++ b/features/support/fakes.py
@@ -157,14 +157,15 @@
         self.sock.sendall(self.codec.encode(frame))
 
     def wait_until_closed(self) -> bool:
-        """Return True once the other side has closed the connection.
+        """Return whether the other side closes the connection.
 
-        Raises:
-            TimeoutError: The connection stays open for SOCKET_TIMEOUT_S.
+        False if it stays open for SOCKET_TIMEOUT_S.
         """
         try:
             while self.sock.recv(RECEIVE_BYTES):
                 continue
         except ConnectionResetError:
             return True
+        except TimeoutError:
+            return False
         return True
--- a/features/support/simulation.py
+++ b/features/support/simulation.py
@@ -356,7 +356,6 @@
     Attributes:
         is_up: Whether the endpoint accepts connections.
         is_held: Whether calls are kept pending.
-        is_stalled: Whether the endpoint generates no tokens.
         pending: Attempts that the sidecar sent and the endpoint has not started.
         running: Runs with their attempts, by attempt identifier.
     """
@@ -366,7 +365,6 @@
         "_history",
         "_sidecar",
         "is_held",
-        "is_stalled",
         "is_up",
         "name",
         "pending",
@@ -380,7 +378,6 @@
         self._sidecar: SimulatedProcess | None = None
         self.is_up = True
         self.is_held = False
-        self.is_stalled = False
         self.pending: list[Attempt] = []
         self.running: dict[str, tuple[Run, Attempt]] = {}
 
@@ -410,8 +407,6 @@
 
     def emit_tokens(self) -> None:
         """Generate one token for each running attempt, or finish the attempt."""
-        if self.is_stalled:
-            return
         for run, attempt in list(self.running.values()):
             if (
                 isinstance(attempt.work, ServiceCall)
