Bound the head of a response apart from its body, however it is read

A caller that lets urllib3 load the body within getresponse had the body counted as part of the head: a report over 64 KiB failed, and one without a length, which ends with its connection, was refused as a cut head.

Change: the bound and the look for a cut head are in the response class, which reads the head alone; the bound of a body has one function for both sides.

--- a/features/late_bytes.feature
+++ b/features/late_bytes.feature
@@ -11,6 +11,18 @@
       | the engine client  |
       | the order client   |
 
+  Scenario Outline: A whole answer is read however it is framed
+    Given a server that sends a report <framing>
+    When the report is read
+    Then it is whole
+
+    Examples:
+      | framing                                 |
+      | without a length and ends               |
+      | without a length in pieces and ends     |
+      | of 100,000 bytes with their length      |
+      | of 100,000 bytes in chunks              |
+
   Scenario: A slow but sound stream is not cut
     Given an engine whose events come every 0.3 s, and 5 of them
     When a generation is run there with 0.5 s for each event
--- a/features/steps/late_bytes.py
+++ b/features/steps/late_bytes.py
@@ -26,6 +26,7 @@
 from hawthornyard.front import HttpServer
 from hawthornyard.io.engine import EngineClient
 from hawthornyard.io.orders import EngineOrderClient
+from hawthornyard.platform.connections import call_once
 from hawthornyard.platform.store import PlatformStore
 from hawthornyard.sidecar.messages import (
     Attempt,
@@ -68,6 +69,45 @@
     assert context.numbers == [1, 2], context.numbers
 
 
+@given("a server that sends a report {framing}")
+def start_reporting_server(context: Context, framing: str) -> None:
+    body = b"r" * (100_000 if "100,000" in framing else 10)
+    context.body = body
+    head = b"HTTP/1.1 200 OK\r\n"
+    pieces = {
+        "without a length and ends": [head + b"\r\n" + body],
+        "without a length in pieces and ends": [head + b"\r\n", body],
+        "of 100,000 bytes with their length": [
+            head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+        ],
+        "of 100,000 bytes in chunks": [
+            head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk(body) + LAST_CHUNK
+        ],
+    }
+    listener = eventlet.listen((LOOPBACK, 0))
+    context.address = f"{LOOPBACK}:{listener.getsockname()[1]}"
+
+    def serve() -> None:
+        sock, _ = listener.accept()
+        read_message(sock)
+        for piece in pieces[framing]:
+            sock.sendall(piece)
+            eventlet.sleep(0.02)
+        sock.close()
+
+    context.add_cleanup(eventlet.spawn(serve).kill)
+
+
+@when("the report is read")
+def read_report(context: Context) -> None:
+    context.answer = call_once("GET", context.address, "/report", "", TIMEOUT_S)
+
+
+@then("it is whole")
+def check_whole(context: Context) -> None:
+    assert context.answer == (200, context.body), context.answer
+
+
 @given("an engine whose events come every {interval_s:g} s, and {n:d} of them")
 def start_slow_engine(context: Context, interval_s: float, n: int) -> None:
     events = [b'data: {"token": "a"}\n\n'] * (n - 1)
--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from ..errors import ErrorKind, OversizedMessageError, RequestError
-from ..net import MAX_HEAD_BYTES, WIRE_BYTES_PER_BODY_BYTE
+from ..net import limit_body
 from .exchange import Environ
 
 MAX_BODY_BYTES = 1024 * 1024
@@ -32,7 +32,7 @@
     """
     sock = environ["wsgi.input"].get_socket()
     # Bounds what comes between the chunks of a body, too.
-    sock.limit_bytes(WIRE_BYTES_PER_BODY_BYTE * max_bytes + MAX_HEAD_BYTES)
+    limit_body(sock, max_bytes)
     try:
         with eventlet.Timeout(timeout_s):
             body = _read_bounded(environ, max_bytes)
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -20,6 +20,33 @@
 """Bytes on the wire for each byte of a body, so that the sizes of small chunks fit."""
 
 
+def limit_body(sock: FairSocket, n_bytes: int) -> None:
+    """Bound what may be read of a body, with its framing, to that of `n_bytes`."""
+    sock.limit_bytes(WIRE_BYTES_PER_BODY_BYTE * n_bytes + MAX_HEAD_BYTES)
+
+
+class _BoundedResponse(http.client.HTTPResponse):
+    """Response whose head is bounded, and refused if it is cut."""
+
+    def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self._reader: FairSocket = sock
+
+    def begin(self) -> None:
+        """Read the head.
+
+        Raises:
+            OversizedMessageError: If the head is longer than `MAX_HEAD_BYTES`.
+            RemoteDisconnected: If the peer closes the connection within the head, whose
+                first lines would otherwise pass for a whole head with an empty body.
+        """
+        self._reader.limit_bytes(MAX_HEAD_BYTES)
+        super().begin()
+        if self._reader.has_ended:
+            raise http.client.RemoteDisconnected("the head of the response is cut")
+        limit_body(self._reader, MAX_BODY_BYTES)
+
+
 class BoundedConnection(HTTPConnection):
     """HTTP connection that bounds each response as a whole.
 
@@ -27,6 +54,7 @@
     within which the whole response must arrive.
     """
 
+    response_class = _BoundedResponse
     _reader: FairSocket
 
     def getresponse(self) -> Any:
@@ -34,21 +62,14 @@
 
         Raises:
             OversizedMessageError: If the head is longer than `MAX_HEAD_BYTES`.
-            RemoteDisconnected: If the peer closes the connection within the head, whose
-                first lines would otherwise pass for a whole head with an empty body.
+            RemoteDisconnected: If the peer closes the connection within the head.
             TimeoutError: If the head does not arrive within the timeout.
         """
-        # The base class drops the socket of a connection that is not kept alive.
         assert isinstance(self.sock, FairSocket)
+        # The base class drops the socket of a connection that is not kept alive.
         self._reader = self.sock
-        self._reader.limit_bytes(MAX_HEAD_BYTES)
         self._reader.limit_time(self.timeout)
-        resp = super().getresponse()
-        if self._reader.has_ended:
-            resp.close()
-            raise http.client.RemoteDisconnected("the head of the response is cut")
-        self.limit_body(MAX_BODY_BYTES)
-        return resp
+        return super().getresponse()
 
     def limit_body(self, n_bytes: int) -> None:
         """Bound the body of the response that is being read.
@@ -57,7 +78,7 @@
             n_bytes: Largest body. A read that exceeds it with its framing raises
                 `OversizedMessageError`.
         """
-        self._reader.limit_bytes(WIRE_BYTES_PER_BODY_BYTE * n_bytes + MAX_HEAD_BYTES)
+        limit_body(self._reader, n_bytes)
 
     def limit_time(self, seconds: float) -> None:
         """Set in how many seconds the rest of the response must arrive."""
