Log how long a failed call of the store waited, and how old its return is

StoreFailed now carries when the call was sent, store_lost logs waited_s and endpoint_absent regained_s. No decision changes; edge_watch and edge_requests 56 passed.

--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -179,7 +179,7 @@
 
 @when("the store fails and recovers without the entry of {name}")
 def lose_store_and_entry(context: Context, name: str) -> None:
-    context.edge.push(StoreFailed("endpoints", "no answer"))
+    context.edge.push(StoreFailed("endpoints", "no answer", context.edge.clock.now()))
     context.edge.push(EndpointsRead([], [name]))
     context.edge.push(StoreAnswered("endpoints", context.edge.clock.now()))
 
--- a/features/steps/edge_watch.py
+++ b/features/steps/edge_watch.py
@@ -55,7 +55,7 @@
     context.requested_at = []
     for drive in context.fleet:
         started_at = drive.clock.now()
-        drive.push(StoreFailed("operator", "no answer"))
+        drive.push(StoreFailed("operator", "no answer", started_at))
         times = []
         while drive.clock.now() < started_at + seconds:
             n_before = len(drive.messages_of(ReportRequested))
@@ -74,7 +74,7 @@
 
 @when("the {feed} feed of the store fails")
 def fail_feed(context: Context, feed: str) -> None:
-    context.edge.push(StoreFailed(feed, "no answer"))
+    context.edge.push(StoreFailed(feed, "no answer", context.edge.clock.now()))
 
 
 @when("the store is silent")
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -92,7 +92,10 @@
         if self._is_store_recovering():
             self._pending_removals.add(name)
             yield Decision(
-                "endpoint_absent", endpoint=name, reason="the store was unavailable"
+                "endpoint_absent",
+                endpoint=name,
+                reason="the store was unavailable",
+                regained_s=round(self._clock.now() - self._regained_at, 3),
             )
             return
         if endpoint.leaving_since is None:
--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -37,5 +37,8 @@
     def _on_store_failed(self, msg: StoreFailed) -> Iterator[Message]:
         if msg.feed not in self._lost_at:
             self._lost_at[msg.feed] = self._clock.now()
-            yield Decision("store_lost", reason=msg.detail, feed=msg.feed)
+            waited_s = round(self._clock.now() - msg.sent_at, 3)
+            yield Decision(
+                "store_lost", reason=msg.detail, feed=msg.feed, waited_s=waited_s
+            )
         yield msg
--- a/hawthornyard/edge/messages/updates.py
+++ b/hawthornyard/edge/messages/updates.py
@@ -148,10 +148,18 @@
 
 
 class StoreFailed(Message):
-    """A failure of the store to answer a feed."""
+    """A failure of the store to answer a feed.
 
-    __slots__ = ("feed", "detail")
+    Attributes:
+        feed: Name of the feed.
+        detail: Description of the failure.
+        sent_at: Monotonic time in seconds at which the failed call was sent; the store
+            may have been reachable again from then on.
+    """
+
+    __slots__ = ("feed", "detail", "sent_at")
 
-    def __init__(self, feed: str, detail: str) -> None:
+    def __init__(self, feed: str, detail: str, sent_at: float) -> None:
         self.feed = feed
         self.detail = detail
+        self.sent_at = sent_at
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -178,16 +178,16 @@
     def run(self) -> None:
         """Follow the table; never returns."""
         while True:
+            sent_at = self._clock.now()
             try:
-                self._poll()
+                self._poll(sent_at)
                 self._has_failed = False
             except PlatformError as exc:
                 self._has_failed = True
-                self._inbox.put(StoreFailed(self._name, str(exc)))
+                self._inbox.put(StoreFailed(self._name, str(exc), sent_at))
                 eventlet.sleep(RETRY_DELAY_S)
 
-    def _poll(self) -> None:
-        requested_at = self._clock.now()
+    def _poll(self, requested_at: float) -> None:
         as_of = requested_at
         wait_s, self._next_wait_s = self._next_wait_s, self._wait_s
         timeout_s = READ_TIMEOUT_S
