--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -91,7 +91,8 @@
     except (OSError, ValueError):
         return [(f"{name}: the whole feature", "no report")]
     results = [
-        (f"{name}: {element['name']}", element.get("status", "untested"))
+        # behave appends a blank to the name of each example of an outline.
+        (f"{name}: {element['name'].strip()}", element.get("status", "untested"))
         for part in report
         for element in part.get("elements", ())
         if element["type"] == "scenario"
