Count the time for expired entries from the last failed call, not from the answer

Cause: entries that expired while the store was away may be back within two seconds of its return, and the gateway counted these from the moment when it noticed the return. Evidence: endpoint_absent 0.2 s after store_regained at 6.085 s, the cut over since 5.0 s, the removal at 5.606, the endpoint in use until 8.115. Why it works: the store can't have been away after the last failed call was sent and before it was reached again, so that this moment is at most one call and one pause before the return, never after it.

Ruled out: a lost removal (all three gateways logged it), a slow feed (4 ms).

--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -36,8 +36,8 @@
         "_clock",
         "_endpoints",
         "_is_store_lost",
+        "_last_failed_call_at",
         "_pending_removals",
-        "_regained_at",
         "handlers",
     )
 
@@ -46,7 +46,7 @@
         self._clock = clock
         self._pending_removals: set[str] = set()
         self._is_store_lost = False
-        self._regained_at = float("-inf")
+        self._last_failed_call_at = float("-inf")
         self.handlers: Handlers = {
             EndpointsRead: self._on_endpoints_read,
             ReportRead: self._on_report_read,
@@ -95,7 +95,7 @@
                 "endpoint_absent",
                 endpoint=name,
                 reason="the store was unavailable",
-                regained_s=round(self._clock.now() - self._regained_at, 3),
+                failed_call_s=round(self._clock.now() - self._last_failed_call_at, 3),
             )
             return
         if endpoint.leaving_since is None:
@@ -139,20 +139,23 @@
         yield EndpointLeaving(endpoint.name, origin)
 
     def _on_store_answered(self, msg: StoreAnswered) -> Iterator[Message]:
-        if msg.feed == ENDPOINT_FEED and self._is_store_lost:
+        if msg.feed == ENDPOINT_FEED:
             self._is_store_lost = False
-            self._regained_at = self._clock.now()
         yield msg
 
     def _on_store_failed(self, msg: StoreFailed) -> Iterator[Message]:
         if msg.feed == ENDPOINT_FEED:
             self._is_store_lost = True
+            self._last_failed_call_at = msg.sent_at
         yield msg
 
     def _is_store_recovering(self) -> bool:
+        # The store may have been back since the last failed call was sent. Counted from
+        # the first answer, the time to notice its return would be added to the time for
+        # which an endpoint that has left gets work.
         return (
             self._is_store_lost
-            or self._clock.now() < self._regained_at + STORE_RECOVERY_S
+            or self._clock.now() < self._last_failed_call_at + STORE_RECOVERY_S
         )
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
