Give up a hung call for the changes of endpoints after 2.5 s, not 6

What callers saw: where the gateways' open connections went silent, requests reached endpoints up to 468 ms past the 2 s bound after these had said that they leave. Cause: a call for changes waits 5 s and is given up 1 s later; on a connection that is silent for good the gateway learns of nothing until then, also when the store has long counted as stable, 3.5 s after the fault. A connection that nobody accepts took 1 s to fail. The bound on what a gateway may not know was never stated; keys had theirs, leaving had none.

Ruled out: keep-alive probes of the connection, which notice a silent one no sooner than this. leaving.feature: two scenarios red before, green now; edge_watch, edge_adapter, late_bytes and endless pass.

--- a/features/leaving.feature
+++ b/features/leaving.feature
@@ -53,3 +53,8 @@
     Given a feed of endpoints
     When the table is read and changes once
     Then each of its calls ends within 2.5 seconds
+
+  Scenario: A store that accepts no connection is given up soon enough to notice its return
+    Given a store that accepts no connection
+    When its endpoints are read
+    Then the read fails within 0.5 seconds
--- a/features/steps/leaving.py
+++ b/features/steps/leaving.py
@@ -1,14 +1,18 @@
 """Steps for endpoints that leave while the store's answers are late or lost."""
 
 import random
+import time
 
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.scripted import UnreachableEndpoint
 from features.support.wait_recording_store import WaitRecordingStore
 from hawthornyard.edge.messages import EndpointsRead, StoreAnswered, StoreFailed
+from hawthornyard.errors import PlatformError
 from hawthornyard.io import EventletInbox, MonotonicClock
 from hawthornyard.platform.feeds import endpoint_feed
+from hawthornyard.platform.store import PlatformStore
 
 FEED = "endpoints"
 NEXT_INCARNATION = 8
@@ -68,3 +72,23 @@
 def check_call_times(context: Context, seconds: float) -> None:
     longest_s = context.stores[0].longest_s
     assert max(longest_s) <= seconds, longest_s
+
+
+@given("a store that accepts no connection")
+def add_unreachable_store(context: Context) -> None:
+    context.store = UnreachableEndpoint()
+    context.add_cleanup(context.store.close)
+
+
+@when("its endpoints are read")
+def read_endpoints(context: Context) -> None:
+    started_at = time.monotonic()
+    try:
+        PlatformStore(context.store.address).read("servers")
+    except PlatformError:
+        context.seconds = time.monotonic() - started_at
+
+
+@then("the read fails within {seconds:g} seconds")
+def check_read_time(context: Context, seconds: float) -> None:
+    assert context.seconds <= seconds, context.seconds
--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -5,8 +5,9 @@
 from ...core import Clock, Decision, Handlers, Message
 from ..messages import StoreAnswered, StoreFailed
 
-# Long-poll timeout: after it a feed is answered without changes, which confirms the
-# deployment. It is short, since revoked keys must be refused within seconds.
+# Long-poll timeout: after it a feed is answered without changes, which confirms what is
+# known. It is short, since revoked keys must be refused and leaving endpoints be left
+# within seconds, also when a connection to the store has gone silent.
 LONG_POLL_S = 1.5
 
 
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -9,6 +9,7 @@
 from ..core import Clock, Inbox, RandomSource
 from ..edge.fleet.deployment import OPERATOR_FEED
 from ..edge.fleet.endpoints import ENDPOINT_FEED
+from ..edge.fleet.store import LONG_POLL_S
 from ..edge.messages import (
     DeploymentRead,
     DomainsRead,
@@ -35,10 +36,6 @@
 `RETRY_DELAY_S` it bounds how late the return of a silent store is noticed; a slow store
 answers in less."""
 
-ENDPOINT_LONG_POLL_S = 5.0
-"""Long-poll timeout for changes of endpoints; limits a connection's time without
-data."""
-
 
 class TableDecoder(Protocol):
     """Decoder of the rows of one table."""
@@ -282,6 +279,6 @@
         inbox,
         clock,
         random_source,
-        wait_s=ENDPOINT_LONG_POLL_S,
+        wait_s=LONG_POLL_S,
         pause_s=pause_s,
     )
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -9,6 +9,7 @@
 from ..core import Message
 from ..errors import PlatformError
 from ..stores.http import HttpService
+from .connections import CONNECT_TIMEOUT_S
 
 READ_TIMEOUT_S = 1.0
 """Read timeout, on top of the long poll if there is one. The store answers in 4 ms, and
@@ -69,7 +70,10 @@
 
     def __init__(self, address: str) -> None:
         self._service = HttpService(
-            "store", f"http://{address}", read_timeout_s=READ_TIMEOUT_S
+            "store",
+            f"http://{address}",
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+            read_timeout_s=READ_TIMEOUT_S,
         )
 
     def read(self, table: str) -> RowPage:
