Keep an endpoint that has announced its leaving away from work for good

What callers could see: a gateway learns from an endpoint's report, or another gateway's notice, that it leaves, and then takes in an older entry of the store that says ready; the endpoint got new work and its streams stopped being moved until the store's own draining entry came. Cause: Endpoints.update cleared leaving_since for any entry of the same incarnation that was not draining. A missing entry and an announcement were one state; the first may be reversed, the second may not, until the endpoint starts again.

--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -31,6 +31,7 @@
         mirrored: Requests of this gateway that it mirrors, by attempt id.
         cold_until: Monotonic time in seconds until which it is cold.
         leaving_since: Monotonic time in seconds when it was seen to leave, None before.
+        has_announced_leaving: Whether it said itself that it leaves, which is final.
         backoff_until: Monotonic time in seconds until which it gets no new work.
         failure_rate: Moving average of the share of failures among its answers.
         n_absences: Consecutive times that it was not found at its address.
@@ -46,6 +47,7 @@
         "cold_until",
         "entry",
         "failure_rate",
+        "has_announced_leaving",
         "leaving_since",
         "mean_answer_s",
         "mean_gap_s",
@@ -62,6 +64,7 @@
         self.mirrored: dict[str, Request] = {}
         self.cold_until = now + entry.cold_s
         self.leaving_since: float | None = None
+        self.has_announced_leaving = False
         self.backoff_until = 0.0
         self.failure_rate = 0.0
         self.n_absences = 0
@@ -110,6 +113,23 @@
         """Return its prefill rate in tokens per second, 0 if unknown."""
         return self.own_prefill_rate or self._peers.prefill_rate(self.name)
 
+    def note_leaving(self, now: float, *, is_announced: bool) -> bool:
+        """Record that it leaves.
+
+        Args:
+            now: Monotonic time in seconds.
+            is_announced: Whether it said so itself; else its entry is missing, which
+                may be back.
+
+        Returns:
+            Whether it was not known to leave before.
+        """
+        self.has_announced_leaving = self.has_announced_leaving or is_announced
+        if self.leaving_since is not None:
+            return False
+        self.leaving_since = now
+        return True
+
     def note_prefill(self, n_tokens: int, seconds: float) -> None:
         """Record a measured prefill.
 
@@ -176,7 +196,9 @@
     def update(self, entry: EndpointEntry) -> Endpoint:
         """Store the newest entry of an endpoint and return its state.
 
-        A new endpoint or incarnation starts without measurements or requests.
+        A new endpoint or incarnation starts without measurements or requests. An entry
+        of an incarnation that has announced its leaving never brings it back: the
+        announcement may have come from the endpoint itself, ahead of an older entry.
         """
         now = self._clock.now()
         endpoint = self._by_name.get(entry.name)
@@ -186,10 +208,10 @@
         endpoint.entry = entry
         if entry.cold_s > 0:
             endpoint.cold_until = now + entry.cold_s
-        if not entry.is_draining:
+        if entry.is_draining:
+            endpoint.note_leaving(now, is_announced=True)
+        elif not endpoint.has_announced_leaving:
             endpoint.leaving_since = None
-        elif endpoint.leaving_since is None:
-            endpoint.leaving_since = now
         return endpoint
 
     def forget(self, name: str) -> None:
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -98,8 +98,7 @@
                 failed_call_s=round(self._clock.now() - self._last_failed_call_at, 3),
             )
             return
-        if endpoint.leaving_since is None:
-            endpoint.leaving_since = self._clock.now()
+        if endpoint.note_leaving(self._clock.now(), is_announced=False):
             yield from self._announce_leaving(endpoint, "entry removed", Origin.STORE)
 
     def _on_report_read(self, msg: ReportRead) -> Iterator[Message]:
@@ -122,10 +121,8 @@
         endpoint = self._endpoints.get(name)
         if endpoint is None or endpoint.entry.born != born:
             return None
-        if endpoint.leaving_since is not None:
-            return None
-        endpoint.leaving_since = self._clock.now()
-        return endpoint
+        is_news = endpoint.note_leaving(self._clock.now(), is_announced=True)
+        return endpoint if is_news else None
 
     def _announce_leaving(
         self, endpoint: Endpoint, reason: str, origin: Origin
