Count the delay of the news when an engine resumes its own run as it leaves

What callers could see: where more than 8 gateways run and the bound on leaving endpoints is 2 s, a stream whose final copy failed was sent back to its leaving engine up to 1 s after this gateway learned of it, which is up to 1 s after the engine said so, plus 0.25 s to connect: 2.25 s. Cause: the margin was a constant that assumed quick news. It is now what the bound leaves after the pause between reads and the time to connect, at most 1 s as before.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -101,6 +101,23 @@
     And the engine has stopped its run but could not copy it
     Then 1 attempts were sent for it
 
+  Scenario Outline: Late news of its leaving shortens the time in which an engine resumes its own run
+    Given the engines engine-a
+    And <n> other gateways heard from, 3 of them before this one by name
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And <seconds> seconds go by
+    And the engine has stopped its run but could not copy it
+    Then <attempts> attempts were sent for it
+
+    Examples:
+      | n  | seconds | attempts |
+      | 3  | 0.8     | 2        |
+      | 12 | 0.8     | 1        |
+      | 12 | 0.3     | 2        |
+
   Scenario: A stream does not continue at a mirror that refused a connection
     Given the engines engine-a and engine-b
     And a summary that got the events 1 to 10
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -126,6 +126,7 @@
             state.eligibility,
             sampling,
             state.directory,
+            state.pace,
             resumption,
             clock,
         ),
--- a/hawthornyard/edge/read_pace.py
+++ b/hawthornyard/edge/read_pace.py
@@ -10,6 +10,9 @@
 # Pause of a gateway that feed readers notify, as a share of `leave_bound_s`: a lost
 # datagram delays its knowledge by this pause.
 NOTIFIED_PAUSE_SHARE = 0.5
+# Time from the choice of an endpoint until a request has reached it: the connect
+# timeout of an attempt, and as much again.
+SEND_MARGIN_S = 0.5
 
 
 class ReadPace:
@@ -44,3 +47,15 @@
             READER_PAUSE_SHARE if self._peers.is_feed_reader else NOTIFIED_PAUSE_SHARE
         )
         return share * self.leave_bound_s
+
+    def send_time_left_s(self, left_for_s: float) -> float:
+        """Return for how long a leaving endpoint may still be sent a request.
+
+        Args:
+            left_for_s: Seconds since this gateway learned that it leaves, which may be
+                a whole pause after it said so.
+
+        Returns:
+            Seconds, negative if the time is over.
+        """
+        return self.leave_bound_s - self.pause_s() - SEND_MARGIN_S - left_for_s
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -18,6 +18,7 @@
     Migration,
     Request,
 )
+from ..read_pace import ReadPace
 from ..sampling import Sampling
 from .departure import Departure
 from .resumption import Resumption
@@ -38,9 +39,8 @@
 # Gap between events that is assumed until the endpoint's own was measured.
 DEFAULT_GAP_S = 0.05
 COPY_TIMEOUT_S = 3.0
-# Time after an engine was seen to leave during which it may resume its own run.
-# With the delay of the notification it stays below the 2 s after which a leaving
-# endpoint must get no new work.
+# Longest time after an engine was seen to leave during which it may resume its own run;
+# later it is likely to stop before the run ends.
 SOURCE_RESUME_S = 1.0
 
 
@@ -59,6 +59,7 @@
         eligibility: Tells which endpoints may get new work.
         sampling: Samples the endpoints that are compared.
         directory: Deployment in force, for the capabilities of engines.
+        pace: Tells how late a gateway may learn that an endpoint leaves.
         resumption: Starts the attempts that resume from copies.
         clock: Source of time.
     """
@@ -70,6 +71,7 @@
         "_eligibility",
         "_endpoints",
         "_inflight",
+        "_pace",
         "_resumption",
         "_sampling",
         "handlers",
@@ -82,6 +84,7 @@
         eligibility: Eligibility,
         sampling: Sampling,
         directory: Directory,
+        pace: ReadPace,
         resumption: Resumption,
         clock: Clock,
     ) -> None:
@@ -90,6 +93,7 @@
         self._eligibility = eligibility
         self._sampling = sampling
         self._directory = directory
+        self._pace = pace
         self._resumption = resumption
         self._clock = clock
         self._departures: dict[str, Departure] = {}
@@ -234,8 +238,10 @@
         if target is not None and self._eligibility.may_receive(target):
             return target
         # Without a copy at the target, the run resumes at the engine that stopped it.
-        since = endpoint.leaving_since
-        if since is not None and self._clock.now() - since > SOURCE_RESUME_S:
+        if endpoint.leaving_since is None:
+            return endpoint
+        left_for_s = self._clock.now() - endpoint.leaving_since
+        if left_for_s > SOURCE_RESUME_S or self._pace.send_time_left_s(left_for_s) < 0:
             return None
         return endpoint
 
