Use no endpoint whose entry has become unreadable

What callers could see: a row of the store that can't be read names no endpoint to use, but a gateway that knew an earlier state of it went on sending there, until it read the whole table anew, which took the endpoint out. Cause: an unreadable change was logged and dropped. It now counts as a removed entry, which the next readable one brings back.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -110,6 +110,13 @@
       | in a state nobody knows  |
       | that is a list           |
 
+  Scenario: An endpoint whose entry has become unreadable gets no work until it is readable
+    Given an endpoint that answers with a whole answer and then closes
+    When the entry of the endpoint is overwritten with invalid bytes
+    Then 0 endpoints remain in use
+    When the entry of the endpoint is readable again
+    Then 1 endpoints remain in use
+
   Scenario: An unreadable deployment leaves the current one in force
     Given an endpoint that answers with a whole answer and then closes
     When the row of the deployment is overwritten with invalid bytes
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -233,6 +233,17 @@
     context.world.store.forget_history()
 
 
+@when("the entry of the endpoint is overwritten with invalid bytes")
+def overwrite_entry(context: Context) -> None:
+    context.world.wait_ready()
+    context.world.store.put("servers", "i-1", b"\xff")
+
+
+@when("the entry of the endpoint is readable again")
+def restore_entry(context: Context) -> None:
+    context.world.add_entry("i-1", context.world.endpoints[0].address)
+
+
 @given("the store is silent and the gateway starts again")
 def restart_in_silence(context: Context) -> None:
     context.world.add_endpoint([ANSWERS["a whole answer"]], "close")
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -111,6 +111,8 @@
                 logger.bind(endpoint=row.key, detail=str(exc)).warning(
                     "endpoint_unreadable"
                 )
+                # Reading the whole table would not find it either.
+                removed.append(row.key)
         self._inbox.put(EndpointsRead(entries, removed, is_complete=is_complete))
 
 
