--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -1,5 +1,7 @@
 """Define the state of a request and of its current attempt."""
 
+from collections.abc import Sequence
+
 from ...core import Message
 from ..deployment import RouteRule
 from .call import Call
@@ -13,6 +15,7 @@
         endpoint: Name of the endpoint.
         mirror: Name of the endpoint that mirrors it, empty for none.
         sent_at: Monotonic time of the dispatch in seconds.
+        first_event_at: Monotonic time of its first event in seconds, None before it.
         last_event_at: Monotonic time of its newest event in seconds, None before the
             first.
         n_prefill_ahead: Prompt tokens that were queued for prefill at the endpoint when
@@ -25,6 +28,7 @@
         "endpoint",
         "mirror",
         "sent_at",
+        "first_event_at",
         "last_event_at",
         "n_prefill_ahead",
         "is_resumed",
@@ -43,6 +47,7 @@
         self.endpoint = endpoint
         self.mirror = mirror
         self.sent_at = sent_at
+        self.first_event_at: float | None = None
         self.last_event_at: float | None = None
         self.n_prefill_ahead = 0
         self.is_resumed = is_resumed
@@ -151,6 +156,11 @@
         """Return the caller's request id."""
         return self.call.request_id
 
+    @property
+    def prefix(self) -> Sequence[str]:
+        """Return the identifiers of the parts of its prompt, none if it has no size."""
+        return self.call.size.prefix if self.call.size is not None else ()
+
     @property
     def n_tokens(self) -> int:
         """Return the expected tokens of prompt and output, 0 for a plain request."""
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -8,6 +8,7 @@
 from ..endpoints import FULL_BACKOFF_S, Endpoints
 from ..inflight import InFlight
 from ..messages import (
+    Attempt,
     AttemptAnswered,
     AttemptBegan,
     AttemptBroke,
@@ -123,11 +124,30 @@
             return
         request.n_runs += 1
         self._note_failure(request)
+        yield self._broken_decision(request, request.attempt, msg.detail)
         if request.has_begun:
             yield from self._fail_stream(request, msg.detail)
             return
         yield self._fail_attempt(request, ErrorKind.OUTCOME_UNKNOWN, msg.detail)
 
+    def _broken_decision(
+        self, request: Request, attempt: Attempt, detail: str
+    ) -> Decision:
+        now = self._clock.now()
+        writing_s = None
+        if attempt.first_event_at is not None:
+            writing_s = round(now - attempt.first_event_at, 3)
+        return Decision(
+            "attempt_broke",
+            request_id=request.request_id,
+            reason=detail,
+            endpoint=attempt.endpoint,
+            seconds=round(now - attempt.sent_at, 3),
+            writing_s=writing_s,
+            n_events=request.last_event,
+            prefix=request.prefix,
+        )
+
     def _on_caller_gone(self, msg: CallerGone) -> Iterator[Message]:
         request = self._inflight.by_call(msg.call_id)
         if request is None:
@@ -160,6 +180,8 @@
             endpoint.note_gap((now - attempt.last_event_at) / n_events)
         if endpoint is not None:
             endpoint.n_absences = 0
+        if attempt.first_event_at is None:
+            attempt.first_event_at = now
         attempt.last_event_at = now
 
     def _fail_attempt(
