Keep parts of prompts that end endpoints from the others

Cause: every crash was handled as a lost engine and its cause sent on, as new requests, retries and resumed streams alike.

Change: gateways collect such suspects, exchange crashes and acquittals by datagrams, accuse the part that explains two crashes, and refuse it as not run.

Ruled out: accusing by what broke with an engine (most of it writes or waits), by a first part (sound requests have it), by whole prompts (no two are alike).

--- /dev/null
+++ b/features/quarantine.feature
@@ -0,0 +1,182 @@
+Feature: A part of a prompt that ends endpoints is kept from the others
+
+  @fixture.edge
+  Scenario: Requests with a part on which two endpoints ended reach no third
+    Given the engines engine-a and engine-b and engine-c
+    When an engine ends as it begins a summary of "group,place,bad,own-1"
+    And an engine ends as it begins a summary of "group,place,bad,own-2"
+    And a caller sends "group,place,bad,own-3"
+    Then the request ends as prompt_quarantined
+    And 0 attempts were sent for it
+
+  @fixture.edge
+  Scenario Outline: Sound prompts that share other parts with it are served
+    Given the engines engine-a and engine-b and engine-c
+    When an engine ends as it begins a summary of "group,place,bad,own-1"
+    And an engine ends as it begins a summary of "group,place,bad,own-2"
+    And a caller sends "<prefix>"
+    Then 1 attempts were sent for it
+
+    Examples:
+      | prefix            |
+      | group,place,own-3 |
+      | group,other,own-3 |
+      | group,place,bad   |
+      | own-3             |
+
+  @fixture.edge
+  Scenario: A part that comes first in different prompts is found as well
+    Given the engines engine-a and engine-b and engine-c
+    When an engine ends as it begins a summary of "bad,here,own-1"
+    And an engine ends as it begins a summary of "bad,there,own-2"
+    And a caller sends "bad,elsewhere,own-3"
+    Then the request ends as prompt_quarantined
+    When a caller sends "good,here,own-4"
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario Outline: Endpoints that end for other reasons accuse no part
+    Given the engines engine-a and engine-b and engine-c
+    When an engine ends <state> a summary of "group,place,own-1"
+    And an engine ends <state> a summary of "group,place,own-2"
+    And a caller sends "group,place,own-3"
+    Then 1 attempts were sent for it
+
+    Examples:
+      | state                |
+      | before it begins     |
+      | while it writes      |
+
+  @fixture.edge
+  Scenario: One crash accuses no part
+    Given the engines engine-a and engine-b
+    When an engine ends as it begins a summary of "group,place,own-1"
+    And a caller sends "group,place,own-2"
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario: A broken answer at an endpoint that goes on with others accuses no part
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    When an engine breaks an answer as it begins a summary of "group,place,own-1"
+    And an engine breaks an answer as it begins a summary of "group,place,own-2"
+    And a caller sends "group,place,own-3"
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario: An answer that goes on acquits the parts of its prompt
+    Given the engines engine-a and engine-b and engine-c
+    When an engine ends as it begins a summary of "group,place,own-1"
+    And a summary of "group,place,own-2" goes on for 1.2 seconds
+    And an engine ends as it begins a summary of "group,place,own-3"
+    And a caller sends "group,place,own-4"
+    Then 1 attempts were sent for it
+    And 0 gateways were told of suspected parts
+
+  @fixture.edge
+  Scenario: The others are told of a suspected part that is sound
+    Given the engines engine-a and engine-b and engine-c
+    And 3 other gateways
+    When an engine ends as it begins a summary of "group,place,own-1"
+    And a summary of "group,place,own-2" goes on for 1.2 seconds
+    Then 3 gateways were told of suspected parts
+
+  @fixture.edge
+  Scenario: A part that was sound before is accused by four crashes
+    Given the engines engine-a and engine-b and engine-c
+    When a summary of "group,place,own-1" goes on for 1.2 seconds
+    And 3 endpoints end as they begin summaries of "group,place"
+    And a caller sends "group,place,own-5"
+    Then 1 attempts were sent for it
+    When it is answered
+    And another gateway reports a crash of engine-z on "group,place"
+    And a caller sends "group,place,own-6"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: A stream that may have ended its endpoint is not resumed at its mirror
+    Given the engines engine-a and engine-b
+    When an engine ends as it begins a summary of "group,place,bad,own-1"
+    Then 1 attempts were sent for it
+    And the request ends as generation_lost
+
+  @fixture.edge
+  Scenario: What was sent or waits when a part is accused is ended before it begins
+    Given the engines engine-a and engine-b and engine-c
+    When a caller sends "group,place,bad,own-0" and waits
+    And an engine ends as it begins a summary of "group,place,bad,own-1"
+    And another gateway reports a crash of engine-z on "group,place,bad"
+    Then the first attempt is cancelled
+    And the first request ends as outcome_unknown
+
+  @fixture.edge
+  Scenario: Crashes that other gateways report accuse as well, each once
+    Given the engines engine-a and engine-b
+    When another gateway reports a crash of engine-y on "group,place,bad"
+    And another gateway reports a crash of engine-y on "group,place,bad"
+    And a caller sends "group,place,bad,own-1"
+    Then 1 attempts were sent for it
+    When it is answered
+    And another gateway reports a crash of engine-z on "group,place,bad"
+    And a caller sends "group,place,bad,own-2"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: A crash is reported to all gateways, and again within the time to agree
+    Given the engines engine-a and engine-b
+    And 3 other gateways
+    When an engine ends as it begins a summary of "group,place,bad,own-1"
+    Then each of 3 gateways got 3 reports of the crash
+    When 3 seconds go by
+    Then each of 3 gateways got 4 reports of the crash
+
+  @fixture.edge
+  Scenario: A gateway that starts asks the others for their reports
+    Given 3 other gateways
+    When 4 seconds go by
+    Then each of 3 gateways was asked 3 times for its reports
+    When another gateway reports a crash of engine-y on "group,place,bad"
+    And a gateway asks for the reports
+    Then it gets 1 reports of crashes
+
+  @fixture.edge
+  Scenario: One request is tried after a minute, and the next one later
+    Given the engines engine-a
+    When another gateway reports a crash of engine-y on "group,place,bad"
+    And another gateway reports a crash of engine-z on "group,place,bad"
+    And 59 seconds go by
+    And a caller sends "group,place,bad,own-1"
+    Then the request ends as prompt_quarantined
+    When 2 seconds go by
+    And a caller sends "group,place,bad,own-2"
+    Then 1 attempts were sent for it
+    When a caller sends "group,place,bad,own-3"
+    Then the request ends as prompt_quarantined
+    When 200 seconds go by
+    And a caller sends "group,place,bad,own-4"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: A tried part that is sound is released
+    Given the engines engine-a
+    When another gateway reports a crash of engine-y on "group,place,bad"
+    And another gateway reports a crash of engine-z on "group,place,bad"
+    And 61 seconds go by
+    And a summary of "group,place,bad,own-1" goes on for 1.2 seconds
+    And a caller sends "group,place,bad,own-2"
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario: The memory of crashes is bounded
+    Given the engines engine-a
+    When another gateway reports 500 crashes on different parts
+    Then at most 64 crashes are known
+
+  @fixture.platform_world
+  Scenario: Endpoints that end after the head of an answer are spared a third request
+    Given an endpoint that answers with a head and then closes
+    And an endpoint that answers with a head and then closes
+    And an endpoint that answers with a head and then closes
+    When 3 callers of the platform send prompts of "group,place,bad", one after the other
+    Then the endpoints got 2 requests in all
+    And the last caller gets status 503 and is told when to come back
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -62,6 +62,7 @@
     b"X-Hawthornyard-Instance-Id: i-other\r\nContent-Length: 0\r\n\r\n",
     "no HTTP": b"\x00\x01garbage\r\n\r\n",
     "nothing": b"",
+    "a head": stream_of(),
     "a whole stream": stream_of(1, 2, 3) + LAST_CHUNK,
     "a stream that is cut": stream_of(1, 2, 3),
     "a stream cut within its event": stream_of(1, 2) + chunk(b"id: 3\ndata: wor"),
--- /dev/null
+++ b/features/steps/quarantine.py
@@ -0,0 +1,167 @@
+"""Steps for parts of prompts that end endpoints."""
+
+import eventlet
+from behave import then, when
+from behave.runner import Context
+
+from features.support.edge import EdgeDriver
+from features.support.platform_bytes import BODY, CLOSE, HOST
+from features.support.platform_world import KEY
+from hawthornyard.edge.messages import AttemptBroke, AttemptEnded, Cancel, Dispatch
+from hawthornyard.frames import CrashReport, CrashReportsRequested, PartsSound
+from hawthornyard.gateway.messages import ReplyFailed
+
+ASKING_GATEWAY = "10.0.0.9:7200"
+# Reports of one endpoint within a second are about the same crash.
+NEXT_CRASH_S = 1.2
+
+
+def _send(context: Context, prefix: str) -> Dispatch | None:
+    context.call_id = context.edge.call("summary", prefix=prefix.split(","))
+    sent: list[Dispatch] = context.edge.dispatches(context.call_id)
+    return sent[-1] if sent else None
+
+
+def _break(context: Context, prefix: str, state: str) -> None:
+    edge: EdgeDriver = context.edge
+    dispatch = _send(context, prefix)
+    assert dispatch is not None, edge.messages_of(ReplyFailed)
+    has_begun = state != "before it begins"
+    if has_begun:
+        edge.begin_stream(dispatch.attempt_id)
+    if state == "while it writes":
+        edge.push_events(dispatch.attempt_id, 1, 3)
+        edge.advance(0.3)
+    edge.push(AttemptBroke(dispatch.attempt_id, "cut", has_begun=has_begun))
+    edge.advance(NEXT_CRASH_S)
+
+
+@when('an engine ends {state} a summary of "{prefix}"')
+def end_engine(context: Context, state: str, prefix: str) -> None:
+    _break(context, prefix, state)
+
+
+@when('an engine breaks an answer as it begins a summary of "{prefix}"')
+def break_answer(context: Context, prefix: str) -> None:
+    _break(context, prefix, "as it begins")
+
+
+@when('{n:d} endpoints end as they begin summaries of "{shared}"')
+def end_engines(context: Context, n: int, shared: str) -> None:
+    for index in range(n):
+        _break(context, f"{shared},crash-{index}", "as it begins")
+
+
+@when('a summary of "{prefix}" goes on for {seconds:g} seconds')
+def write_on(context: Context, prefix: str, seconds: float) -> None:
+    dispatch = _send(context, prefix)
+    assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+    context.edge.begin_stream(dispatch.attempt_id)
+    context.edge.push_events(dispatch.attempt_id, 1, 3)
+    context.edge.advance(seconds)
+    context.edge.push(AttemptEnded(dispatch.attempt_id))
+
+
+@when('a caller sends "{prefix}"')
+def send_prompt(context: Context, prefix: str) -> None:
+    _send(context, prefix)
+
+
+@when('a caller sends "{prefix}" and waits')
+def send_to_stay(context: Context, prefix: str) -> None:
+    context.first_dispatch = _send(context, prefix)
+
+
+@when("it is answered")
+def answer(context: Context) -> None:
+    # Without an event it shows nothing about its prompt.
+    dispatch = context.edge.dispatches(context.call_id)[-1]
+    context.edge.push(AttemptEnded(dispatch.attempt_id))
+
+
+@when('another gateway reports a crash of {name} on "{prefix}"')
+def report_crash(context: Context, name: str, prefix: str) -> None:
+    context.edge.push(CrashReport(name, 0.0, prefix.split(",")))
+
+
+@when("another gateway reports {n:d} crashes on different parts")
+def report_crashes(context: Context, n: int) -> None:
+    for index in range(n):
+        report_crash(context, f"engine-{index}", f"part-{index},other-{index}")
+
+
+@when("a gateway asks for the reports")
+def ask_for_reports(context: Context) -> None:
+    context.edge.push(CrashReportsRequested().with_peer(ASKING_GATEWAY))
+
+
+@then("it gets {n:d} reports of crashes")
+def check_asked_reports(context: Context, n: int) -> None:
+    reports = context.edge.messages_of(CrashReport)
+    assert len([msg for msg in reports if msg.peer == ASKING_GATEWAY]) == n, reports
+
+
+@then("each of {n_gateways:d} gateways got {n:d} reports of the crash")
+def check_reports(context: Context, n_gateways: int, n: int) -> None:
+    peers = [msg.peer for msg in context.edge.messages_of(CrashReport)]
+    assert {peer: peers.count(peer) for peer in peers} == dict.fromkeys(peers, n), peers
+    assert len(set(peers)) == n_gateways, peers
+
+
+@then("each of {n_gateways:d} gateways was asked {n:d} times for its reports")
+def check_asked(context: Context, n_gateways: int, n: int) -> None:
+    peers = [msg.peer for msg in context.edge.messages_of(CrashReportsRequested)]
+    assert len(set(peers)) == n_gateways, peers
+    assert len(peers) == n_gateways * n, peers
+
+
+@then("{n:d} gateways were told of suspected parts")
+def check_told_sound(context: Context, n: int) -> None:
+    notices = context.edge.messages_of(PartsSound)
+    assert len({msg.peer for msg in notices}) == len(notices) == n, notices
+
+
+@then("the first attempt is cancelled")
+def check_first_cancelled(context: Context) -> None:
+    cancelled = [msg.attempt_id for msg in context.edge.messages_of(Cancel)]
+    assert context.first_dispatch.attempt_id in cancelled, cancelled
+
+
+@then("the first request ends as {kind}")
+def check_first_outcome(context: Context, kind: str) -> None:
+    call_id = context.first_dispatch.call.call_id
+    failed = context.edge.messages_of(ReplyFailed)
+    kinds = [msg.kind.value for msg in failed if msg.call_id == call_id]
+    assert kinds == [kind], kinds
+
+
+@then("at most {n:d} crashes are known")
+def check_known_crashes(context: Context, n: int) -> None:
+    assert 0 < len(context.edge.state.crash_evidence.crashes) <= n
+
+
+@when('{n:d} callers of the platform send prompts of "{shared}", one after the other')
+def send_prompts(context: Context, n: int, shared: str) -> None:
+    context.world.wait_ready()
+    for index in range(n):
+        head = (
+            f"POST /summary/9 HTTP/1.1\r\nX-Hawthornyard-Request-Id: r-{index}\r\n"
+            "X-Hawthornyard-Token-Usage: 100,80\r\n"
+            f"X-Hawthornyard-Prompt-Prefix: {shared.replace(',', ':9,')}:9,own{index}:9"
+            f"\r\nAuthorization: Bearer {KEY}\r\n"
+        )
+        context.response = context.world.send(head.encode() + HOST + CLOSE + BODY)
+        eventlet.sleep(NEXT_CRASH_S)
+
+
+@then("the endpoints got {n:d} requests in all")
+def check_n_requests(context: Context, n: int) -> None:
+    requests = [endpoint.requests for endpoint in context.world.endpoints]
+    assert sum(map(len, requests)) == n, requests
+
+
+@then("the last caller gets status {status:d} and is told when to come back")
+def check_refusal(context: Context, status: int) -> None:
+    head = context.response.lower()
+    assert head.startswith(b"http/1.1 %d " % status), context.response
+    assert b"\r\nretry-after: " in head, context.response
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -1,5 +1,6 @@
 """Drive the chain of an edge gateway, which calls endpoints without sidecars."""
 
+from collections.abc import Sequence
 from typing import Any, TypeVar
 
 from hawthornyard.core import (
@@ -47,7 +48,13 @@
     StoreAnswered,
     StoreFailed,
 )
-from hawthornyard.frames import GatewayLoads, LeavingNotice
+from hawthornyard.frames import (
+    CrashReport,
+    CrashReportsRequested,
+    GatewayLoads,
+    LeavingNotice,
+    PartsSound,
+)
 from hawthornyard.gateway.messages import (
     CallerGone,
     ReplyEnded,
@@ -152,10 +159,13 @@
             Cancel,
             CopyRequested,
             CopyDropped,
+            CrashReport,
+            CrashReportsRequested,
             Decision,
             Dispatch,
             GatewayLoads,
             LeavingNotice,
+            PartsSound,
             ReplyBegan,
             ReplyEnded,
             ReplyEvents,
@@ -232,7 +242,12 @@
         return EndpointEntry(name, service, f"{name}:80", domain, **fields)
 
     def call(
-        self, kind: str, *, n_prompt_tokens: int = 3000, n_output_tokens: int = 900
+        self,
+        kind: str,
+        *,
+        n_prompt_tokens: int = 3000,
+        n_output_tokens: int = 900,
+        prefix: Sequence[str] = (),
     ) -> str:
         """Push a call of a route and return its identifier."""
         self.n_calls += 1
@@ -240,7 +255,11 @@
         size = None
         if kind == "summary":
             size = GenerationSize(
-                "m", n_prompt_tokens, n_output_tokens, expected_tokens=n_output_tokens
+                "m",
+                n_prompt_tokens,
+                n_output_tokens,
+                expected_tokens=n_output_tokens,
+                prefix=prefix,
             )
         self.push(
             Call(
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -15,6 +15,8 @@
     Cancel,
     ConfigPull,
     ConfigPush,
+    CrashReport,
+    CrashReportsRequested,
     Dispatch,
     Ended,
     EndpointLoad,
@@ -27,6 +29,7 @@
     Hello,
     LeavingNotice,
     LoadedReport,
+    PartsSound,
     PlanEntry,
     PlanPush,
     Proof,
@@ -74,6 +77,9 @@
     27: GatewayLoads,
     28: EndpointLoad,
     29: LeavingNotice,
+    30: CrashReport,
+    31: CrashReportsRequested,
+    32: PartsSound,
 }
 _TAG_BY_TYPE = {cls: tag for tag, cls in _TYPE_BY_TAG.items()}
 _CHECKER_BY_TAG = {tag: FieldChecker(cls) for tag, cls in _TYPE_BY_TAG.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from ..core import Clock, Drain, Filter, RandomSource
+from ..policy import CrashEvidence
 from .directory import Directory
 from .eligibility import Eligibility
 from .endpoints import Endpoints
@@ -11,6 +12,7 @@
     FollowEndpoints,
     FollowStore,
     ShareLoads,
+    TrackCrashes,
     WatchEngines,
 )
 from .inflight import InFlight
@@ -19,7 +21,7 @@
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
 from .reply import CloseRequests, Expire, Relay
-from .request import Match, Retry, Route, Send, WaitForCapacity
+from .request import Match, Quarantine, Retry, Route, Send, WaitForCapacity
 from .retry_budget import SharedRetryBudget
 from .sampling import Sampling
 from .streams import Migrate, Resume
@@ -30,6 +32,7 @@
     """State that the filters of one gateway share.
 
     Attributes:
+        crash_evidence: Parts of prompts that end endpoints.
         directory: Deployment in force.
         endpoints: Known endpoints.
         eligibility: Decides which endpoints may get new work.
@@ -41,6 +44,7 @@
     """
 
     __slots__ = (
+        "crash_evidence",
         "directory",
         "eligibility",
         "endpoints",
@@ -64,6 +68,7 @@
         self.eligibility = Eligibility(self.directory, self.endpoints, clock)
         self.inflight = InFlight(self.endpoints, clock)
         self.retry_budget = SharedRetryBudget(clock)
+        self.crash_evidence = CrashEvidence(clock)
 
 
 def edge_chain(
@@ -106,9 +111,17 @@
             clock,
             random_source,
         ),
+        TrackCrashes(
+            state.name,
+            state.crash_evidence,
+            state.inflight,
+            state.endpoints,
+            clock,
+        ),
         drain,
         Match(state.directory, state.inflight, clock, random_source),
         Retry(state.inflight, state.retry_budget, clock),
+        Quarantine(state.crash_evidence, state.inflight, state.peers),
         WaitForCapacity(state.eligibility, placement, clock),
         Route(state.eligibility, sampling, placement, state.directory),
         Send(
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,9 +1,10 @@
 """Keep the gateway's view of the deployment, endpoints and other gateways.
 
-The chain begins with FollowStore, FollowDeployment, FollowEndpoints and WatchEngines;
-ShareLoads is its last filter, so that it sees each dispatch.
+The chain begins with FollowStore, FollowDeployment, FollowEndpoints, WatchEngines and
+TrackCrashes; ShareLoads is its last filter, so that it sees each dispatch.
 """
 
+from .crashes import TrackCrashes
 from .deployment import FollowDeployment
 from .endpoints import FollowEndpoints
 from .share import ShareLoads
@@ -15,5 +16,6 @@
     "FollowEndpoints",
     "FollowStore",
     "ShareLoads",
+    "TrackCrashes",
     "WatchEngines",
 ]
--- /dev/null
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -0,0 +1,245 @@
+"""Find out which prompts end endpoints, together with the other gateways."""
+
+from collections.abc import Iterator, Sequence
+
+from ...core import Clock, Decision, Handlers, Message, Tick
+from ...frames import CrashReport, CrashReportsRequested, PartsSound
+from ...policy import Crash, CrashEvidence
+from ..endpoints import Endpoints
+from ..inflight import InFlight
+from ..messages import AttemptBroke, Closed, GatewaysRead, PartAccused, Request
+
+# An answer that had been writing for less than this when it broke had just begun.
+JUST_BEGUN_S = 0.1
+# Time in which all attempts at an endpoint that ended have broken.
+SETTLE_S = 0.1
+# An answer that has been writing for this long shows that its prompt is sound.
+SOUND_S = 1.0
+# Interval between looks for such answers.
+SCAN_INTERVAL_S = 0.5
+# Pauses until a report is sent again, since a datagram may be lost and a gateway may
+# have been cut off: the first, and the longest, which stays below the time in which
+# gateways must agree.
+FIRST_RESEND_S = 0.3
+MAX_RESEND_S = 2.0
+# Requests for the reports of another gateway, a second apart.
+N_ASKS = 3
+ASK_INTERVAL_S = 1.0
+
+
+class _Break:
+    """Attempts at one endpoint that broke as their answers began."""
+
+    __slots__ = ("at", "prefixes")
+
+    def __init__(self, at: float) -> None:
+        self.at = at
+        self.prefixes: list[Sequence[str]] = []
+
+
+class _OwnReport:
+    """A crash that this gateway has seen itself and reports to the others."""
+
+    __slots__ = ("crash", "next_at", "pause_s", "prefix")
+
+    def __init__(self, crash: Crash, prefix: Sequence[str], now: float) -> None:
+        self.crash = crash
+        self.prefix = prefix
+        self.next_at = now
+        self.pause_s = FIRST_RESEND_S
+
+
+class TrackCrashes:
+    """Filter that collects and exchanges evidence about prompts that end endpoints.
+
+    An endpoint counts as ended if an attempt broke there as its answer began, and no
+    older attempt of this gateway goes on there. A break on its own, such as that of one
+    connection, therefore accuses nobody.
+
+    Args:
+        name: Name of this gateway.
+        evidence: Crashes and the parts of prompts that they accuse.
+        inflight: Requests that are not answered yet.
+        endpoints: Known endpoints.
+        clock: Source of time.
+    """
+
+    __slots__ = (
+        "_addresses",
+        "_breaks",
+        "_clock",
+        "_endpoints",
+        "_evidence",
+        "_inflight",
+        "_n_asks_left",
+        "_name",
+        "_next_ask_at",
+        "_next_scan_at",
+        "_reports",
+        "handlers",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        evidence: CrashEvidence,
+        inflight: InFlight,
+        endpoints: Endpoints,
+        clock: Clock,
+    ) -> None:
+        self._name = name
+        self._evidence = evidence
+        self._inflight = inflight
+        self._endpoints = endpoints
+        self._clock = clock
+        self._breaks: dict[str, _Break] = {}
+        self._reports: list[_OwnReport] = []
+        self._addresses: list[str] = []
+        self._n_asks_left: dict[str, int] = {}
+        self._next_ask_at = 0.0
+        self._next_scan_at = 0.0
+        self.handlers: Handlers = {
+            AttemptBroke: self._on_attempt_broke,
+            Closed: self._on_closed,
+            CrashReport: self._on_crash_report,
+            CrashReportsRequested: self._on_reports_requested,
+            GatewaysRead: self._on_gateways_read,
+            PartsSound: self._on_parts_sound,
+            Tick: self._on_tick,
+        }
+
+    def _on_attempt_broke(self, msg: AttemptBroke) -> Iterator[Message]:
+        request = self._inflight.by_attempt(msg.attempt_id)
+        if request is not None and request.attempt is not None and msg.has_begun:
+            now = self._clock.now()
+            first_event_at = request.attempt.first_event_at
+            has_just_begun = (
+                first_event_at is None or now - first_event_at < JUST_BEGUN_S
+            )
+            if has_just_begun and request.shared_parts:
+                parts = request.shared_parts
+                request.is_suspect = not self._evidence.are_sound(parts)
+                name = request.attempt.endpoint
+                self._breaks.setdefault(name, _Break(now)).prefixes.append(parts)
+        yield msg
+
+    def _on_closed(self, msg: Closed) -> Iterator[Message]:
+        if msg.kind is None and msg.request.last_event:
+            yield from self._note_sound(msg.request)
+        yield msg
+
+    def _on_tick(self, msg: Tick) -> Iterator[Message]:
+        for name, brk in list(self._breaks.items()):
+            if msg.now - brk.at >= SETTLE_S:
+                del self._breaks[name]
+                yield from self._settle(name, brk)
+        if msg.now >= self._next_scan_at:
+            self._next_scan_at = msg.now + SCAN_INTERVAL_S
+            yield from self._scan(msg.now)
+        yield from self._send_reports(msg.now)
+        if msg.now >= self._next_ask_at:
+            self._next_ask_at = msg.now + ASK_INTERVAL_S
+            yield from self._ask()
+        yield msg
+
+    def _settle(self, name: str, brk: _Break) -> Iterator[Message]:
+        endpoint = self._endpoints.get(name)
+        attempts = [] if endpoint is None else endpoint.requests.values()
+        if any(
+            request.attempt is not None and request.attempt.sent_at < brk.at
+            for request in attempts
+        ):
+            return
+        for prefix in brk.prefixes:
+            crash = self._evidence.note_crash(name, brk.at, prefix)
+            self._reports.append(_OwnReport(crash, prefix, self._clock.now()))
+            yield Decision(
+                "endpoint_crashed",
+                reason="it ended as it began an answer",
+                endpoint=name,
+                parts=list(prefix),
+                n_crashes=len(self._evidence.crashes),
+            )
+        yield from self._accuse()
+
+    def _accuse(self) -> Iterator[Message]:
+        for part, crashes in self._evidence.accuse().items():
+            yield Decision(
+                "part_accused",
+                reason="endpoints ended as they began answers to it",
+                part=part,
+                endpoints=[crash.endpoint for crash in crashes],
+            )
+            yield PartAccused(part)
+
+    def _scan(self, now: float) -> Iterator[Message]:
+        for request in self._inflight:
+            attempt = request.attempt
+            if attempt is None or attempt.first_event_at is None:
+                continue
+            if now - attempt.first_event_at >= SOUND_S:
+                yield from self._note_sound(request)
+
+    def _note_sound(self, request: Request) -> Iterator[Message]:
+        if request.is_noted_sound or not request.shared_parts:
+            return
+        request.is_noted_sound = True
+        suspected, accused = self._evidence.note_sound(request.shared_parts)
+        yield from self._clear(accused, "an answer to it went on", request.request_id)
+        if suspected:
+            for address in self._addresses:
+                yield PartsSound(suspected).with_peer(address)
+
+    def _clear(
+        self, parts: Sequence[str], reason: str, request_id: str = ""
+    ) -> Iterator[Message]:
+        for part in parts:
+            yield Decision(
+                "part_cleared", request_id=request_id, reason=reason, part=part
+            )
+
+    def _send_reports(self, now: float) -> Iterator[Message]:
+        known = self._evidence.crashes
+        self._reports = [report for report in self._reports if report.crash in known]
+        for report in self._reports:
+            if now < report.next_at:
+                continue
+            report.next_at = now + report.pause_s
+            report.pause_s = min(MAX_RESEND_S, 2 * report.pause_s)
+            for address in self._addresses:
+                yield self._report(report.crash, report.prefix).with_peer(address)
+
+    def _report(self, crash: Crash, prefix: Sequence[str]) -> CrashReport:
+        return CrashReport(crash.endpoint, self._clock.now() - crash.at, prefix)
+
+    def _ask(self) -> Iterator[Message]:
+        for address, n_left in list(self._n_asks_left.items()):
+            yield CrashReportsRequested().with_peer(address)
+            if n_left > 1:
+                self._n_asks_left[address] = n_left - 1
+            else:
+                del self._n_asks_left[address]
+
+    def _on_gateways_read(self, msg: GatewaysRead) -> Iterator[Message]:
+        addresses = [
+            address for name, address in msg.addresses.items() if name != self._name
+        ]
+        for address in addresses:
+            if address not in self._addresses:
+                self._n_asks_left[address] = N_ASKS
+        self._addresses = addresses
+        yield msg
+
+    def _on_crash_report(self, msg: CrashReport) -> Iterator[Message]:
+        at = self._clock.now() - max(0.0, msg.age_s)
+        self._evidence.note_crash(msg.endpoint, at, msg.prefix)
+        yield from self._accuse()
+
+    def _on_reports_requested(self, msg: CrashReportsRequested) -> Iterator[Message]:
+        for crash in self._evidence.crashes:
+            for prefix in crash.prefixes:
+                yield self._report(crash, prefix).with_peer(msg.peer)
+
+    def _on_parts_sound(self, msg: PartsSound) -> Iterator[Message]:
+        _, accused = self._evidence.note_sound(msg.parts)
+        yield from self._clear(accused, "another gateway saw an answer to it go on")
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -15,7 +15,7 @@
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
-from .stage import AttemptFailed, Closed, Dequeued, Matched, Routed
+from .stage import AttemptFailed, Closed, Dequeued, Matched, PartAccused, Routed
 from .updates import (
     DeploymentRead,
     DomainsRead,
@@ -57,6 +57,7 @@
     "Matched",
     "Migration",
     "Origin",
+    "PartAccused",
     "ReplyBegan",
     "ReplyEvents",
     "ReportRead",
--- a/hawthornyard/edge/messages/answer.py
+++ b/hawthornyard/edge/messages/answer.py
@@ -97,10 +97,19 @@
 
 
 class AttemptBroke(Message):
-    """The loss of an attempt without a whole answer; it may have run."""
+    """The loss of an attempt without a whole answer; it may have run.
 
-    __slots__ = ("attempt_id", "detail")
+    Attributes:
+        attempt_id: Identifier of the attempt.
+        detail: Description of the failure.
+        has_begun: Whether the head of the answer had arrived.
+    """
+
+    __slots__ = ("attempt_id", "detail", "has_begun")
 
-    def __init__(self, attempt_id: str, detail: str) -> None:
+    def __init__(
+        self, attempt_id: str, detail: str, *, has_begun: bool = False
+    ) -> None:
         self.attempt_id = attempt_id
         self.detail = detail
+        self.has_begun = has_begun
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -93,6 +93,9 @@
         last_event_at: Monotonic time of its newest event in seconds, 0 before the
             first.
         migration: Progress of its live migration, None if there is none.
+        is_suspect: Whether an endpoint broke it off as its answer began, and its prompt
+            has a part that is not known to be sound.
+        is_noted_sound: Whether it has shown that the parts of its prompt are sound.
     """
 
     __slots__ = (
@@ -114,6 +117,8 @@
         "longest_gap_s",
         "last_event_at",
         "migration",
+        "is_suspect",
+        "is_noted_sound",
     )
 
     def __init__(
@@ -145,6 +150,8 @@
         self.longest_gap_s = 0.0
         self.last_event_at = 0.0
         self.migration: Migration | None = None
+        self.is_suspect = False
+        self.is_noted_sound = False
 
     @property
     def call_id(self) -> str:
@@ -161,6 +168,11 @@
         """Return the identifiers of the parts of its prompt, none if it has no size."""
         return self.call.size.prefix if self.call.size is not None else ()
 
+    @property
+    def shared_parts(self) -> Sequence[str]:
+        """Return the parts of its prompt that others may share, all but the last."""
+        return self.prefix[:-1]
+
     @property
     def n_tokens(self) -> int:
         """Return the expected tokens of prompt and output, 0 for a plain request."""
--- a/hawthornyard/edge/messages/stage.py
+++ b/hawthornyard/edge/messages/stage.py
@@ -67,3 +67,12 @@
     def __init__(self, request: Request, kind: ErrorKind | None = None) -> None:
         self.request = request
         self.kind = kind
+
+
+class PartAccused(Message):
+    """A part of prompts on which endpoints have ended as they began to answer."""
+
+    __slots__ = ("part",)
+
+    def __init__(self, part: str) -> None:
+        self.part = part
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -4,6 +4,7 @@
 
 from ..core import Clock
 from ..frames import EndpointLoad, GatewayLoads
+from ..policy import rank_owners
 
 # The loads of a gateway without a report for this long are ignored.
 PEER_TIMEOUT_S = 2.0
@@ -70,6 +71,11 @@
             if name not in self._addresses:
                 del self._by_name[name]
 
+    def is_owner(self, key: str) -> bool:
+        """Return whether this gateway owns a key among the live gateways."""
+        live = [name for name, peer in self._by_name.items() if self._is_live(peer)]
+        return rank_owners(key, [*live, self._name])[0] == self._name
+
     def addresses(self) -> Iterator[str]:
         """Yield the addresses of the other gateways."""
         yield from self._addresses.values()
--- a/hawthornyard/edge/request/__init__.py
+++ b/hawthornyard/edge/request/__init__.py
@@ -1,12 +1,14 @@
 """Carry a call from the caller to an endpoint.
 
-The chain is Match, Retry, WaitForCapacity, Route, Send; `core.Drain` precedes it.
+The chain is Match, Retry, Quarantine, WaitForCapacity, Route, Send; `core.Drain`
+precedes it.
 """
 
 from .match import Match
+from .quarantine import Quarantine
 from .queue import WaitForCapacity
 from .retry import Retry
 from .route import Route
 from .send import Send
 
-__all__ = ["Match", "Retry", "Route", "Send", "WaitForCapacity"]
+__all__ = ["Match", "Quarantine", "Retry", "Route", "Send", "WaitForCapacity"]
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -7,7 +7,14 @@
 from ...gateway.messages import CallerGone, ReplyFailed
 from ...policy import FairQueue
 from ..eligibility import Eligibility
-from ..messages import Closed, Dequeued, EndpointsRead, Matched, Request
+from ..messages import (
+    Closed,
+    Dequeued,
+    EndpointsRead,
+    Matched,
+    PartAccused,
+    Request,
+)
 from ..placement import Placement
 
 # Longest wait for capacity, as a share of the route's target latency; beyond it a
@@ -53,6 +60,7 @@
             Closed: self._on_closed,
             EndpointsRead: self._on_endpoints_read,
             CallerGone: self._on_caller_gone,
+            PartAccused: self._on_part_accused,
             Tick: self._on_tick,
         }
 
@@ -85,6 +93,11 @@
             yield self._refuse(request, ErrorKind.CANCELLED, "the caller disconnected")
         yield msg
 
+    def _on_part_accused(self, msg: PartAccused) -> Iterator[Message]:
+        detail = f"part {msg.part} of the prompt ends endpoints"
+        for request in self._queue.discard(lambda item: msg.part in item.shared_parts):
+            yield self._refuse(request, ErrorKind.PROMPT_QUARANTINED, detail)
+
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield from self._dequeue()
         for request in self._queue.discard(self._is_wait_over):
--- a/hawthornyard/edge/request/retry.py
+++ b/hawthornyard/edge/request/retry.py
@@ -66,6 +66,8 @@
         request = msg.request
         if self._clock.now() >= request.deadline:
             return "deadline"
+        if request.is_suspect:
+            return "its endpoint ended as its answer began"
         may_have_run = request.n_runs > 0 or ANSWERS[msg.kind].ran is not Ran.NO
         if may_have_run and not request.may_rerun:
             return "may have run"
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -45,6 +45,9 @@
         if request.has_begun:
             self._endpoints.back_off(request.attempt.endpoint, BROKEN_BACKOFF_S)
         mirror = self._endpoints.get(request.attempt.mirror)
+        if request.is_suspect:
+            # It may end the mirror as well.
+            mirror = None
         if mirror is None or not self._eligibility.may_receive(mirror):
             yield msg
             return
--- a/hawthornyard/errors.py
+++ b/hawthornyard/errors.py
@@ -34,6 +34,7 @@
     DEADLINE_AFTER_START = "deadline_after_start"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     DUPLICATE_ATTEMPT = "duplicate_attempt"
+    PROMPT_QUARANTINED = "prompt_quarantined"
     CANCELLED = "cancelled"
     GENERATION_LOST = "generation_lost"
     OUTCOME_UNKNOWN = "outcome_unknown"
@@ -129,6 +130,11 @@
     _K.PLATFORM_UNAVAILABLE: _not_run(
         503, "The platform's table service is unavailable.", retry_after_s=5
     ),
+    _K.PROMPT_QUARANTINED: _not_run(
+        503,
+        "The prompt has a part on which endpoints have ended.",
+        retry_after_s=60,
+    ),
     _K.DUPLICATE_ATTEMPT: _not_run(409, "The attempt was refused before."),
     _K.CANCELLED: Answer(
         499, Ran.UNKNOWN, "The caller cancelled the request or closed its connection."
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -14,6 +14,7 @@
     Tokens,
 )
 from .config import ConfigPull, ConfigPush, RecordEntry
+from .crash import CrashReport, CrashReportsRequested, PartsSound
 from .direction import (
     GATEWAY_TO_SIDECAR,
     SENT_BY_GATEWAY,
@@ -41,6 +42,8 @@
     "Cancel",
     "ConfigPull",
     "ConfigPush",
+    "CrashReport",
+    "CrashReportsRequested",
     "Dispatch",
     "Ended",
     "EndpointLoad",
@@ -53,6 +56,7 @@
     "Hello",
     "LeavingNotice",
     "LoadedReport",
+    "PartsSound",
     "PlanEntry",
     "PlanPush",
     "Proof",
--- a/hawthornyard/io/datagrams.py
+++ b/hawthornyard/io/datagrams.py
@@ -52,21 +52,21 @@
         """Read frames into the inbox; never returns."""
         while True:
             try:
-                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             except OSError as exc:
                 # An ICMP error for a datagram sent to a closed port is raised here.
                 logger.bind(detail=str(exc)).debug("datagram_unreachable")
                 continue
-            self._read(data)
+            self._read(data, f"{sender[0]}:{sender[1]}")
 
-    def _read(self, data: bytes) -> None:
+    def _read(self, data: bytes, sender: str) -> None:
         try:
             frames = list(self._codec.decoder().feed(data))
         except FrameError as exc:
             logger.bind(detail=str(exc)).warning("datagram_refused")
             return
         for frame in frames:
-            self._inbox.put(frame)
+            self._inbox.put(frame.with_peer(sender))
 
     def _send(self, frame: Frame) -> None:
         try:
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -32,7 +32,13 @@
     StoreAnswered,
     StoreFailed,
 )
-from ..frames import GatewayLoads, LeavingNotice
+from ..frames import (
+    CrashReport,
+    CrashReportsRequested,
+    GatewayLoads,
+    LeavingNotice,
+    PartsSound,
+)
 from ..front import HttpServer, ListenerSink, MetricsApplication, ReplyQueues
 from ..front.exchange import Environ, StartResponse
 from ..gateway.messages import CallerGone
@@ -163,8 +169,11 @@
             (settings.address, settings.peer_port),
             MsgpackCodec(),
             self._inbox,
+            CrashReport,
+            CrashReportsRequested,
             GatewayLoads,
             LeavingNotice,
+            PartsSound,
         )
         self._registry = GatewayRegistry(
             settings.name,
@@ -291,6 +300,11 @@
             "Endpoints that take new work.",
             lambda: sum(map(state.eligibility.accepts, state.endpoints)),
         )
+        add_gauge(
+            "parts_quarantined",
+            "Parts of prompts that are kept from endpoints.",
+            lambda: state.crash_evidence.n_accused,
+        )
         if log_queue is not None:
             add_gauge(
                 "log_lines_dropped", "Log lines dropped.", lambda: log_queue.n_dropped
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -126,6 +126,13 @@
             )
             return
         _check_response(resp, msg)
+        try:
+            self._relay_answer(resp, msg)
+        except (*CALL_ERRORS, EndpointError) as exc:
+            detail = f"{type(exc).__name__}: {exc}"
+            self._inbox.put(AttemptBroke(msg.attempt_id, detail, has_begun=True))
+
+    def _relay_answer(self, resp: Any, msg: Dispatch) -> None:
         kind = resp.headers.get("Content-Type", "")
         if msg.is_stream and kind.startswith("text/event-stream"):
             self._relay_events(resp, msg)
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -2,6 +2,7 @@
 
 from .affinity import PrefixAffinity
 from .calibration import Calibration
+from .crash_evidence import Crash, CrashEvidence
 from .endpoint_view import EndpointView
 from .fair_division import divide_fairly
 from .fair_queue import FairQueue, Queue
@@ -26,6 +27,8 @@
     "Calibration",
     "Choice",
     "ConcurrencyLimit",
+    "Crash",
+    "CrashEvidence",
     "EndpointView",
     "ExpectedMemory",
     "FairQueue",
--- /dev/null
+++ b/hawthornyard/policy/crash_evidence.py
@@ -0,0 +1,227 @@
+"""Find the parts of prompts that end endpoints.
+
+An endpoint ends as it begins the answer to a prompt with such a part. Each request
+whose answer had just begun when its endpoint ended is a suspect, with all parts of its
+prompt but the last, which no other prompt shares. A part whose answers go on is sound.
+"""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Sequence
+
+from ..core import Clock
+
+# Crashes that accuse a part, and that accuse one with which answers had gone on before.
+MIN_CRASHES = 2
+MIN_CRASHES_IF_SOUND = 4
+# Reports of the same endpoint within this time are about the same crash.
+SAME_CRASH_S = 1.0
+# Crashes that no accused part explains are forgotten after this time.
+EVIDENCE_AGE_S = 120.0
+# Time until an accused part is tried again, and its growth after each trial, which may
+# end one more endpoint.
+FIRST_TRIAL_S = 60.0
+TRIAL_GROWTH = 4.0
+# Bounds on memory.
+MAX_CRASHES = 64
+MAX_PREFIXES_PER_CRASH = 8
+MAX_SOUND_PARTS = 4096
+
+
+class Crash:
+    """One crash of an endpoint.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        at: Monotonic time in seconds.
+        prefixes: Shared parts of each suspect's prompt, in order.
+    """
+
+    __slots__ = ("at", "endpoint", "prefixes")
+
+    def __init__(self, endpoint: str, at: float) -> None:
+        self.endpoint = endpoint
+        self.at = at
+        self.prefixes: list[Sequence[str]] = []
+
+    def add(self, prefix: Sequence[str]) -> None:
+        """Add a suspect unless it is known or there are too many."""
+        if prefix not in self.prefixes and len(self.prefixes) < MAX_PREFIXES_PER_CRASH:
+            self.prefixes.append(prefix)
+
+    def depths(self) -> dict[str, int]:
+        """Return the suspected parts with their largest positions in a prompt."""
+        depths: dict[str, int] = {}
+        for prefix in self.prefixes:
+            for depth, part in enumerate(prefix):
+                depths[part] = max(depth, depths.get(part, 0))
+        return depths
+
+
+class _Accusation:
+    """State of an accused part."""
+
+    __slots__ = ("hold_s", "trial_at")
+
+    def __init__(self, now: float) -> None:
+        self.hold_s = FIRST_TRIAL_S
+        self.trial_at = now + FIRST_TRIAL_S
+
+
+class CrashEvidence:
+    """Crashes of endpoints, and the parts of prompts that they accuse.
+
+    The parts that explain most crashes are accused first; crashes that they explain
+    accuse no other part. Among parts that explain equally many, the one deepest in its
+    prompts is accused, as the fewest sound requests share it.
+
+    Args:
+        clock: Source of time.
+    """
+
+    __slots__ = ("_accusations", "_clock", "_crashes", "_sound_at")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._crashes: list[Crash] = []
+        self._accusations: dict[str, _Accusation] = {}
+        # Time of the newest sound answer by part, the one noted last at the end.
+        self._sound_at: OrderedDict[str, float] = OrderedDict()
+
+    @property
+    def n_accused(self) -> int:
+        """Return the number of accused parts."""
+        return len(self._accusations)
+
+    @property
+    def crashes(self) -> Sequence[Crash]:
+        """Return the known crashes, oldest first."""
+        return self._crashes
+
+    def accused_part(self, parts: Iterable[str]) -> str | None:
+        """Return the first accused one among the parts, None if there is none."""
+        return next((part for part in parts if part in self._accusations), None)
+
+    def are_sound(self, parts: Iterable[str]) -> bool:
+        """Return whether answers to prompts with each of the parts have gone on."""
+        return all(part in self._sound_at for part in parts)
+
+    def note_crash(self, endpoint: str, at: float, prefix: Sequence[str]) -> Crash:
+        """Record that an endpoint ended as it began an answer.
+
+        Args:
+            endpoint: Name of the endpoint.
+            at: Monotonic time in seconds of the crash.
+            prefix: Shared parts of the prompt, in order.
+
+        Returns:
+            The crash, with all its known suspects.
+        """
+        crash = next(
+            (
+                known
+                for known in self._crashes
+                if known.endpoint == endpoint and abs(known.at - at) < SAME_CRASH_S
+            ),
+            None,
+        )
+        if crash is None:
+            crash = Crash(endpoint, at)
+            self._crashes.append(crash)
+        crash.add(prefix)
+        for part in prefix:
+            accusation = self._accusations.get(part)
+            if accusation is not None:
+                accusation.trial_at = max(accusation.trial_at, at + accusation.hold_s)
+        self._forget_old()
+        return crash
+
+    def accuse(self) -> dict[str, list[Crash]]:
+        """Accuse the parts that explain enough crashes.
+
+        Returns:
+            The newly accused parts with the crashes that they explain.
+        """
+        accused: dict[str, list[Crash]] = {}
+        while (found := self._best_explanation()) is not None:
+            part, crashes = found
+            self._accusations[part] = _Accusation(self._clock.now())
+            accused[part] = crashes
+        return accused
+
+    def note_sound(self, parts: Iterable[str]) -> tuple[list[str], list[str]]:
+        """Record that an answer to a prompt with these parts went on.
+
+        Returns:
+            The parts that were suspected until now, and those that were accused.
+        """
+        now = self._clock.now()
+        suspected = []
+        accused = []
+        for part in parts:
+            if self._is_suspected(part):
+                suspected.append(part)
+            if self._accusations.pop(part, None) is not None:
+                accused.append(part)
+            self._sound_at[part] = now
+            self._sound_at.move_to_end(part)
+        while len(self._sound_at) > MAX_SOUND_PARTS:
+            self._sound_at.popitem(last=False)
+        return suspected, accused
+
+    def trial_wait_s(self, part: str) -> float:
+        """Return the seconds until an accused part may be tried again."""
+        accusation = self._accusations.get(part)
+        if accusation is None:
+            return 0.0
+        return max(0.0, accusation.trial_at - self._clock.now())
+
+    def begin_trial(self, part: str) -> None:
+        """Record that a request is sent to see whether an accused part is sound.
+
+        The next trial is due later, unless this one shows that the part is sound.
+        """
+        accusation = self._accusations[part]
+        accusation.hold_s *= TRIAL_GROWTH
+        accusation.trial_at = self._clock.now() + accusation.hold_s
+
+    def _best_explanation(self) -> tuple[str, list[Crash]] | None:
+        crashes_by_part: dict[str, list[Crash]] = {}
+        depth_by_part: dict[str, int] = {}
+        for crash in self._crashes:
+            depths = crash.depths()
+            if any(part in self._accusations for part in depths):
+                continue
+            for part, depth in depths.items():
+                if crash.at > self._sound_at.get(part, float("-inf")):
+                    crashes_by_part.setdefault(part, []).append(crash)
+                    depth_by_part[part] = max(depth, depth_by_part.get(part, 0))
+        candidates = [
+            part
+            for part, crashes in crashes_by_part.items()
+            if len(crashes) >= self._min_crashes(part)
+        ]
+        if not candidates:
+            return None
+        best = max(
+            candidates,
+            key=lambda part: (len(crashes_by_part[part]), depth_by_part[part], part),
+        )
+        return best, crashes_by_part[best]
+
+    def _min_crashes(self, part: str) -> int:
+        return MIN_CRASHES_IF_SOUND if part in self._sound_at else MIN_CRASHES
+
+    def _is_suspected(self, part: str) -> bool:
+        sound_at = self._sound_at.get(part, float("-inf"))
+        return any(
+            crash.at > sound_at and any(part in prefix for prefix in crash.prefixes)
+            for crash in self._crashes
+        )
+
+    def _forget_old(self) -> None:
+        oldest = self._clock.now() - EVIDENCE_AGE_S
+        self._crashes = [
+            crash
+            for crash in self._crashes
+            if crash.at > oldest or self.accused_part(crash.depths()) is not None
+        ][-MAX_CRASHES:]
