Take no stream without length or chunks for whole while its run is stopped

What callers could see: a stream whose only end is that of its connection was shown as complete when its engine, leaving, stopped the run for the final copy, though the rest went on elsewhere; and one that ended before its first event, as an engine does that a prompt has ended, counted as a whole answer, so that it accused no part. Cause: the end of a connection was taken for the end of the answer wherever no event was cut. Now the engine's answer about the copy decides (a handle: resume; no such run: complete; anything else: broken), and such an end without any event breaks the attempt.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -49,6 +49,9 @@
       | a stream cut within its event    | closes | 1 to 2 | broken   |
       | a stream without its event two   | closes | 1 to 1 | broken   |
       | a stream with an event twice     | closes | 1 to 3 | complete |
+      | a stream without length          | closes | 1 to 2 | complete |
+      | a stream without length          | resets | 1 to 2 | broken   |
+      | a stream without length cut within its event | closes | 1 to 1 | broken |
 
   Scenario: An endpoint that accepts no connection does not block callers
     Given an endpoint that accepts no connection
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -173,10 +173,15 @@
     Then at most 64 crashes are known
 
   @fixture.platform_world
-  Scenario: Endpoints that end after the head of an answer are spared a third request
-    Given an endpoint that answers with a head and then closes
-    And an endpoint that answers with a head and then closes
-    And an endpoint that answers with a head and then closes
+  Scenario Outline: Endpoints that end after the head of an answer are spared a third request
+    Given an endpoint that answers with <head> and then closes
+    And an endpoint that answers with <head> and then closes
+    And an endpoint that answers with <head> and then closes
     When 3 callers of the platform send prompts of "group,place,bad", one after the other
     Then the endpoints got 2 requests in all
     And the last caller gets status 503 and is told when to come back
+
+    Examples:
+      | head                                     |
+      | the head of a stream                     |
+      | the head of a stream without length      |
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -136,6 +136,12 @@
     context.edge.push(AttemptEnded(_last_dispatch(context).attempt_id))
 
 
+@when("the connection of the stream, which has no length, ends")
+def end_undelimited_stream(context: Context) -> None:
+    attempt_id = _last_dispatch(context).attempt_id
+    context.edge.push(AttemptEnded(attempt_id, is_delimited=False))
+
+
 @when("{name} drains")
 def drain(context: Context, name: str) -> None:
     if name == "the engine that runs it":
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -27,6 +27,10 @@
 CHUNKED_HEAD = (
     b"HTTP/1.1 200 OK\r\n" + SIGNATURE_HEADERS + b"Transfer-Encoding: chunked\r\n\r\n"
 )
+UNDELIMITED_HEAD = (
+    b"HTTP/1.1 200 OK\r\n" + SIGNATURE_HEADERS + b"Connection: close\r\n"
+    b"Content-Type: text/event-stream\r\n\r\n"
+)
 ANSWERS = {
     "a whole answer": b"HTTP/1.1 200 OK\r\n"
     + SIGNATURE_HEADERS
@@ -62,7 +66,12 @@
     b"X-Hawthornyard-Instance-Id: i-other\r\nContent-Length: 0\r\n\r\n",
     "no HTTP": b"\x00\x01garbage\r\n\r\n",
     "nothing": b"",
-    "a head": stream_of(),
+    "the head of a stream": stream_of(),
+    "the head of a stream without length": UNDELIMITED_HEAD,
+    "a stream without length": UNDELIMITED_HEAD + event(1) + event(2),
+    "a stream without length cut within its event": UNDELIMITED_HEAD
+    + event(1)
+    + b"id: 2\ndata: wor",
     "a whole stream": stream_of(1, 2, 3) + LAST_CHUNK,
     "a stream that is cut": stream_of(1, 2, 3),
     "a stream cut within its event": stream_of(1, 2) + chunk(b"id: 3\ndata: wor"),
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -8,7 +8,7 @@
 from features.support.edge import ENGINE
 from hawthornyard.edge.messages import Cancel, CopyDropped, CopyRequested, Dispatch
 from hawthornyard.frames import GatewayLoads
-from hawthornyard.gateway.messages import ReplyFailed, ReplyResponse
+from hawthornyard.gateway.messages import ReplyEnded, ReplyFailed, ReplyResponse
 
 HANDLE = "copy-1"
 
@@ -115,6 +115,19 @@
     assert set(sent) == {name}, sent
 
 
+@then("the summary is {outcome}")
+def check_summary(context: Context, outcome: str) -> None:
+    replies = [
+        type(msg)
+        for msg in context.edge.messages
+        if isinstance(msg, ReplyEnded | ReplyFailed) and msg.call_id == context.call_id
+    ]
+    n_attempts = {"resumed": 2}.get(outcome, 1)
+    expected = {"complete": [ReplyEnded], "lost": [ReplyFailed]}.get(outcome, [])
+    assert replies == expected, replies
+    assert len(context.edge.dispatches(context.call_id)) == n_attempts
+
+
 @then("the attempt is cancelled")
 def check_cancelled(context: Context) -> None:
     cancelled = [msg.attempt_id for msg in context.edge.messages_of(Cancel)]
--- a/hawthornyard/edge/messages/answer.py
+++ b/hawthornyard/edge/messages/answer.py
@@ -44,12 +44,19 @@
 
 
 class AttemptEnded(Message):
-    """The regular end of a stream."""
+    """The regular end of a stream.
 
-    __slots__ = ("attempt_id",)
+    Attributes:
+        attempt_id: Identifier of the attempt.
+        is_delimited: Whether the stream told its end, by a length or a last chunk; else
+            its connection ended after a whole event.
+    """
+
+    __slots__ = ("attempt_id", "is_delimited")
 
-    def __init__(self, attempt_id: str) -> None:
+    def __init__(self, attempt_id: str, *, is_delimited: bool = True) -> None:
         self.attempt_id = attempt_id
+        self.is_delimited = is_delimited
 
 
 class AttemptAnswered(Message):
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -60,14 +60,17 @@
         target: Name of the endpoint that receives the copies.
         n_copies: Number of completed copies.
         is_final: Whether the run stops for the copy in progress.
+        has_stream_ended: Whether the connection of the stream has ended meanwhile, by
+            the stop or by the end of the run.
     """
 
-    __slots__ = ("target", "n_copies", "is_final")
+    __slots__ = ("target", "n_copies", "is_final", "has_stream_ended")
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.n_copies = 0
         self.is_final = False
+        self.has_stream_ended = False
 
 
 class Request(Message):
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -9,6 +9,7 @@
 from ..inflight import InFlight
 from ..messages import (
     AttemptBroke,
+    AttemptEnded,
     Cancel,
     Closed,
     CopyAnswered,
@@ -208,13 +209,18 @@
         msg: CopyAnswered,
     ) -> Iterator[Message]:
         attempt = request.attempt
-        if attempt is None:
+        if attempt is None or request.migration is None:
             return
         if not msg.handle:
             # The run was not stopped: it continues, or its stream breaks and
             # `AttemptBroke` follows.
+            has_stream_ended = request.migration.has_stream_ended
             request.migration = None
             self._postpone(msg, endpoint)
+            if has_stream_ended and msg.is_unknown:
+                yield AttemptEnded(attempt.attempt_id)
+            elif has_stream_ended:
+                yield AttemptBroke(attempt.attempt_id, "the stream ended unfinished")
             return
         resume_endpoint = self._choose_resume_endpoint(
             endpoint, target if msg.is_done else None
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -6,7 +6,7 @@
 from ..eligibility import Eligibility
 from ..endpoints import BROKEN_BACKOFF_S, Endpoints
 from ..inflight import InFlight
-from ..messages import AttemptBroke
+from ..messages import AttemptBroke, AttemptEnded
 from .resumption import Resumption
 
 
@@ -33,7 +33,10 @@
         self._endpoints = endpoints
         self._eligibility = eligibility
         self._resumption = resumption
-        self.handlers: Handlers = {AttemptBroke: self._on_attempt_broke}
+        self.handlers: Handlers = {
+            AttemptBroke: self._on_attempt_broke,
+            AttemptEnded: self._on_attempt_ended,
+        }
 
     def _on_attempt_broke(self, msg: AttemptBroke) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
@@ -64,3 +67,12 @@
         yield self._resumption.begin_attempt(
             request, mirror, address, request.request_id
         )
+
+    def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
+        request = self._inflight.by_attempt(msg.attempt_id)
+        migration = request.migration if request is not None else None
+        if msg.is_delimited or migration is None or not migration.is_final:
+            yield msg
+            return
+        # The engine's answer about the copy tells whether it has stopped the run.
+        migration.has_stream_ended = True
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -153,13 +153,18 @@
             AttemptBegan(msg.attempt_id, resp.status, _forwarded_headers(resp))
         )
         splitter = EventSplitter()
+        has_events = False
         while data := resp.read1(READ_CHUNK_BYTES):
             events = list(splitter.feed(data))
             if events:
+                has_events = True
                 self._inbox.put(AttemptEvents(msg.attempt_id, events))
         if splitter.has_partial_event:
             raise EndpointError("the stream ended within an event")
-        self._inbox.put(AttemptEnded(msg.attempt_id))
+        is_delimited = resp.chunked or "Content-Length" in resp.headers
+        if not is_delimited and not has_events:
+            raise EndpointError("the stream ended before its first event")
+        self._inbox.put(AttemptEnded(msg.attempt_id, is_delimited=is_delimited))
 
 
 def _request_headers(msg: Dispatch) -> urllib3.HTTPHeaderDict:
