Take no refusal of another request for one of this request

What callers could see: a request that may run once was sent to a second endpoint after a refusal that carried another request's id, while the first endpoint still had it in its queue. Cause: the id of a response was compared only after a status or header that says not run, so that a late or foreign refusal counted as a promise.

Evidence: one example in edge_adapter.feature, 503 before, 502 with one attempt now.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -25,6 +25,7 @@
       | a failure of its own          | closes | 500    |
       | a refusal                     | closes | 503    |
       | the refusal of another        | closes | 503    |
+      | the refusal of another request | closes | 502    |
       | no HTTP                       | closes | 502    |
       | nothing                       | closes | 502    |
       | nothing                       | resets | 502    |
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -115,6 +115,7 @@
             resp.close()
 
     def _handle_response(self, resp: Any, msg: Dispatch) -> None:
+        _check_request_id(resp, msg)
         if resp.status == _MISDIRECTED or resp.headers.get(NOT_RUN_HEADER):
             self._inbox.put(
                 AttemptRefused(
@@ -125,7 +126,7 @@
                 )
             )
             return
-        _check_response(resp, msg)
+        _check_response(resp)
         try:
             self._relay_answer(resp, msg)
         except (*CALL_ERRORS, EndpointError) as exc:
@@ -191,10 +192,13 @@
     return headers
 
 
-def _check_response(resp: Any, msg: Dispatch) -> None:
+def _check_request_id(resp: Any, msg: Dispatch) -> None:
     request_id = resp.headers.get(REQUEST_ID_HEADER)
     if request_id is not None and request_id != msg.call.request_id:
         raise EndpointError("the response has the id of another request")
+
+
+def _check_response(resp: Any) -> None:
     if resp.headers.get("Content-Encoding"):
         raise EndpointError("the response has a Content-Encoding, expected none")
     if resp.status < 300 and not resp.headers.get(SIGNATURE_HEADER):
