Answer a stream that breaks before its first event with an error of the closed list

Cause: the head was handed to the HTTP server, which sends it with the first bytes, and the failure could then only be raised. The front now waits for the reply after the head, which it did in effect, and answers 502 generation_lost with the body of our errors.

Ruled out: a later head for callers, since the HTTP server sent it no sooner.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -54,6 +54,17 @@
       | a stream without length          | resets | 1 to 2 | broken   |
       | a stream without length cut within its event | closes | 1 to 1 | broken |
 
+  Scenario Outline: A stream that breaks before its first event is an error of the closed list
+    Given an endpoint that answers with <head> and then closes
+    When a caller of the platform sends a summary
+    Then it gets status 502
+    And the error is generation_lost
+
+    Examples:
+      | head                                 |
+      | the head of a stream                 |
+      | the head of a stream without length  |
+
   Scenario: An endpoint that accepts no connection does not block callers
     Given an endpoint that accepts no connection
     And an endpoint that answers with a whole answer and then closes
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -330,6 +330,12 @@
     assert _header_values(request, b"x-hawthornyard-pin-ms") == [], request
 
 
+@then("the error is {kind}")
+def check_error_kind(context: Context, kind: str) -> None:
+    _, _, body = context.response.partition(b"\r\n\r\n")
+    assert kind.encode() in body, context.response
+
+
 @then("{n:d} endpoints are known")
 def check_known(context: Context, n: int) -> None:
     assert len(context.world.gateway.state.endpoints) == n
--- a/hawthornyard/platform/front.py
+++ b/hawthornyard/platform/front.py
@@ -80,12 +80,17 @@
         session = Session(exchange, self._replies, self._inbox, call)
         try:
             replies = session.take()
+            while isinstance(replies[-1], ReplyBegan):
+                replies += session.take()
         except BaseException:
             session.close()
             raise
         if self._is_stopping():
             exchange.environ[CLOSE_CONNECTION_KEY]()
         first_reply = replies[0]
+        if isinstance(first_reply, ReplyBegan) and isinstance(replies[1], ReplyFailed):
+            # Nothing of the stream was sent, so that the failure can still be told.
+            first_reply = replies[1]
         if isinstance(first_reply, ReplyBegan):
             start(status_line(first_reply.status), list(first_reply.headers))
             return EventStreamBody(session, replies)
