Let every gateway wait as long for the next trial of an accused part

Cause, found by reading: only the gateway that sent a trial let its time in quarantine grow, so that another one, owner after a restart, would have tried after a minute again and ended one more endpoint each time. A crash that comes with an accused part half a minute or more after the last trial or accusation now puts the next trial off for all that hear of it, once for a trial and its crash. TrackCrashes takes the addresses from Peers and keeps no copy of them.

Ruled out: growth by crashes that were under way at the accusation.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -156,6 +156,28 @@
     And a caller sends "group,place,bad,own-4"
     Then the request ends as prompt_quarantined
 
+  @fixture.edge
+  Scenario: Of all gateways one tries an accused part
+    Given 4 gateways that know one another and 2 crashes on "group,place,bad"
+    When 61 seconds later each of them gets "group,place,bad,own-1"
+    Then 1 attempts were sent by all of them
+
+  @fixture.edge
+  Scenario Outline: A gateway that only hears of a failed trial waits as long for the next
+    Given the engines engine-a
+    When another gateway reports a crash of engine-y on "group,place,bad"
+    And another gateway reports a crash of engine-z on "group,place,bad"
+    And 60 seconds go by
+    And another gateway reports a crash of engine-x on "group,place,bad"
+    And <seconds> seconds go by
+    And a caller sends "group,place,bad,own-1"
+    Then <attempts> attempts were sent for it
+
+    Examples:
+      | seconds | attempts |
+      | 230     | 0        |
+      | 250     | 1        |
+
   @fixture.edge
   Scenario: A tried part that is sound is released
     Given the engines engine-a
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -1,14 +1,25 @@
 """Steps for parts of prompts that end endpoints."""
 
 import eventlet
-from behave import then, when
+from behave import given, then, when
 from behave.runner import Context
 
 from features.support.edge import EdgeDriver
 from features.support.platform_bytes import BODY, CLOSE, HOST
 from features.support.platform_world import KEY
-from hawthornyard.edge.messages import AttemptBroke, AttemptEnded, Cancel, Dispatch
-from hawthornyard.frames import CrashReport, CrashReportsRequested, PartsSound
+from hawthornyard.edge.messages import (
+    AttemptBroke,
+    AttemptEnded,
+    Cancel,
+    Dispatch,
+    GatewaysRead,
+)
+from hawthornyard.frames import (
+    CrashReport,
+    CrashReportsRequested,
+    GatewayLoads,
+    PartsSound,
+)
 from hawthornyard.gateway.messages import ReplyFailed
 
 ASKING_GATEWAY = "10.0.0.9:7200"
@@ -36,6 +47,34 @@
     edge.advance(NEXT_CRASH_S)
 
 
+@given('{n:d} gateways that know one another and {n_crashes:d} crashes on "{prefix}"')
+def add_gateways(context: Context, n: int, n_crashes: int, prefix: str) -> None:
+    names = [f"gateway-{index}" for index in range(n)]
+    addresses = {name: f"10.0.0.{index}:7200" for index, name in enumerate(names)}
+    context.fleet = [EdgeDriver(name) for name in names]
+    for drive in context.fleet:
+        drive.push_deployment()
+        drive.add_endpoint("engine-a")
+        drive.push(GatewaysRead(addresses))
+        for index in range(n_crashes):
+            drive.push(CrashReport(f"engine-{index}", 0.0, prefix.split(",")))
+
+
+@when('{seconds:g} seconds later each of them gets "{prefix}"')
+def send_to_each(context: Context, seconds: float, prefix: str) -> None:
+    for drive in context.fleet:
+        drive.advance(seconds)
+        for other in context.fleet:
+            drive.push(GatewayLoads(other.state.name, 10**9, []))
+        drive.call("summary", prefix=prefix.split(","))
+
+
+@then("{n:d} attempts were sent by all of them")
+def check_n_sent(context: Context, n: int) -> None:
+    sent = [msg for drive in context.fleet for msg in drive.messages_of(Dispatch)]
+    assert len(sent) == n, sent
+
+
 @when('an engine ends {state} a summary of "{prefix}"')
 def end_engine(context: Context, state: str, prefix: str) -> None:
     _break(context, prefix, state)
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -112,7 +112,7 @@
             random_source,
         ),
         TrackCrashes(
-            state.name,
+            state.peers,
             state.crash_evidence,
             state.inflight,
             state.endpoints,
--- a/hawthornyard/edge/fleet/crashes.py
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -7,7 +7,8 @@
 from ...policy import Crash, CrashEvidence
 from ..endpoints import Endpoints
 from ..inflight import InFlight
-from ..messages import AttemptBroke, Closed, GatewaysRead, PartAccused, Request
+from ..messages import AttemptBroke, Closed, PartAccused, Request
+from ..peers import Peers
 
 # An answer that had been writing for less than this when it broke had just begun.
 JUST_BEGUN_S = 0.1
@@ -22,7 +23,7 @@
 # gateways must agree.
 FIRST_RESEND_S = 0.3
 MAX_RESEND_S = 2.0
-# Requests for the reports of another gateway, a second apart.
+# Requests for the reports of each gateway that is new to this one, and their interval.
 N_ASKS = 3
 ASK_INTERVAL_S = 1.0
 
@@ -57,7 +58,7 @@
     connection, therefore accuses nobody.
 
     Args:
-        name: Name of this gateway.
+        peers: The other gateways.
         evidence: Crashes and the parts of prompts that they accuse.
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
@@ -65,37 +66,35 @@
     """
 
     __slots__ = (
-        "_addresses",
         "_breaks",
         "_clock",
         "_endpoints",
         "_evidence",
         "_inflight",
-        "_n_asks_left",
-        "_name",
+        "_n_asks",
         "_next_ask_at",
         "_next_scan_at",
+        "_peers",
         "_reports",
         "handlers",
     )
 
     def __init__(
         self,
-        name: str,
+        peers: Peers,
         evidence: CrashEvidence,
         inflight: InFlight,
         endpoints: Endpoints,
         clock: Clock,
     ) -> None:
-        self._name = name
+        self._peers = peers
         self._evidence = evidence
         self._inflight = inflight
         self._endpoints = endpoints
         self._clock = clock
         self._breaks: dict[str, _Break] = {}
         self._reports: list[_OwnReport] = []
-        self._addresses: list[str] = []
-        self._n_asks_left: dict[str, int] = {}
+        self._n_asks: dict[str, int] = {}
         self._next_ask_at = 0.0
         self._next_scan_at = 0.0
         self.handlers: Handlers = {
@@ -103,7 +102,6 @@
             Closed: self._on_closed,
             CrashReport: self._on_crash_report,
             CrashReportsRequested: self._on_reports_requested,
-            GatewaysRead: self._on_gateways_read,
             PartsSound: self._on_parts_sound,
             Tick: self._on_tick,
         }
@@ -187,7 +185,7 @@
         suspected, accused = self._evidence.note_sound(request.shared_parts)
         yield from self._clear(accused, "an answer to it went on", request.request_id)
         if suspected:
-            for address in self._addresses:
+            for address in self._peers.addresses():
                 yield PartsSound(suspected).with_peer(address)
 
     def _clear(
@@ -206,29 +204,21 @@
                 continue
             report.next_at = now + report.pause_s
             report.pause_s = min(MAX_RESEND_S, 2 * report.pause_s)
-            for address in self._addresses:
+            for address in self._peers.addresses():
                 yield self._report(report.crash, report.prefix).with_peer(address)
 
     def _report(self, crash: Crash, prefix: Sequence[str]) -> CrashReport:
         return CrashReport(crash.endpoint, self._clock.now() - crash.at, prefix)
 
     def _ask(self) -> Iterator[Message]:
-        for address, n_left in list(self._n_asks_left.items()):
-            yield CrashReportsRequested().with_peer(address)
-            if n_left > 1:
-                self._n_asks_left[address] = n_left - 1
-            else:
-                del self._n_asks_left[address]
-
-    def _on_gateways_read(self, msg: GatewaysRead) -> Iterator[Message]:
-        addresses = [
-            address for name, address in msg.addresses.items() if name != self._name
-        ]
-        for address in addresses:
-            if address not in self._addresses:
-                self._n_asks_left[address] = N_ASKS
-        self._addresses = addresses
-        yield msg
+        n_asks = {
+            address: self._n_asks.get(address, 0) for address in self._peers.addresses()
+        }
+        for address, n_asked in n_asks.items():
+            if n_asked < N_ASKS:
+                n_asks[address] += 1
+                yield CrashReportsRequested().with_peer(address)
+        self._n_asks = n_asks
 
     def _on_crash_report(self, msg: CrashReport) -> Iterator[Message]:
         at = self._clock.now() - max(0.0, msg.age_s)
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -58,14 +58,30 @@
 
 
 class _Accusation:
-    """State of an accused part."""
+    """State of an accused part.
 
-    __slots__ = ("hold_s", "trial_at")
+    Attributes:
+        trial_at: Monotonic time in seconds of its next trial.
+    """
+
+    __slots__ = ("_hold_s", "_put_off_at", "trial_at")
 
     def __init__(self, now: float) -> None:
-        self.hold_s = FIRST_TRIAL_S
+        self._hold_s = FIRST_TRIAL_S
+        self._put_off_at = now
         self.trial_at = now + FIRST_TRIAL_S
 
+    def put_off_trial(self, at: float) -> None:
+        """Put the next trial off, because of a trial or a crash at `at`.
+
+        The time in quarantine grows once for a trial and the crash that it causes, and
+        not for what was under way at the accusation.
+        """
+        if at - self._put_off_at >= FIRST_TRIAL_S / 2:
+            self._hold_s *= TRIAL_GROWTH
+            self._put_off_at = at
+        self.trial_at = max(self.trial_at, at + self._hold_s)
+
 
 class CrashEvidence:
     """Crashes of endpoints, and the parts of prompts that they accuse.
@@ -127,11 +143,10 @@
         if crash is None:
             crash = Crash(endpoint, at)
             self._crashes.append(crash)
+            for part in prefix:
+                if part in self._accusations:
+                    self._accusations[part].put_off_trial(at)
         crash.add(prefix)
-        for part in prefix:
-            accusation = self._accusations.get(part)
-            if accusation is not None:
-                accusation.trial_at = max(accusation.trial_at, at + accusation.hold_s)
         self._forget_old()
         return crash
 
@@ -176,13 +191,8 @@
         return max(0.0, accusation.trial_at - self._clock.now())
 
     def begin_trial(self, part: str) -> None:
-        """Record that a request is sent to see whether an accused part is sound.
-
-        The next trial is due later, unless this one shows that the part is sound.
-        """
-        accusation = self._accusations[part]
-        accusation.hold_s *= TRIAL_GROWTH
-        accusation.trial_at = self._clock.now() + accusation.hold_s
+        """Record that a request is sent to see whether an accused part is sound."""
+        self._accusations[part].put_off_trial(self._clock.now())
 
     def _best_explanation(self) -> tuple[str, list[Crash]] | None:
         crashes_by_part: dict[str, list[Crash]] = {}
