Accuse a part as soon as the last answer of its endpoint has broken

Cause: a gateway waited for a tick 0.1 s later to be sure that no older attempt went on at the endpoint. It now looks after each break there, and each tick for attempts that end in another way, and reports to the others at once.

Evidence: quarantine.feature, two examples, 28 passed. Ruled out: to accuse by one crash, which this does not need.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -9,6 +9,21 @@
     Then the request ends as prompt_quarantined
     And 0 attempts were sent for it
 
+  @fixture.edge
+  Scenario Outline: A part is accused as soon as the last answer of its endpoint breaks
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    When another gateway reports a crash of engine-z on "group,place,bad"
+    And an answer breaks as it begins a summary of "group,place,bad,own-1"
+    And the engine <ends> the answer that it was writing
+    And a caller sends "group,place,bad,own-2"
+    Then the request ends as prompt_quarantined
+
+    Examples:
+      | ends                     |
+      | breaks                   |
+      | refuses, a moment later, |
+
   @fixture.edge
   Scenario Outline: Sound prompts that share other parts with it are served
     Given the engines engine-a and engine-b and engine-c
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -10,6 +10,7 @@
 from hawthornyard.edge.messages import (
     AttemptBroke,
     AttemptEnded,
+    AttemptRefused,
     Cancel,
     Dispatch,
     GatewaysRead,
@@ -80,6 +81,26 @@
     _break(context, prefix, state)
 
 
+@when('an answer breaks as it begins a summary of "{prefix}"')
+def break_at_once(context: Context, prefix: str) -> None:
+    context.first_attempt_id = context.edge.dispatches(context.call_id)[-1].attempt_id
+    dispatch = _send(context, prefix)
+    assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+    context.edge.begin_stream(dispatch.attempt_id)
+    context.edge.push(AttemptBroke(dispatch.attempt_id, "cut", has_begun=True))
+
+
+@when("the engine breaks the answer that it was writing")
+def break_first(context: Context) -> None:
+    context.edge.push(AttemptBroke(context.first_attempt_id, "cut", has_begun=True))
+
+
+@when("the engine refuses, a moment later, the answer that it was writing")
+def refuse_first(context: Context) -> None:
+    context.edge.push(AttemptRefused(context.first_attempt_id, "gone", is_absent=True))
+    context.edge.advance(0.05)
+
+
 @when('an engine breaks an answer as it begins a summary of "{prefix}"')
 def break_answer(context: Context, prefix: str) -> None:
     _break(context, prefix, "as it begins")
--- a/hawthornyard/edge/fleet/crashes.py
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -12,7 +12,7 @@
 
 # An answer that had been writing for less than this when it broke had just begun.
 JUST_BEGUN_S = 0.1
-# Time in which all attempts at an endpoint that ended have broken.
+# Time in which all attempts at an endpoint that ended break.
 SETTLE_S = 0.1
 # An answer that has been writing for this long shows that its prompt is sound.
 SOUND_S = 1.0
@@ -108,18 +108,32 @@
 
     def _on_attempt_broke(self, msg: AttemptBroke) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
-        if request is not None and request.attempt is not None and msg.has_begun:
-            now = self._clock.now()
-            first_event_at = request.attempt.first_event_at
-            has_just_begun = (
-                first_event_at is None or now - first_event_at < JUST_BEGUN_S
-            )
-            if has_just_begun and request.shared_parts:
-                parts = request.shared_parts
-                request.is_suspect = not self._evidence.are_sound(parts)
-                name = request.attempt.endpoint
-                self._breaks.setdefault(name, _Break(now)).prefixes.append(parts)
+        if request is None or request.attempt is None:
+            yield msg
+            return
+        endpoint = request.attempt.endpoint
+        if request.shared_parts and msg.has_begun and self._has_just_begun(request):
+            request.is_suspect = not self._evidence.are_sound(request.shared_parts)
+            brk = self._breaks.setdefault(endpoint, _Break(self._clock.now()))
+            brk.prefixes.append(request.shared_parts)
         yield msg
+        if endpoint in self._breaks and not self._has_older_attempts(endpoint):
+            yield from self._report_crash(endpoint)
+
+    def _has_just_begun(self, request: Request) -> bool:
+        attempt = request.attempt
+        if attempt is None or attempt.first_event_at is None:
+            return True
+        return self._clock.now() - attempt.first_event_at < JUST_BEGUN_S
+
+    def _has_older_attempts(self, name: str) -> bool:
+        endpoint = self._endpoints.get(name)
+        attempts = [] if endpoint is None else endpoint.requests.values()
+        broke_at = self._breaks[name].at
+        return any(
+            request.attempt is not None and request.attempt.sent_at < broke_at
+            for request in attempts
+        )
 
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
         if msg.kind is None and msg.request.last_event:
@@ -128,9 +142,11 @@
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         for name, brk in list(self._breaks.items()):
-            if msg.now - brk.at >= SETTLE_S:
+            if not self._has_older_attempts(name):
+                yield from self._report_crash(name)
+            elif msg.now - brk.at >= SETTLE_S:
+                # The endpoint goes on with them.
                 del self._breaks[name]
-                yield from self._settle(name, brk)
         if msg.now >= self._next_scan_at:
             self._next_scan_at = msg.now + SCAN_INTERVAL_S
             yield from self._scan(msg.now)
@@ -140,14 +156,8 @@
             yield from self._ask()
         yield msg
 
-    def _settle(self, name: str, brk: _Break) -> Iterator[Message]:
-        endpoint = self._endpoints.get(name)
-        attempts = [] if endpoint is None else endpoint.requests.values()
-        if any(
-            request.attempt is not None and request.attempt.sent_at < brk.at
-            for request in attempts
-        ):
-            return
+    def _report_crash(self, name: str) -> Iterator[Message]:
+        brk = self._breaks.pop(name)
         for prefix in brk.prefixes:
             crash = self._evidence.note_crash(name, brk.at, prefix)
             self._reports.append(_OwnReport(crash, prefix, self._clock.now()))
@@ -158,6 +168,7 @@
                 parts=list(prefix),
                 n_crashes=len(self._evidence.crashes),
             )
+        yield from self._send_reports(self._clock.now())
         yield from self._accuse()
 
     def _accuse(self) -> Iterator[Message]:
