End a resumed stream as broken when its mirror answers without a stream

What callers saw: a stream of 11 to 195 of 200 events that looked complete. Cause: its engine ended, the mirror took the resume, ran it and answered 500 with a whole body; that answer became the final reply of a stream that had begun, and the front ended the body regularly. An endpoint's answer other than a stream now breaks a stream that has begun.

Two examples in edge_streams.feature red before, green now.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -91,6 +91,18 @@
     And the engine copies its run 1 times
     Then nothing was sent to the copy's target
 
+  Scenario Outline: A stream whose mirror answers without a stream is not complete
+    Given the engines engine-a and engine-b
+    And a summary that got the events 1 to 10
+    When its engine breaks the connection
+    And its mirror answers with status <status>
+    Then the summary fails as generation_lost
+
+    Examples:
+      | status |
+      | 500    |
+      | 200    |
+
   Scenario Outline: A stream without length or chunks that ends during its final copy is not complete
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -116,6 +116,11 @@
     context.edge.push(AttemptBroke(_last_dispatch(context).attempt_id, "reset"))
 
 
+@when("its mirror answers with status {status:d}")
+def answer_without_stream(context: Context, status: int) -> None:
+    context.edge.answer_attempt(_last_dispatch(context).attempt_id, status)
+
+
 @when("the events {first:d} to {last:d} follow")
 def deliver_events(context: Context, first: int, last: int) -> None:
     attempt_id = _last_dispatch(context).attempt_id
--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -55,6 +55,11 @@
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None or request.attempt is None:
             return
+        if request.has_begun:
+            # Any other end would make the events so far look like the whole stream.
+            detail = f"the endpoint answered {msg.status} without a stream"
+            yield from self._fail_stream(request, detail)
+            return
         reply = ReplyResponse(request.call_id, msg.status, msg.headers, msg.body)
         request.n_runs += 1
         endpoint = self._endpoints.get(request.attempt.endpoint)
