Let the soak end endpoints by a part of prompts

A check bounds the prompts with it that run later than the contact time after the fifth such crash. Callers send the parts of their prompts; their other choices, and so the timelines of the kept seeds, stay as they were.

--- a/features/steps/soaking.py
+++ b/features/steps/soaking.py
@@ -16,6 +16,13 @@
     _run_soak(context, "--seeds", str(seed), "--harm-s", str(seconds))
 
 
+@when(
+    "the soak runs with seed {seed:d}, {seconds:g} seconds of faults and a deadly part"
+)
+def run_tainted_seed(context: Context, seed: int, seconds: float) -> None:
+    _run_soak(context, "--seeds", str(seed), "--harm-s", str(seconds), "--deadly-part")
+
+
 @when("the soak runs with the kept seeds")
 def run_kept_seeds(context: Context) -> None:
     _run_soak(context, "--kept")
--- a/hawthornyard/cli/standin.py
+++ b/hawthornyard/cli/standin.py
@@ -116,6 +116,7 @@
     step_s: float = 0.02,
     born: int = 0,
     journal: Path | None = None,
+    deadly_part: str = "",
 ) -> None:
     """Run a stand-in endpoint of the users' platform.
 
@@ -126,9 +127,16 @@
         step_s: Seconds between events, and duration of a plain request.
         born: Incarnation number that it reports, a time in milliseconds.
         journal: File that records what was run, as one JSON object per line.
+        deadly_part: Part of prompts, not the last, that ends the process as it begins
+            to answer; empty for none.
     """
     endpoint = EndpointStandIn(
-        name, Journal(journal), born=born, n_slots=slots, step_s=step_s
+        name,
+        Journal(journal),
+        born=born,
+        n_slots=slots,
+        step_s=step_s,
+        deadly_part=deadly_part,
     )
     _serve(listen, endpoint)
 
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+import os
 import socket
 import struct
 from collections.abc import Callable, Iterable, Iterator
@@ -21,6 +22,7 @@
     EXPECTED_ENDPOINT_HEADER,
     LAST_EVENT_ID_HEADER,
     NOT_RUN_HEADER,
+    PROMPT_PREFIX_HEADER,
     REPORT_PATH,
     REQUEST_ID_HEADER,
     SIGNATURE_HEADER,
@@ -42,6 +44,9 @@
 COPY_TIMEOUT_S = 2.0
 HANG_DURATION_S = 30.0
 
+DEADLY_PART_STATUS = 86
+"""Exit status of a stand-in that a part of a prompt has ended."""
+
 # SO_LINGER enabled with a timeout of 0 s: closing the socket sends a TCP reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -73,12 +78,15 @@
         n_slots: Number of streams that may run at once.
         step_s: Seconds between events, and duration of a plain request.
         copy_s: Duration of a copy in seconds.
+        deadly_part: Part of prompts, not the last, that ends this process as it begins
+            the answer, after its head; empty for none.
     """
 
     __slots__ = (
         "_born",
         "_copies",
         "_copy_s",
+        "_deadly_part",
         "_journal",
         "_n_running",
         "_n_slots",
@@ -98,6 +106,7 @@
         n_slots: int = 24,
         step_s: float = 0.02,
         copy_s: float = 0.03,
+        deadly_part: str = "",
     ) -> None:
         self._name = name
         self._journal = journal
@@ -105,6 +114,7 @@
         self._n_slots = n_slots
         self._step_s = step_s
         self._copy_s = copy_s
+        self._deadly_part = deadly_part
         self._runs: dict[str, Run] = {}
         # Number of the newest event in each copy held here, by handle.
         self._copies: dict[str, int] = {}
@@ -190,6 +200,8 @@
             first_event=last_event + 1,
             step_s=self._step_s,
         )
+        if self._deadly_part and self._deadly_part in _shared_parts(environ):
+            _end_process(environ, request_id)
         self._runs[request_id] = run
         self._n_running += 1
         start(
@@ -277,6 +289,22 @@
     return value
 
 
+def _shared_parts(environ: Environ) -> list[str]:
+    parts = _header(environ, PROMPT_PREFIX_HEADER).split(",")
+    return [part.partition(":")[0].strip() for part in parts[:-1]]
+
+
+def _end_process(environ: Environ, request_id: str) -> None:
+    head = (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"{REQUEST_ID_HEADER}: {request_id}\r\n"
+        f"{SIGNATURE_HEADER}: {sign(request_id, b'')}\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    environ["eventlet.input"].get_socket().sendall(head.encode())
+    os._exit(DEADLY_PART_STATUS)
+
+
 def _json_body(environ: Environ) -> dict[str, Any]:
     try:
         return decode_object(environ["wsgi.input"].read())
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -10,6 +10,7 @@
 
 from hawthornyard.platform.names import (
     MODEL_HEADER,
+    PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
     SIGNATURE_HEADER,
     TIMEOUT_MS_HEADER,
@@ -17,7 +18,7 @@
 )
 from hawthornyard.platform.standins.endpoint import TOKENS_PER_EVENT, sign
 
-from .deployment import KEYS, N_EVENTS, REVOKED_KEY, TIMEOUTS_S
+from .deployment import DEADLY_PART, KEYS, N_EVENTS, REVOKED_KEY, TIMEOUTS_S
 from .gateway import Gateway
 from .loopback import LOOPBACK
 from .record import Attempt
@@ -30,6 +31,10 @@
 REVOKED_KEY_SHARE = 0.15
 """Share of attempts with the key that faults revoke."""
 MAX_RETRY_DELAY_S = 2.0
+DEADLY_SHARE = 0.3
+"""Share of the prompts that have the deadly part, while callers are tainting."""
+N_GROUPS = 4
+N_PLACES = 20
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request was not run, so that it may be retried."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
@@ -45,12 +50,14 @@
         seed: Seed of the caller's choices.
         gateways: Gateways to choose from.
         attempts: List to which the caller appends its attempts.
+        is_tainting: Returns whether some prompts have the deadly part.
     """
 
     __slots__ = (
         "_attempts",
         "_gateway",
         "_gateways",
+        "_is_tainting",
         "_n_attempts",
         "_name",
         "_rng",
@@ -58,12 +65,18 @@
     )
 
     def __init__(
-        self, name: str, seed: str, gateways: Sequence[Gateway], attempts: list[Attempt]
+        self,
+        name: str,
+        seed: str,
+        gateways: Sequence[Gateway],
+        attempts: list[Attempt],
+        is_tainting: Callable[[], bool],
     ) -> None:
         self._name = name
         self._rng = random.Random(seed)
         self._gateways = gateways
         self._attempts = attempts
+        self._is_tainting = is_tainting
         self._n_attempts = 0
         self._sock: Any = None
         self._gateway: Gateway | None = None
@@ -96,7 +109,12 @@
         key = REVOKED_KEY if uses_revoked_key else self._rng.choice(keys)
         request_id = f"{self._name}-{self._n_attempts}"
         attempt = Attempt(
-            request_id, kind, gateway.name, key, f"/{kind}/{self._n_attempts}"
+            request_id,
+            kind,
+            gateway.name,
+            key,
+            f"/{kind}/{self._n_attempts}",
+            prefix=self._prefix(request_id) if kind == "summary" else (),
         )
         self._attempts.append(attempt)
         disconnect_after_s = None
@@ -117,6 +135,17 @@
             self._disconnect()
         return attempt
 
+    def _prefix(self, request_id: str) -> list[str]:
+        # From a source of its own: the caller's other choices must not depend on it.
+        rng = random.Random(f"prefix of {request_id}")
+        shared = [
+            f"group-{rng.randrange(N_GROUPS)}",
+            f"place-{rng.randrange(N_PLACES)}",
+        ]
+        if rng.random() < DEADLY_SHARE and self._is_tainting():
+            shared.append(DEADLY_PART)
+        return [*shared, request_id]
+
     def _choose_gateway(self) -> Gateway | None:
         ready = [gateway for gateway in self._gateways if gateway.is_ready]
         return self._rng.choice(ready) if ready else None
@@ -209,6 +238,8 @@
     if attempt.kind == "summary":
         lines.append(f"{TOKEN_COUNTS_HEADER}: 1000,{N_EVENTS * TOKENS_PER_EVENT}")
         lines.append(f"{MODEL_HEADER}: m")
+        prefix = ",".join(f"{part}:300" for part in attempt.prefix)
+        lines.append(f"{PROMPT_PREFIX_HEADER}: {prefix}")
     return ("\r\n".join(lines) + "\r\n\r\nhello").encode()
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -8,8 +8,11 @@
     COLD_REQUESTS_PER_S,
     CONFIG_LIMIT_S,
     CONTACT_DELAY_S,
+    DEADLY_PART,
     DRAIN_LIMIT_S,
     KEYS,
+    MAX_DEADLY_CRASHES,
+    MAX_LATE_DEADLY_RUNS,
     N_EVENTS,
     RECOVERY_LIMIT_S,
     RETRY_BUDGET_RATIO,
@@ -56,6 +59,7 @@
         _check_answers,
         _check_identity,
         _check_configuration,
+        _check_deadly_part,
         _check_draining_endpoints,
         _check_domains_out,
         _check_cold_endpoints,
@@ -177,6 +181,21 @@
             )
 
 
+def _check_deadly_part(world: World, executions_by_id: ExecutionsById) -> Iterator[str]:
+    if len(world.deadly_crashes) < MAX_DEADLY_CRASHES:
+        return
+    limit = world.deadly_crashes[MAX_DEADLY_CRASHES - 1] + CONTACT_DELAY_S
+    late = [
+        (attempt, execution)
+        for attempt, execution in _attempts_with_executions(world, executions_by_id)
+        if DEADLY_PART in attempt.prefix
+        and execution.started_at > limit
+        and _had_store_contact(world, attempt)
+    ]
+    if len(late) > MAX_LATE_DEADLY_RUNS:
+        yield f"{len(late)} prompts with the deadly part ran too late: {late[:4]}"
+
+
 def _check_domains_out(world: World, executions_by_id: ExecutionsById) -> Iterator[str]:
     domains = {endpoint.name: endpoint.domain for endpoint in world.endpoints}
     for attempt, execution in _attempts_with_executions(world, executions_by_id):
--- a/soak/command.py
+++ b/soak/command.py
@@ -29,6 +29,7 @@
     kept: bool = False,
     harm_s: float = FAULT_WINDOW_S,
     folder: Path = Path("reports/soak"),
+    deadly_part: bool = False,
 ) -> int:
     """Run seeds one after another; exit with status 1 if one broke a promise.
 
@@ -39,6 +40,7 @@
         kept: Whether to run the seeds in soak/seeds.yaml, which failed once.
         harm_s: Seconds during which faults are started.
         folder: Folder of logs and journals, with one folder for each seed.
+        deadly_part: Whether a part of some prompts ends endpoints meanwhile.
     """
     logger.remove()
     all_seeds = [*(seeds or []), *range(first, first + count)]
@@ -48,7 +50,7 @@
     for seed in all_seeds:
         seed_folder = folder / f"{seed}-{time.time_ns()}"
         seed_folder.mkdir(parents=True)
-        result = soak(seed_folder, seed, harm_s)
+        result = soak(seed_folder, seed, harm_s, is_tainting=deadly_part)
         n_broken += bool(result.violations)
         _print_result(seed, result, seed_folder)
     print(f"{len(all_seeds) - n_broken} seeds held, {n_broken} broke a promise")
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -35,6 +35,13 @@
 """Retries that a window allows in addition."""
 RETRY_BUDGET_WINDOW_S = 10.0
 
+DEADLY_PART = "deadly"
+"""Part of a prompt that ends each endpoint that begins to answer it."""
+MAX_DEADLY_CRASHES = 5
+"""Crashes after which gateways in touch must keep such prompts from endpoints."""
+MAX_LATE_DEADLY_RUNS = 3
+"""Such prompts that may reach endpoints later than `CONTACT_DELAY_S` after these."""
+
 TIMEOUTS_S = {"summary": 20.0, "badge": 1.5, "lookup": 1.5}
 SERVICES = {"summary": "scribe", "badge": "desk", "lookup": "desk"}
 N_EVENTS = 200
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -10,6 +10,7 @@
 from hawthornyard.platform.connections import CALL_ERRORS, call_once
 from hawthornyard.platform.standins.endpoint import BEHAVIOUR_PATH
 
+from .deployment import DEADLY_PART
 from .loopback import LOOPBACK
 from .process import Process
 from .relay import Relay
@@ -64,7 +65,7 @@
                 *("-m", "hawthornyard", "standin", "platform-endpoint"),
                 *("--listen", self._port.address, "--name", name),
                 *("--born", str(born), "--journal", str(self.journal)),
-                *("--step-s", STEP_S[service]),
+                *("--step-s", STEP_S[service], "--deadly-part", DEADLY_PART),
             ],
         )
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -1,6 +1,7 @@
 """Attempts of callers and executions at endpoints."""
 
 import json
+from collections.abc import Sequence
 from pathlib import Path
 
 
@@ -20,6 +21,7 @@
             "unconnected" for a failed connect, "left" if the caller disconnected,
             "unanswered" after a timeout.
         events: Numbers of the received events in order of arrival.
+        prefix: Parts of its prompt, none if it has no prompt.
         problem: What is wrong with the answer, empty if nothing is.
     """
 
@@ -31,6 +33,7 @@
         "kind",
         "outcome",
         "path",
+        "prefix",
         "problem",
         "request_id",
         "sent_at",
@@ -38,13 +41,21 @@
     )
 
     def __init__(
-        self, request_id: str, kind: str, gateway: str, key: str, path: str
+        self,
+        request_id: str,
+        kind: str,
+        gateway: str,
+        key: str,
+        path: str,
+        *,
+        prefix: Sequence[str] = (),
     ) -> None:
         self.request_id = request_id
         self.kind = kind
         self.gateway = gateway
         self.key = key
         self.path = path
+        self.prefix = prefix
         self.sent_at = 0.0
         self.ended_at: float | None = None
         self.status: int | None = None
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -48,13 +48,16 @@
         self.timeline: list[str] = []
 
 
-def soak(folder: Path, seed: int, fault_window_s: float) -> SeedResult:
+def soak(
+    folder: Path, seed: int, fault_window_s: float, *, is_tainting: bool = False
+) -> SeedResult:
     """Run the deployment under faults and check its guarantees.
 
     Args:
         folder: Folder of logs, journals and settings.
         seed: Seed of the faults and of the callers.
         fault_window_s: Seconds during which faults are started.
+        is_tainting: Whether some prompts end endpoints meanwhile.
     """
     result = SeedResult()
     world = World(folder, seed)
@@ -62,7 +65,11 @@
         world.start()
         world.start_callers()
         eventlet.sleep(WARM_UP_S)
+        world.is_tainting = is_tainting
+        if is_tainting:
+            eventlet.spawn_n(world.restart_ended_endpoints)
         _inject_faults(world, seed, fault_window_s, result)
+        world.is_tainting = False
         faults_ended_at = time.monotonic()
         eventlet.sleep(RECOVERY_LIMIT_S + QUIET_S)
         world.stop_callers()
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 
 from hawthornyard.front import HttpServer
 from hawthornyard.platform.standins import PlatformStoreApp
+from hawthornyard.platform.standins.endpoint import DEADLY_PART_STATUS
 
 from .caller import Caller
 from .deployment import COLD_DURATION_S, DOMAINS, KEYS, operator_config
@@ -22,6 +23,9 @@
 CALLERS = {"summary": (16, 1.0), "badge": (5, 0.25), "lookup": (4, 0.25)}
 """Number of callers by kind of request, and their mean pause in seconds."""
 START_TIMEOUT_S = 20.0
+CRASH_POLL_S = 0.05
+CRASH_RESTART_S = 1.0
+"""Time until an endpoint that the deadly part has ended is back."""
 
 
 class ConfigVersion:
@@ -55,6 +59,9 @@
         endpoints: All incarnations of all endpoints, ended ones included.
         registered: Endpoints with an entry in the store, by name.
         gateways: The gateways.
+        deadly_crashes: Monotonic seconds at which the deadly part was seen to have
+            ended an endpoint.
+        is_tainting: Whether some callers' prompts have the deadly part.
         draining_since: Monotonic seconds at which the store acknowledged that an
             endpoint is draining, by name.
         domain_outages: Failure domains with the monotonic seconds at which they
@@ -70,11 +77,13 @@
         "_n_endpoints",
         "_seed",
         "attempts",
+        "deadly_crashes",
         "domain_outages",
         "draining_since",
         "endpoints",
         "fault_spans",
         "gateways",
+        "is_tainting",
         "registered",
         "store",
         "versions",
@@ -92,6 +101,8 @@
         self.draining_since: dict[str, float] = {}
         self.domain_outages: list[tuple[str, float, float]] = []
         self.attempts: list[Attempt] = []
+        self.deadly_crashes: list[float] = []
+        self.is_tainting = False
         self.versions: list[ConfigVersion] = []
         server = HttpServer((LOOPBACK, 0), self.store)
         server.start()
@@ -122,10 +133,30 @@
             for index in range(n_callers):
                 name = f"{kind}-{index}"
                 caller = Caller(
-                    name, f"{self._seed}/{name}", self.gateways, self.attempts
+                    name,
+                    f"{self._seed}/{name}",
+                    self.gateways,
+                    self.attempts,
+                    lambda: self.is_tainting,
                 )
                 eventlet.spawn_n(caller.run, kind, pause_s, lambda: self._is_stopped)
 
+    def restart_ended_endpoints(self) -> None:
+        """Start endpoints again that the deadly part has ended; never returns."""
+        while not self._is_stopped:
+            eventlet.sleep(CRASH_POLL_S)
+            for endpoint in list(self.registered.values()):
+                if endpoint.process.status == DEADLY_PART_STATUS:
+                    self.deadly_crashes.append(time.monotonic())
+                    del self.registered[endpoint.name]
+                    eventlet.spawn_after(
+                        CRASH_RESTART_S, self._restart_endpoint, endpoint
+                    )
+
+    def _restart_endpoint(self, endpoint: Endpoint) -> None:
+        if not self._is_stopped and endpoint.name not in self.registered:
+            self.add_endpoint(endpoint.service, endpoint.domain, name=endpoint.name)
+
     def stop_callers(self) -> None:
         """Stop the callers after the request that each of them is sending."""
         self._is_stopped = True
