Bound the memory of accused parts and the ids that callers give to parts

Cause, found by reading the quarantine as a newcomer: the ids of a prompt's parts come from callers, are kept in memory (4096 sound ones) and sent to the other gateways; only the limit on headers bounded them, so that a caller could have filled some 60 MB of a gateway that may use 150. Accused parts had no bound at all. Ids over 64 characters are now hashed, the last 32 parts of a prompt are looked at, 256 parts may be accused.

Ruled out: an effect on the users' prompts, whose ids have up to 12 characters in the logs.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -209,6 +209,16 @@
     When another gateway reports 500 crashes on different parts
     Then at most 64 crashes are known
 
+  @fixture.edge
+  Scenario: The memory of accused parts is bounded
+    Given the engines engine-a
+    When another gateway reports 2 crashes on each of 300 parts
+    Then at most 256 parts are accused
+
+  Scenario: The ids of parts that a caller sends are bounded
+    When a caller sends a prompt of 100 parts with ids of 100 characters
+    Then its parts are at most 32 ids of at most 64 characters
+
   @fixture.platform_world
   Scenario Outline: Endpoints that end after the head of an answer are spared a third request
     Given an endpoint that answers with <head> and then closes
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -21,7 +21,9 @@
     GatewayLoads,
     PartsSound,
 )
+from hawthornyard.front.exchange import Exchange
 from hawthornyard.gateway.messages import ReplyFailed
+from hawthornyard.platform.decode import decode_call
 
 ASKING_GATEWAY = "10.0.0.9:7200"
 # Reports of one endpoint within a second are about the same crash.
@@ -150,6 +152,38 @@
         report_crash(context, f"engine-{index}", f"part-{index},other-{index}")
 
 
+@when("another gateway reports 2 crashes on each of {n:d} parts")
+def report_crash_pairs(context: Context, n: int) -> None:
+    for index in range(n):
+        report_crash(context, f"engine-{index}-a", f"part-{index}")
+        report_crash(context, f"engine-{index}-b", f"part-{index}")
+
+
+@then("at most {n:d} parts are accused")
+def check_n_accused(context: Context, n: int) -> None:
+    assert 0 < context.edge.state.crash_evidence.n_accused <= n
+
+
+@when("a caller sends a prompt of {n:d} parts with ids of {length:d} characters")
+def send_long_prefix(context: Context, n: int, length: int) -> None:
+    prefix = ",".join(f"{index:x}".zfill(length) + ":9" for index in range(n))
+    environ = {
+        "REQUEST_METHOD": "POST",
+        "PATH_INFO": "/summary/1",
+        "headers_raw": [],
+        "HTTP_X_HAWTHORNYARD_TOKEN_USAGE": "100,80",
+        "HTTP_X_HAWTHORNYARD_PROMPT_PREFIX": prefix,
+    }
+    context.prefix = decode_call(Exchange("call-1", environ)).size.prefix
+
+
+@then("its parts are at most {n:d} ids of at most {length:d} characters")
+def check_prefix(context: Context, n: int, length: int) -> None:
+    assert 0 < len(context.prefix) <= n, context.prefix
+    assert len(set(context.prefix)) == len(context.prefix), context.prefix
+    assert max(map(len, context.prefix)) <= length, context.prefix
+
+
 @when("a gateway asks for the reports")
 def ask_for_reports(context: Context) -> None:
     context.edge.push(CrashReportsRequested().with_peer(ASKING_GATEWAY))
--- a/hawthornyard/platform/decode.py
+++ b/hawthornyard/platform/decode.py
@@ -1,5 +1,6 @@
 """Decode callers' HTTP requests."""
 
+import hashlib
 import re
 
 from ..edge.messages import Call, GenerationSize
@@ -15,6 +16,13 @@
     TOKEN_COUNTS_HEADER,
 )
 
+MAX_PROMPT_PARTS = 32
+"""Parts of a prompt that are looked at, counted from its end."""
+
+MAX_PART_ID_LENGTH = 64
+"""Length up to which the id of a part is kept as it is; a longer one is hashed, as ids
+are held in memory and sent to other gateways."""
+
 _INTEGER = re.compile(r"[0-9]{1,9}")
 _REQUEST_ID = re.compile(r"[!-~]{1,200}")
 _PORT_SUFFIX = re.compile(r":[0-9]{1,5}$")
@@ -115,4 +123,11 @@
 
 def _prompt_prefix(exchange: Exchange) -> list[str]:
     parts = exchange.header(PROMPT_PREFIX_HEADER).split(",")
-    return [part.partition(":")[0].strip() for part in parts if part.strip()]
+    return [_part_id(part) for part in parts if part.strip()][-MAX_PROMPT_PARTS:]
+
+
+def _part_id(part: str) -> str:
+    name = part.partition(":")[0].strip()
+    if len(name) <= MAX_PART_ID_LENGTH:
+        return name
+    return hashlib.blake2b(name.encode(), digest_size=16).hexdigest()
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -25,6 +25,7 @@
 MAX_CRASHES = 64
 MAX_PREFIXES_PER_CRASH = 8
 MAX_SOUND_PARTS = 4096
+MAX_ACCUSED_PARTS = 256
 
 
 class Crash:
@@ -159,6 +160,8 @@
         accused: dict[str, list[Crash]] = {}
         while (found := self._best_explanation()) is not None:
             part, crashes = found
+            if len(self._accusations) >= MAX_ACCUSED_PARTS:
+                del self._accusations[next(iter(self._accusations))]
             self._accusations[part] = _Accusation(self._clock.now())
             accused[part] = crashes
         return accused
