--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -86,7 +86,13 @@
     And an engine ends as it begins a summary of "group,place,own-3"
     And a caller sends "group,place,own-4"
     Then 1 attempts were sent for it
-    And 0 gateways were told of suspected parts
+
+  @fixture.edge
+  Scenario: The others are not told of sound parts that nobody suspects
+    Given the engines engine-a and engine-b and engine-c
+    And 3 other gateways
+    When a summary of "group,place,own-1" goes on for 1.2 seconds
+    Then 0 gateways were told of suspected parts
 
   @fixture.edge
   Scenario: The others are told of a suspected part that is sound
