Prove that the queue and the retry filter keep to the quarantine

Cause, found by mutating the quarantine one line at a time on a scratch copy: seven of nine changes turned a scenario red, but nothing noticed a queue that kept what waits with an accused part, nor a retry of a request that may have ended its engine. Two scenarios now do, three examples in all; each fails under its change and passes on the code. No product code changes.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -130,6 +130,28 @@
     Then the first attempt is cancelled
     And the first request ends as outcome_unknown
 
+  @fixture.edge
+  Scenario: What waits for capacity when a part is accused is refused at once
+    Given the engines engine-a
+    When 12 summaries are sent
+    And a caller sends "group,place,bad,own-1"
+    And another gateway reports a crash of engine-y on "group,place,bad"
+    Then the request ends as open
+    When another gateway reports a crash of engine-z on "group,place,bad"
+    Then the request ends as prompt_quarantined
+    And 0 attempts were sent for it
+
+  @fixture.edge
+  Scenario Outline: A draft that may run twice is not retried once it may have ended its engine
+    Given the engines engine-a and engine-b
+    When an engine <breaks> the answer to a draft of "group,place,bad,own-1"
+    Then <attempts> attempts were sent for it
+
+    Examples:
+      | breaks                     | attempts |
+      | ends as it begins          | 1        |
+      | ends before it begins      | 2        |
+
   @fixture.edge
   Scenario: Crashes that other gateways report accuse as well, each once
     Given the engines engine-a and engine-b
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -83,6 +83,14 @@
     _break(context, prefix, state)
 
 
+@when('an engine ends {state} the answer to a draft of "{prefix}"')
+def end_draft(context: Context, state: str, prefix: str) -> None:
+    context.call_id = context.edge.call("draft", prefix=prefix.split(","))
+    attempt_id = context.edge.dispatches(context.call_id)[-1].attempt_id
+    has_begun = state == "as it begins"
+    context.edge.push(AttemptBroke(attempt_id, "cut", has_begun=has_begun))
+
+
 @when('an answer breaks as it begins a summary of "{prefix}"')
 def break_at_once(context: Context, prefix: str) -> None:
     context.first_attempt_id = context.edge.dispatches(context.call_id)[-1].attempt_id
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -86,6 +86,16 @@
         gap_target_s=0.18,
         priority=1,
     ),
+    "draft": RouteRule(
+        "draft",
+        "kiosk.example",
+        "/draft/",
+        [ServiceShare("scribe", 1.0)],
+        is_idempotent=True,
+        timeout_s=39.0,
+        target_s=1.8,
+        max_attempts=2,
+    ),
     "badge": RouteRule(
         "badge",
         "kiosk.example",
@@ -106,6 +116,9 @@
     ),
 }
 
+PROMPTED_KINDS = ("summary", "draft")
+"""Kinds of request that have a prompt."""
+
 M = TypeVar("M", bound=Message)
 
 
@@ -253,7 +266,7 @@
         self.n_calls += 1
         call_id = f"call-{self.n_calls}"
         size = None
-        if kind == "summary":
+        if kind in PROMPTED_KINDS:
             size = GenerationSize(
                 "m",
                 n_prompt_tokens,
@@ -268,7 +281,7 @@
                 "kiosk.example",
                 f"/{kind}/1",
                 key=KEY,
-                timeout_s=39.0 if kind == "summary" else 1.0,
+                timeout_s=39.0 if kind in PROMPTED_KINDS else 1.0,
                 size=size,
             )
         )
