Read what endpoints say of themselves from every answer, and log their limits

Callers see no change. Logs could not tell whether a gateway had been told of a limit: platform/notices.py now reads Server-Limit at the head of streams, in answers, refusals, reports and copies, and FollowNotices logs each change with its value and age.

--- a/features/steps/late_bytes.py
+++ b/features/steps/late_bytes.py
@@ -105,7 +105,8 @@
 
 @then("it is whole")
 def check_whole(context: Context) -> None:
-    assert context.answer == (200, context.body), context.answer
+    answer = context.answer
+    assert (answer.status, answer.data) == (200, context.body), answer
 
 
 @given("an engine whose events come every {interval_s:g} s, and {n:d} of them")
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -10,6 +10,7 @@
 from .fleet import (
     FollowDeployment,
     FollowEndpoints,
+    FollowNotices,
     FollowStore,
     ShareLoads,
     TrackCrashes,
@@ -103,6 +104,7 @@
         FollowStore(clock),
         FollowDeployment(state.directory),
         FollowEndpoints(state.endpoints, clock),
+        FollowNotices(state.endpoints, clock),
         WatchEngines(
             state.endpoints,
             state.directory,
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -4,6 +4,7 @@
 
 from ..core import Clock
 from .messages import EndpointEntry, Request
+from .named_limit import NamedLimit
 from .peers import Peers
 
 # Weights of a new sample in the exponential moving averages of an endpoint: the gap
@@ -33,6 +34,7 @@
         leaving_since: Monotonic time in seconds when it was seen to leave, None before.
         has_announced_leaving: Whether it said itself that it leaves, which is final.
         backoff_until: Monotonic time in seconds until which it gets no new work.
+        limit: Limit that it named.
         failure_rate: Moving average of the share of failures among its answers.
         n_absences: Consecutive times that it was not found at its address.
         own_prefill_rate: Moving average of its prefill rate as measured by this
@@ -49,6 +51,7 @@
         "failure_rate",
         "has_announced_leaving",
         "leaving_since",
+        "limit",
         "mean_answer_s",
         "mean_gap_s",
         "mirrored",
@@ -66,6 +69,7 @@
         self.leaving_since: float | None = None
         self.has_announced_leaving = False
         self.backoff_until = 0.0
+        self.limit = NamedLimit()
         self.failure_rate = 0.0
         self.n_absences = 0
         self.own_prefill_rate = 0.0
--- /dev/null
+++ b/hawthornyard/edge/fleet/notices.py
@@ -0,0 +1,48 @@
+"""Follow what endpoints say of themselves in their answers."""
+
+from collections.abc import Iterator
+
+from ...core import Clock, Decision, Handlers, Message
+from ..endpoints import Endpoint, Endpoints
+from ..messages import EndpointNotice, LimitChanged
+
+
+class FollowNotices:
+    """Filter that records the limits that endpoints name.
+
+    Args:
+        endpoints: Known endpoints.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_clock", "_endpoints", "handlers")
+
+    def __init__(self, endpoints: Endpoints, clock: Clock) -> None:
+        self._endpoints = endpoints
+        self._clock = clock
+        self.handlers: Handlers = {EndpointNotice: self._on_endpoint_notice}
+
+    def _on_endpoint_notice(self, msg: EndpointNotice) -> Iterator[Message]:
+        endpoint = self._endpoints.get(msg.endpoint)
+        if endpoint is None or endpoint.entry.born != msg.born:
+            # A new incarnation starts without the notices of the one before it.
+            return
+        if msg.limit_per_s is not None or msg.is_signed:
+            yield from self._learn_limit(endpoint, msg)
+
+    def _learn_limit(
+        self, endpoint: Endpoint, msg: EndpointNotice
+    ) -> Iterator[Message]:
+        now = self._clock.now()
+        before = endpoint.limit.per_s
+        if not endpoint.limit.learn(msg.limit_per_s, msg.asked_at, now):
+            return
+        yield Decision(
+            "endpoint_limit",
+            reason="named by the endpoint",
+            endpoint=endpoint.name,
+            per_s=msg.limit_per_s,
+            before=before,
+            age_s=round(now - msg.asked_at, 3),
+        )
+        yield LimitChanged(endpoint.name)
--- a/hawthornyard/edge/fleet/watch.py
+++ b/hawthornyard/edge/fleet/watch.py
@@ -123,7 +123,9 @@
         self._next_at = msg.now + interval_s * (0.5 + self._random_source.random())
         for endpoint in self._endpoints:
             if endpoint.leaving_since is None and self._can_report(endpoint):
-                yield ReportRequested(endpoint.name, endpoint.entry.address)
+                yield ReportRequested(
+                    endpoint.name, endpoint.entry.address, endpoint.entry.born
+                )
 
     def _is_overdue(self, now: float) -> bool:
         return now - self._answered_at > LONG_POLL_S + OVERDUE_GRACE_S
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -12,6 +12,7 @@
 from .call import Call, GenerationSize
 from .copy import CopyAnswered, CopyDropped, CopyRequested, CopySource
 from .dispatch import Cancel, Dispatch
+from .notice import EndpointNotice, LimitChanged
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
@@ -50,10 +51,12 @@
     "DomainsRead",
     "EndpointEntry",
     "EndpointLeaving",
+    "EndpointNotice",
     "EndpointsRead",
     "Event",
     "GatewaysRead",
     "GenerationSize",
+    "LimitChanged",
     "Matched",
     "Migration",
     "Origin",
--- a/hawthornyard/edge/messages/copy.py
+++ b/hawthornyard/edge/messages/copy.py
@@ -28,6 +28,8 @@
         request_id: Identifier of the run at the engine.
         source: "address:port" of the engine that executes the run.
         target: "address:port" of the engine that receives the copy.
+        source_name: Name of the engine that executes the run.
+        source_born: Incarnation of that engine, a start time in Unix milliseconds.
         is_final: Whether the source stops the run when it makes the copy.
         timeout_s: Longest wait for the answer, in seconds.
     """
@@ -37,6 +39,8 @@
         "request_id",
         "source",
         "target",
+        "source_name",
+        "source_born",
         "is_final",
         "timeout_s",
     )
@@ -48,6 +52,8 @@
         source: str,
         target: str,
         *,
+        source_name: str = "",
+        source_born: int = 0,
         is_final: bool,
         timeout_s: float,
     ) -> None:
@@ -55,6 +61,8 @@
         self.request_id = request_id
         self.source = source
         self.target = target
+        self.source_name = source_name
+        self.source_born = source_born
         self.is_final = is_final
         self.timeout_s = timeout_s
 
--- a/hawthornyard/edge/messages/dispatch.py
+++ b/hawthornyard/edge/messages/dispatch.py
@@ -13,6 +13,7 @@
         call: The caller's request.
         address: "address:port" of the endpoint.
         endpoint: Name of the endpoint; another one at the address refuses the attempt.
+        born: Incarnation of the endpoint, a start time in Unix milliseconds.
         team: Name of the team, empty for none.
         priority: Scheduling priority; 0 goes first.
         timeout_s: Seconds left for the answer.
@@ -26,6 +27,7 @@
         "call",
         "address",
         "endpoint",
+        "born",
         "team",
         "priority",
         "timeout_s",
@@ -41,6 +43,7 @@
         address: str,
         endpoint: str,
         *,
+        born: int = 0,
         team: str = "",
         priority: int = 0,
         timeout_s: float = 0.0,
@@ -52,6 +55,7 @@
         self.call = call
         self.address = address
         self.endpoint = endpoint
+        self.born = born
         self.team = team
         self.priority = priority
         self.timeout_s = timeout_s
--- a/hawthornyard/edge/messages/report.py
+++ b/hawthornyard/edge/messages/report.py
@@ -9,13 +9,15 @@
     Attributes:
         endpoint: Name of the engine.
         address: "address:port" of the engine.
+        born: Known incarnation of the engine, a start time in Unix milliseconds.
     """
 
-    __slots__ = ("endpoint", "address")
+    __slots__ = ("endpoint", "address", "born")
 
-    def __init__(self, endpoint: str, address: str) -> None:
+    def __init__(self, endpoint: str, address: str, born: int = 0) -> None:
         self.endpoint = endpoint
         self.address = address
+        self.born = born
 
 
 class ReportRead(Message):
--- a/hawthornyard/edge/request/send.py
+++ b/hawthornyard/edge/request/send.py
@@ -88,6 +88,7 @@
             request.call,
             endpoint.entry.address,
             endpoint.name,
+            born=endpoint.entry.born,
             team=request.team,
             priority=request.priority,
             timeout_s=left_s,
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -168,6 +168,8 @@
             request.request_id,
             endpoint.entry.address,
             target.entry.address,
+            source_name=endpoint.name,
+            source_born=endpoint.entry.born,
             is_final=request.migration.is_final,
             timeout_s=COPY_TIMEOUT_S,
         )
--- a/hawthornyard/edge/streams/resumption.py
+++ b/hawthornyard/edge/streams/resumption.py
@@ -58,6 +58,7 @@
             request.call,
             endpoint.entry.address,
             endpoint.name,
+            born=endpoint.entry.born,
             team=request.team,
             priority=request.priority,
             timeout_s=max(0.0, request.deadline - self._clock.now()),
--- a/hawthornyard/platform/connections.py
+++ b/hawthornyard/platform/connections.py
@@ -2,9 +2,11 @@
 
 import http.client
 import socket
+from collections.abc import Mapping
 
 import urllib3
 
+from ..core import Message
 from ..io import split_address
 from ..net import BoundedConnection
 
@@ -61,9 +63,26 @@
     return conn
 
 
+class CallAnswer(Message):
+    """The whole answer to one small request.
+
+    Attributes:
+        status: HTTP status.
+        headers: Headers of the answer.
+        data: Body of the answer.
+    """
+
+    __slots__ = ("status", "headers", "data")
+
+    def __init__(self, status: int, headers: Mapping[str, str], data: bytes) -> None:
+        self.status = status
+        self.headers = headers
+        self.data = data
+
+
 def call_once(
     method: str, address: str, path: str, body: str, timeout_s: float
-) -> tuple[int, bytes]:
+) -> CallAnswer:
     """Send one small request, without retries, and return the response.
 
     Args:
@@ -73,9 +92,6 @@
         body: JSON text, empty for no body.
         timeout_s: Seconds within which the whole response must arrive.
 
-    Returns:
-        The status and the body of the response.
-
     Raises:
         urllib3.exceptions.HTTPError: If there is no response.
         http.client.HTTPException: If the response is not HTTP.
@@ -92,6 +108,6 @@
             headers={"Content-Type": "application/json"} if body else {},
         )
         resp = conn.getresponse()
-        return resp.status, resp.data
+        return CallAnswer(resp.status, resp.headers, resp.data)
     finally:
         conn.close()
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -1,7 +1,6 @@
 """Ask engines to copy runs to other engines."""
 
 import json
-import time
 
 import eventlet
 from loguru import logger
@@ -12,6 +11,7 @@
 from .connections import CALL_ERRORS, call_once
 from .fields import decode_object
 from .names import COPY_DROP_PATH, COPY_PATH
+from .notices import NoticeReader
 
 DROP_TIMEOUT_S = 1.0
 """Timeout for freeing a copy; engines free unused copies themselves after some
@@ -26,12 +26,14 @@
 
     Args:
         inbox: Receives the outcome of each copy.
+        notices: Reads what the engines say of themselves beside their answers.
     """
 
-    __slots__ = ("_inbox", "consumers")
+    __slots__ = ("_inbox", "_notices", "consumers")
 
-    def __init__(self, inbox: Inbox) -> None:
+    def __init__(self, inbox: Inbox, notices: NoticeReader) -> None:
         self._inbox = inbox
+        self._notices = notices
         self.consumers: Consumers = {
             CopyRequested: self._on_copy_requested,
             CopyDropped: self._on_copy_dropped,
@@ -44,25 +46,28 @@
         eventlet.spawn_n(self._drop, msg)
 
     def _copy(self, msg: CopyRequested) -> None:
-        started_at = time.monotonic()
+        asked_at = self._notices.now()
         body = {"id": msg.request_id, "to": msg.target, "last": msg.is_final}
         try:
-            status, data = call_once(
+            answer = call_once(
                 "POST", msg.source, COPY_PATH, json.dumps(body), msg.timeout_s
             )
         except CALL_ERRORS as exc:
             self._inbox.put(CopyAnswered(msg, is_done=False, detail=str(exc)))
             return
+        self._notices.read(
+            answer.status, answer.headers, msg.source_name, msg.source_born, asked_at
+        )
         self._inbox.put(
             CopyAnswered(
                 msg,
-                is_done=status == _OK,
+                is_done=answer.status == _OK,
                 # An engine that stopped the run but failed to deliver the copy
                 # returns a handle too.
-                handle=_decode_handle(data),
-                is_unknown=status == _NOT_FOUND,
-                detail=f"the engine answered with status {status}",
-                seconds=time.monotonic() - started_at,
+                handle=_decode_handle(answer.data),
+                is_unknown=answer.status == _NOT_FOUND,
+                detail=f"the engine answered with status {answer.status}",
+                seconds=self._notices.now() - asked_at,
             )
         )
 
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -15,6 +15,8 @@
 # Set on a response if the endpoint has not run the request.
 NOT_RUN_HEADER = "X-Hawthornyard-Not-Executed"
 PRIORITY_HEADER = "X-Hawthornyard-Request-Priority"
+# Requests a second that the endpoint takes from all gateways together.
+LIMIT_HEADER = "Server-Limit"
 BACKUP_HEADER = "X-Hawthornyard-Kv-Backup"
 COPY_SOURCE_HEADER = "Kv-From"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
--- /dev/null
+++ b/hawthornyard/platform/notices.py
@@ -0,0 +1,81 @@
+"""Read what endpoints say of themselves in the headers of their answers."""
+
+import re
+from collections.abc import Mapping
+
+from loguru import logger
+
+from ..core import Clock, Inbox
+from ..edge.messages import EndpointNotice
+from .names import LIMIT_HEADER, SIGNATURE_HEADER
+
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_MISDIRECTED = 421
+
+
+class NoticeReader:
+    """Reader of the notices in the answers of endpoints.
+
+    Args:
+        inbox: Receives a notice for each answer of the endpoint that was asked.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_clock", "_inbox")
+
+    def __init__(self, inbox: Inbox, clock: Clock) -> None:
+        self._inbox = inbox
+        self._clock = clock
+
+    def now(self) -> float:
+        """Return the monotonic time in seconds, for `read`."""
+        return self._clock.now()
+
+    def read(
+        self,
+        status: int,
+        headers: Mapping[str, str],
+        endpoint: str,
+        born: int,
+        asked_at: float,
+    ) -> None:
+        """Put the notices of one answer into the inbox.
+
+        Args:
+            status: HTTP status of the answer.
+            headers: Headers of the answer.
+            endpoint: Name of the endpoint that was asked.
+            born: Incarnation that was asked, in Unix milliseconds.
+            asked_at: Monotonic time in seconds at which the request was sent.
+        """
+        if status == _MISDIRECTED:
+            # Another endpoint answers at the address.
+            return
+        limit_text = headers.get(LIMIT_HEADER)
+        limit_per_s = None
+        if limit_text is not None:
+            limit_per_s = decode_decimal(limit_text)
+            if limit_per_s is None:
+                logger.bind(
+                    endpoint=endpoint, header=LIMIT_HEADER, value=limit_text[:100]
+                ).warning("notice_unreadable")
+        self._inbox.put(
+            EndpointNotice(
+                endpoint,
+                born,
+                asked_at,
+                # An unreadable limit neither sets one nor tells that there is none.
+                is_signed=SIGNATURE_HEADER in headers
+                and (limit_text is None or limit_per_s is not None),
+                limit_per_s=limit_per_s,
+            )
+        )
+
+
+def decode_decimal(text: str) -> float | None:
+    """Return a number from 0 up with up to 9 digits before and after the point.
+
+    Returns:
+        The number, None if the text is anything else.
+    """
+    return float(text) if _DECIMAL.fullmatch(text.strip()) else None
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -27,6 +27,7 @@
     CopyAnswered,
     EndpointLeaving,
     EndpointsRead,
+    LimitChanged,
     ReplyBegan,
     ReplyEvents,
     StoreAnswered,
@@ -63,6 +64,7 @@
 from .feeds import endpoint_feed, operator_feed
 from .front import PlatformFront
 from .gateway_registry import GatewayRegistry
+from .notices import NoticeReader
 from .protocol import strict_protocol
 from .reload import ReloadSink, apply_bounds
 from .reports import ReportSink
@@ -182,6 +184,7 @@
             store,
             self._inbox,
         )
+        notices = NoticeReader(self._inbox, self._clock)
         self._pipeline = Pipeline(
             edge_chain(
                 self.state,
@@ -194,9 +197,9 @@
             ),
             [
                 Feedback(self._inbox, AttemptFailed, Closed),
-                RunnerSink(self._inbox),
-                CopySink(self._inbox),
-                ReportSink(self._inbox),
+                RunnerSink(self._inbox, notices),
+                CopySink(self._inbox, notices),
+                ReportSink(self._inbox, notices),
                 self._datagrams,
                 DecisionLog(settings.name),
                 DiscardSink(
@@ -208,6 +211,7 @@
                     StoreFailed,
                     EndpointsRead,
                     EndpointLeaving,
+                    LimitChanged,
                 ),
                 replies,
                 ListenerSink(self._server),
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -9,6 +9,7 @@
 from .connections import CALL_ERRORS, call_once
 from .endpoint import decode_report
 from .names import REPORT_PATH
+from .notices import NoticeReader
 
 REPORT_TIMEOUT_S = 0.5
 """Timeout for a report; most take some milliseconds, and a later one is out of date."""
@@ -21,12 +22,14 @@
 
     Args:
         inbox: Receives the reports; a failure is only logged.
+        notices: Reads what the engines say of themselves beside their reports.
     """
 
-    __slots__ = ("_inbox", "consumers")
+    __slots__ = ("_inbox", "_notices", "consumers")
 
-    def __init__(self, inbox: Inbox) -> None:
+    def __init__(self, inbox: Inbox, notices: NoticeReader) -> None:
         self._inbox = inbox
+        self._notices = notices
         self.consumers: Consumers = {ReportRequested: self._on_report_requested}
 
     def _on_report_requested(self, msg: ReportRequested) -> None:
@@ -34,18 +37,20 @@
 
     def _fetch(self, msg: ReportRequested) -> None:
         log = logger.bind(endpoint=msg.endpoint, address=msg.address)
+        asked_at = self._notices.now()
         try:
-            status, data = call_once(
-                "GET", msg.address, REPORT_PATH, "", REPORT_TIMEOUT_S
-            )
+            answer = call_once("GET", msg.address, REPORT_PATH, "", REPORT_TIMEOUT_S)
         except CALL_ERRORS as exc:
             log.bind(detail=str(exc)).info("report_failed")
             return
-        if status != _OK:
-            log.bind(status=status).info("report_failed")
+        self._notices.read(
+            answer.status, answer.headers, msg.endpoint, msg.born, asked_at
+        )
+        if answer.status != _OK:
+            log.bind(status=answer.status).info("report_failed")
             return
         try:
-            report = decode_report(msg.endpoint, data)
+            report = decode_report(msg.endpoint, answer.data)
         except RecordError as exc:
             log.bind(detail=str(exc)).warning("report_unreadable")
             return
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -35,6 +35,7 @@
     TEAM_HEADER,
     TIMEOUT_MS_HEADER,
 )
+from .notices import NoticeReader
 
 READ_CHUNK_BYTES = 16_384
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
@@ -53,12 +54,14 @@
 
     Args:
         inbox: Receives the outcome and the events of attempts.
+        notices: Reads what the endpoints say of themselves beside their answers.
     """
 
-    __slots__ = ("_inbox", "_threads", "consumers")
+    __slots__ = ("_inbox", "_notices", "_threads", "consumers")
 
-    def __init__(self, inbox: Inbox) -> None:
+    def __init__(self, inbox: Inbox, notices: NoticeReader) -> None:
         self._inbox = inbox
+        self._notices = notices
         self._threads: dict[str, Any] = {}
         self.consumers: Consumers = {
             Dispatch: self._on_dispatch,
@@ -100,6 +103,7 @@
     def _exchange(self, conn: BoundedConnection, msg: Dispatch) -> None:
         conn.timeout = msg.timeout_s + RESPONSE_GRACE_S
         call = msg.call
+        asked_at = self._notices.now()
         conn.request(
             call.method,
             call.target,
@@ -110,12 +114,15 @@
         )
         resp = conn.getresponse()
         try:
+            _check_request_id(resp, msg)
+            self._notices.read(
+                resp.status, resp.headers, msg.endpoint, msg.born, asked_at
+            )
             self._handle_response(resp, msg)
         finally:
             resp.close()
 
     def _handle_response(self, resp: Any, msg: Dispatch) -> None:
-        _check_request_id(resp, msg)
         if resp.status == _MISDIRECTED or resp.headers.get(NOT_RUN_HEADER):
             self._inbox.put(
                 AttemptRefused(
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -249,13 +249,13 @@
     def _send_copy(self, run: Run, address: str, handle: str) -> bool:
         body = json.dumps({"n_made": run.n_made})
         try:
-            status, _ = call_once(
+            answer = call_once(
                 "PUT", address, f"{COPY_UPLOAD_PATH}{handle}", body, COPY_TIMEOUT_S
             )
         except CALL_ERRORS as exc:
             self._journal.write("copy_lost", handle=handle, detail=str(exc))
             return False
-        return status == 200
+        return answer.status == 200
 
     def _answer_report(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         leaves_ms = self.behaviour.leaves_ms
