Keep the requests of all gateways within the limit that an endpoint names

Cause: nothing obeyed Server-Limit, and each reason to spare an endpoint was a special case. An endpoint now has one Allowance made of restrictions (back-off, cold rate, named limit), asked at each choice and charged at each send: first attempts, repeats and resumed streams, these with a small reserve.

The limit binds the sum of all gateways. Each tells the others of every send to a limited endpoint (EndpointLimit, a frame that older gateways drop), so whoever has callers uses the whole limit. Half or fewer of the gateways use their own part, as in ShareLimits of the gateway. Weighed and left: equal parts (nothing left at 68 gateways), division by reported demand (bursts of one token each exceed small limits with many gateways).

What is over goes to other endpoints, waits for at most half the target latency, else is refused as not run with the time until the allowance. Second failed try: counting the request itself as used made an endpoint with a limit of 1 cost more than any other, so that none asked it.

--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -19,6 +19,7 @@
     CrashReportsRequested,
     Dispatch,
     Ended,
+    EndpointLimit,
     EndpointLoad,
     Failed,
     Frame,
@@ -80,6 +81,7 @@
     30: CrashReport,
     31: CrashReportsRequested,
     32: PartsSound,
+    33: EndpointLimit,
 }
 _TAG_BY_TYPE = {cls: tag for tag, cls in _TYPE_BY_TAG.items()}
 _CHECKER_BY_TAG = {tag: FieldChecker(cls) for tag, cls in _TYPE_BY_TAG.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -12,6 +12,7 @@
     FollowEndpoints,
     FollowNotices,
     FollowStore,
+    ShareLimits,
     ShareLoads,
     TrackCrashes,
     WatchEngines,
@@ -66,7 +67,7 @@
         self.pace = ReadPace(self.peers)
         self.directory = Directory(clock)
         self.endpoints = Endpoints(self.peers, clock)
-        self.eligibility = Eligibility(self.directory, self.endpoints, clock)
+        self.eligibility = Eligibility(self.directory, self.endpoints)
         self.inflight = InFlight(self.endpoints, clock)
         self.retry_budget = SharedRetryBudget(clock)
         self.crash_evidence = CrashEvidence(clock)
@@ -99,7 +100,7 @@
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
     )
-    resumption = Resumption(state.inflight, state.eligibility, mirroring, clock)
+    resumption = Resumption(state.inflight, mirroring, clock)
     return [
         FollowStore(clock),
         FollowDeployment(state.directory),
@@ -129,7 +130,6 @@
         Send(
             state.inflight,
             state.endpoints,
-            state.eligibility,
             mirroring,
             state.directory,
             clock,
@@ -149,6 +149,7 @@
         Expire(state.inflight, state.endpoints),
         *metrics_filters,
         CloseRequests(state.inflight, clock),
+        ShareLimits(state.name, state.peers, state.endpoints, clock),
         ShareLoads(
             state.name,
             state.peers,
--- a/hawthornyard/edge/eligibility.py
+++ b/hawthornyard/edge/eligibility.py
@@ -1,15 +1,10 @@
 """Decide which endpoints may get new work."""
 
-from collections import deque
-
-from ..core import Clock
+from .allowance import COLD_WINDOW_S
 from .directory import Directory
 from .endpoints import Endpoint, Endpoints
 from .messages import Request
 
-# Window over which the requests to a cold endpoint are counted.
-COLD_WINDOW_S = 1.0
-
 
 class Eligibility:
     """Rules that each choice of an endpoint must obey.
@@ -17,21 +12,16 @@
     Args:
         directory: Deployment in force.
         endpoints: Known endpoints.
-        clock: Source of time.
 
     Attributes:
         n_gateways: Gateways among which a cold endpoint's request rate is divided.
     """
 
-    __slots__ = ("_clock", "_cold_sends", "_directory", "_endpoints", "n_gateways")
+    __slots__ = ("_directory", "_endpoints", "n_gateways")
 
-    def __init__(
-        self, directory: Directory, endpoints: Endpoints, clock: Clock
-    ) -> None:
+    def __init__(self, directory: Directory, endpoints: Endpoints) -> None:
         self._directory = directory
         self._endpoints = endpoints
-        self._clock = clock
-        self._cold_sends: dict[str, deque[float]] = {}
         self.n_gateways = 1
 
     def for_request(self, request: Request) -> list[Endpoint]:
@@ -51,34 +41,55 @@
         """Return whether an endpoint may get new work now."""
         if not self.may_receive(endpoint):
             return False
-        now = self._clock.now()
-        if now < endpoint.backoff_until:
-            return False
-        return now >= endpoint.cold_until or self._is_below_cold_limit(endpoint, now)
+        cold = endpoint.allowance.cold
+        if cold.is_in_force:
+            cold.per_window = self._n_cold_requests(endpoint)
+        return not endpoint.allowance.wait_s()
 
     def may_receive(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint is neither leaving nor out of service.
 
-        Unlike `accepts`, it passes endpoints that are cold or in backoff.
+        Unlike `accepts`, it passes endpoints whose allowance is used up.
         """
         if endpoint.entry.is_draining or endpoint.leaving_since is not None:
             return False
         return endpoint.entry.failure_domain not in self._directory.domains_out
 
-    def note_send(self, endpoint: Endpoint) -> None:
-        """Record a request that is sent to an endpoint, if the endpoint is cold."""
-        now = self._clock.now()
-        if now < endpoint.cold_until:
-            self._cold_sends.setdefault(endpoint.name, deque()).append(now)
-        else:
-            self._cold_sends.pop(endpoint.name, None)
+    def may_resume_at(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint may get a stream that resumes from a copy."""
+        return self.may_receive(endpoint) and endpoint.allowance.limit.may_resume()
+
+    def is_limited(self, service: str) -> bool:
+        """Return whether some endpoint of a service is at the limit that it named."""
+        return any(
+            endpoint.allowance.limit.wait_s() > 0 and self.may_receive(endpoint)
+            for endpoint in self._endpoints.of_service(service)
+        )
+
+    def limit_wait_s(self, service: str, n_ahead: int = 0) -> float | None:
+        """Return how long the limits that endpoints named hold up a request.
+
+        Args:
+            service: Service of the request.
+            n_ahead: Requests that wait for the same endpoints and go first.
+
+        Returns:
+            Seconds, None if some endpoint of the service is not at its limit, or if
+            there are no endpoints.
+        """
+        limits = [
+            endpoint.allowance.limit
+            for endpoint in self._endpoints.of_service(service)
+            if self.may_receive(endpoint)
+        ]
+        waits_s = [limit.wait_s() for limit in limits]
+        if not waits_s or not all(waits_s):
+            return None
+        return min(waits_s) + n_ahead / sum(limit.rate_per_s for limit in limits)
 
-    def _is_below_cold_limit(self, endpoint: Endpoint, now: float) -> bool:
+    def _n_cold_requests(self, endpoint: Endpoint) -> float | None:
+        # Requests that this gateway may send to a cold endpoint in COLD_WINDOW_S.
         rule = self._directory.service(endpoint.entry.service)
         if rule is None or not rule.cold_requests_per_s:
-            return True
-        sends = self._cold_sends.get(endpoint.name, deque())
-        while sends and sends[0] <= now - COLD_WINDOW_S:
-            sends.popleft()
-        allowed = max(1.0, rule.cold_requests_per_s * COLD_WINDOW_S / self.n_gateways)
-        return len(sends) + 1 <= allowed
+            return None
+        return max(1.0, rule.cold_requests_per_s * COLD_WINDOW_S / self.n_gateways)
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 
 from ..core import Clock
+from .allowance import Allowance
 from .messages import EndpointEntry, Request
-from .named_limit import NamedLimit
 from .peers import Peers
 
 # Weights of a new sample in the exponential moving averages of an endpoint: the gap
@@ -30,11 +30,9 @@
         entry: Newest entry that it published.
         requests: Requests that this gateway runs there, by attempt id.
         mirrored: Requests of this gateway that it mirrors, by attempt id.
-        cold_until: Monotonic time in seconds until which it is cold.
         leaving_since: Monotonic time in seconds when it was seen to leave, None before.
         has_announced_leaving: Whether it said itself that it leaves, which is final.
-        backoff_until: Monotonic time in seconds until which it gets no new work.
-        limit: Limit that it named.
+        allowance: What restricts its requests for a time.
         failure_rate: Moving average of the share of failures among its answers.
         n_absences: Consecutive times that it was not found at its address.
         own_prefill_rate: Moving average of its prefill rate as measured by this
@@ -45,13 +43,11 @@
 
     __slots__ = (
         "_peers",
-        "backoff_until",
-        "cold_until",
+        "allowance",
         "entry",
         "failure_rate",
         "has_announced_leaving",
         "leaving_since",
-        "limit",
         "mean_answer_s",
         "mean_gap_s",
         "mirrored",
@@ -60,16 +56,14 @@
         "requests",
     )
 
-    def __init__(self, entry: EndpointEntry, peers: Peers, now: float) -> None:
+    def __init__(self, entry: EndpointEntry, peers: Peers, clock: Clock) -> None:
         self.entry = entry
         self._peers = peers
         self.requests: dict[str, Request] = {}
         self.mirrored: dict[str, Request] = {}
-        self.cold_until = now + entry.cold_s
         self.leaving_since: float | None = None
         self.has_announced_leaving = False
-        self.backoff_until = 0.0
-        self.limit = NamedLimit()
+        self.allowance = Allowance(clock)
         self.failure_rate = 0.0
         self.n_absences = 0
         self.own_prefill_rate = 0.0
@@ -207,11 +201,11 @@
         now = self._clock.now()
         endpoint = self._by_name.get(entry.name)
         if endpoint is None or endpoint.entry.born != entry.born:
-            endpoint = Endpoint(entry, self._peers, now)
+            endpoint = Endpoint(entry, self._peers, self._clock)
             self._by_name[entry.name] = endpoint
         endpoint.entry = entry
         if entry.cold_s > 0:
-            endpoint.cold_until = now + entry.cold_s
+            endpoint.allowance.cold.set_remaining(entry.cold_s)
         if entry.is_draining:
             endpoint.note_leaving(now, is_announced=True)
         elif not endpoint.has_announced_leaving:
@@ -230,8 +224,7 @@
         """Send no new work to an endpoint for a number of seconds."""
         endpoint = self._by_name.get(name)
         if endpoint is not None:
-            until = self._clock.now() + seconds
-            endpoint.backoff_until = max(endpoint.backoff_until, until)
+            endpoint.allowance.backoff.extend(seconds)
 
     def note_absent(self, name: str) -> None:
         """Record that an endpoint was not found at its address.
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,13 +1,14 @@
 """Keep the gateway's view of the deployment, endpoints and other gateways.
 
 The chain begins with FollowStore, FollowDeployment, FollowEndpoints, FollowNotices,
-WatchEngines and TrackCrashes; ShareLoads is its last filter, so that it sees each
-dispatch.
+WatchEngines and TrackCrashes; ShareLimits and ShareLoads are its last filters, so
+that they see each dispatch.
 """
 
 from .crashes import TrackCrashes
 from .deployment import FollowDeployment
 from .endpoints import FollowEndpoints
+from .limits import ShareLimits
 from .notices import FollowNotices
 from .share import ShareLoads
 from .store import FollowStore
@@ -18,6 +19,7 @@
     "FollowEndpoints",
     "FollowNotices",
     "FollowStore",
+    "ShareLimits",
     "ShareLoads",
     "TrackCrashes",
     "WatchEngines",
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -34,8 +34,8 @@
         self, endpoint: Endpoint, msg: EndpointNotice
     ) -> Iterator[Message]:
         now = self._clock.now()
-        before = endpoint.limit.per_s
-        if not endpoint.limit.learn(msg.limit_per_s, msg.asked_at, now):
+        before = endpoint.allowance.limit.per_s
+        if not endpoint.allowance.limit.learn(msg.limit_per_s, msg.asked_at, now):
             return
         yield Decision(
             "endpoint_limit",
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -76,6 +76,19 @@
         live = [name for name, peer in self._by_name.items() if self._is_live(peer)]
         return rank_owners(key, [*live, self._name])[0] == self._name
 
+    def is_known(self, name: str) -> bool:
+        """Return whether a gateway of this name has an address."""
+        return name in self._addresses
+
+    def divisible_share(self) -> float:
+        """Return the share of a common limit that the gateways heard from may use.
+
+        Most of the gateways take the others for dead and use the whole limit; half or
+        fewer may be cut off from the others and use their own part.
+        """
+        n_live = 1 + sum(self._is_live(peer) for peer in self._by_name.values())
+        return 1.0 if 2 * n_live > self.n_gateways else n_live / self.n_gateways
+
     def addresses(self) -> Iterator[str]:
         """Yield the addresses of the other gateways."""
         yield from self._addresses.values()
--- a/hawthornyard/edge/placement.py
+++ b/hawthornyard/edge/placement.py
@@ -20,6 +20,8 @@
 MEMORY_COST = 0.3
 # Cost of each second that a stream is expected to last: its engine may leave meanwhile.
 DURATION_COST = 0.03
+# Cost of an engine that has no more room under the limit that it named.
+LIMIT_COST = 0.3
 # Cost of an engine whose failure rate is 1.
 FAILURE_COST = 4.0
 # A failure rate of 1 multiplies the cost of an endpoint of a plain service by 1 plus
@@ -73,12 +75,15 @@
 
         If the engine's memory or the prompt size is unknown, as for plain services,
         the cost is instead the share of slots in use, times the mean answer time in
-        seconds, times a factor for the failure rate.
+        seconds, times a factor for the failure rate. An endpoint that named a limit
+        runs little, so what is used of its limit counts as well.
         """
+        limit_used = endpoint.allowance.limit.occupancy
         memory_tokens = self._memory_tokens(endpoint)
         size = request.call.size
         if not memory_tokens or size is None:
             slots = (endpoint.n_running + 1) / max(1, endpoint.entry.n_slots)
+            slots = max(slots, limit_used)
             failure_factor = 1.0 + FAILURE_FACTOR * endpoint.failure_rate
             return slots * (endpoint.mean_answer_s or 1.0) * failure_factor
         rate = endpoint.prefill_rate or self._median_prefill_rate(
@@ -91,6 +96,7 @@
             first_event_s / request.route.target_s
             + MEMORY_COST * memory
             + pressure_cost
+            + LIMIT_COST * limit_used
             + DURATION_COST * self._duration_s(request, endpoint)
             + FAILURE_COST * endpoint.failure_rate
         )
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -22,6 +22,9 @@
 MAX_WAIT_SHARE = 0.25
 # Longest wait while no endpoint is eligible: a replacement often appears soon.
 NO_ENDPOINT_WAIT_S = 0.25
+# Longest wait for the limits that endpoints named, as a share of the route's target
+# latency; the rest is for the answer.
+MAX_LIMIT_WAIT_SHARE = 0.5
 # Retry-After as a share of the request's time limit; callers wait for at most a
 # third of that limit before they retry.
 RETRY_AFTER_SHARE = 0.2
@@ -79,6 +82,8 @@
             lane=request.service,
         )
         yield from self._dequeue()
+        if request.call_id in self._queued_at:
+            yield from self._refuse_if_hopeless(request)
 
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
         yield msg
@@ -101,7 +106,10 @@
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield from self._dequeue()
         for request in self._queue.discard(self._is_wait_over):
-            if self._eligibility.for_request(request):
+            if self._eligibility.is_limited(request.service):
+                # Endpoints without a limit would be overloaded by what is over it.
+                yield self._refuse_for_limit(request, self._limit_wait_s(request))
+            elif self._eligibility.for_request(request):
                 self._queued_at.pop(request.call_id, None)
                 yield Dequeued(request)
             else:
@@ -124,15 +132,44 @@
 
     def _is_wait_over(self, request: Request) -> bool:
         waited_s = self._clock.now() - self._queued_at[request.call_id]
+        if self._eligibility.is_limited(request.service):
+            return waited_s >= MAX_LIMIT_WAIT_SHARE * request.route.target_s
         allowed_s = MAX_WAIT_SHARE * request.route.target_s
         if not self._eligibility.for_request(request):
             allowed_s = min(allowed_s, NO_ENDPOINT_WAIT_S)
         return waited_s >= allowed_s
 
+    def _refuse_if_hopeless(self, request: Request) -> Iterator[Message]:
+        wait_s = self._limit_wait_s(request)
+        if wait_s is None or wait_s <= MAX_LIMIT_WAIT_SHARE * request.route.target_s:
+            return
+        self._queue.discard(lambda item: item is request)
+        yield self._refuse_for_limit(request, wait_s)
+
+    def _limit_wait_s(self, request: Request) -> float | None:
+        n_ahead = sum(
+            item.service == request.service
+            and item is not request
+            and item.priority <= request.priority
+            for item in self._queue
+        )
+        return self._eligibility.limit_wait_s(request.service, n_ahead)
+
+    def _refuse_for_limit(self, request: Request, wait_s: float | None) -> ReplyFailed:
+        detail = f"endpoints of {request.service} are at the limit that they named"
+        return self._refuse(request, ErrorKind.OVERLOADED, detail, wait_s)
+
     def _refuse(
-        self, request: Request, kind: ErrorKind, detail: str = ""
+        self,
+        request: Request,
+        kind: ErrorKind,
+        detail: str = "",
+        retry_after_s: float | None = None,
     ) -> ReplyFailed:
         self._queued_at.pop(request.call_id, None)
-        allowed_s = request.deadline - request.arrived_at
-        retry_after_s = round(min(MAX_RETRY_AFTER_S, RETRY_AFTER_SHARE * allowed_s), 2)
-        return ReplyFailed(request.call_id, kind, detail, retry_after_s=retry_after_s)
+        if retry_after_s is None:
+            allowed_s = request.deadline - request.arrived_at
+            retry_after_s = min(MAX_RETRY_AFTER_S, RETRY_AFTER_SHARE * allowed_s)
+        return ReplyFailed(
+            request.call_id, kind, detail, retry_after_s=round(retry_after_s, 2)
+        )
--- a/hawthornyard/edge/request/send.py
+++ b/hawthornyard/edge/request/send.py
@@ -6,7 +6,6 @@
 from ...errors import ErrorKind
 from ...gateway.messages import ReplyFailed
 from ..directory import Directory
-from ..eligibility import Eligibility
 from ..endpoints import Endpoints
 from ..inflight import InFlight
 from ..messages import AttemptFailed, Dispatch, Routed
@@ -23,7 +22,6 @@
     Args:
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
-        eligibility: Counts what is sent to cold endpoints.
         mirroring: Chooses where streams are mirrored.
         directory: Tells whether the teams' keys are still valid.
         clock: Source of time.
@@ -32,7 +30,6 @@
     __slots__ = (
         "_clock",
         "_directory",
-        "_eligibility",
         "_endpoints",
         "_inflight",
         "_mirroring",
@@ -43,14 +40,12 @@
         self,
         inflight: InFlight,
         endpoints: Endpoints,
-        eligibility: Eligibility,
         mirroring: Mirroring,
         directory: Directory,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
         self._endpoints = endpoints
-        self._eligibility = eligibility
         self._mirroring = mirroring
         self._directory = directory
         self._clock = clock
@@ -74,7 +69,7 @@
                 request, ErrorKind.OVERLOADED, "the deadline is too near"
             )
             return
-        self._eligibility.note_send(endpoint)
+        endpoint.allowance.note_send()
         mirror = None
         if request.route.is_stream:
             mirror = self._mirroring.choose(request, endpoint)
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -243,7 +243,7 @@
     def _choose_resume_endpoint(
         self, endpoint: Endpoint, target: Endpoint | None
     ) -> Endpoint | None:
-        if target is not None and self._eligibility.may_receive(target):
+        if target is not None and self._eligibility.may_resume_at(target):
             return target
         # Without a copy at the target, the run resumes at the engine that stopped it.
         if endpoint.leaving_since is None:
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -51,7 +51,7 @@
         if request.is_suspect:
             # It may end the mirror as well.
             mirror = None
-        if mirror is None or not self._eligibility.may_receive(mirror):
+        if mirror is None or not self._eligibility.may_resume_at(mirror):
             yield msg
             return
         yield Decision(
--- a/hawthornyard/edge/streams/resumption.py
+++ b/hawthornyard/edge/streams/resumption.py
@@ -1,7 +1,6 @@
 """Start attempts that resume a stream from a copy of its run."""
 
 from ...core import Clock
-from ..eligibility import Eligibility
 from ..endpoints import Endpoint
 from ..inflight import InFlight
 from ..messages import CopySource, Dispatch, Request
@@ -13,22 +12,19 @@
 
     Args:
         inflight: Requests that are not answered yet.
-        eligibility: Counts what is sent to cold endpoints.
         mirroring: Chooses where the new attempt is mirrored.
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_eligibility", "_inflight", "_mirroring")
+    __slots__ = ("_clock", "_inflight", "_mirroring")
 
     def __init__(
         self,
         inflight: InFlight,
-        eligibility: Eligibility,
         mirroring: Mirroring,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
-        self._eligibility = eligibility
         self._mirroring = mirroring
         self._clock = clock
 
@@ -44,7 +40,7 @@
                 run.
             handle: Handle of the copy, the request id if it is a mirror's.
         """
-        self._eligibility.note_send(endpoint)
+        endpoint.allowance.note_send()
         request.migration = None
         mirror = self._mirroring.choose(request, endpoint)
         attempt = self._inflight.begin_attempt(
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -21,6 +21,7 @@
     SENT_BY_SIDECAR,
     SIDECAR_TO_GATEWAY,
 )
+from .endpoint_limit import EndpointLimit
 from .frame import Frame
 from .greeting import Hello, Proof
 from .heartbeat import GatewayHeartbeat, Heartbeat, Subscribe
@@ -46,6 +47,7 @@
     "CrashReportsRequested",
     "Dispatch",
     "Ended",
+    "EndpointLimit",
     "EndpointLoad",
     "Failed",
     "Frame",
--- a/hawthornyard/policy/token_bucket.py
+++ b/hawthornyard/policy/token_bucket.py
@@ -24,14 +24,35 @@
         self.rate = rate
         self._clock = clock
         self._burst_s = burst_s
-        self._level = self._capacity()
+        self._level = self.capacity
         self._refilled_at = clock.now()
 
+    @property
+    def level(self) -> float:
+        """Return the units in the bucket, negative for a debt."""
+        self._refill()
+        return self._level
+
+    @property
+    def capacity(self) -> float:
+        """Return the most units that the bucket holds."""
+        return max(MIN_CAPACITY, self.rate * self._burst_s)
+
+    def wait_s(self, amount: float = 1.0) -> float:
+        """Return the seconds until the bucket holds `amount` units, 0 if it does.
+
+        Infinity at a rate of 0.
+        """
+        missing = amount - self.level
+        if missing <= 0:
+            return 0.0
+        return missing / self.rate if self.rate else float("inf")
+
     def set_rate(self, rate: float) -> None:
         """Refill at this rate, in units per second, from now on."""
         self._refill()
         self.rate = rate
-        self._level = min(self._level, self._capacity())
+        self._level = min(self._level, self.capacity)
 
     def take(self, amount: float = 1.0) -> bool:
         """Take `amount` units if the bucket holds them; return whether it did."""
@@ -51,11 +72,8 @@
         self._refill()
         return self._level > 0
 
-    def _capacity(self) -> float:
-        return max(MIN_CAPACITY, self.rate * self._burst_s)
-
     def _refill(self) -> None:
         now = self._clock.now()
         refill = (now - self._refilled_at) * self.rate
-        self._level = min(self._capacity(), self._level + refill)
+        self._level = min(self.capacity, self._level + refill)
         self._refilled_at = now
