--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -5,7 +5,7 @@
 from ...core import Clock, Handlers, Message, Tick
 from ...errors import ErrorKind
 from ...gateway.messages import CallerGone, ReplyFailed
-from ...policy import FairQueue
+from ...policy import FairQueue, RecentRate
 from ..eligibility import Eligibility
 from ..messages import (
     Closed,
@@ -25,6 +25,8 @@
 # Longest wait for the limits that endpoints named, as a share of the route's target
 # latency; the rest is for the answer.
 MAX_LIMIT_WAIT_SHARE = 0.5
+# Window over which the throughput of a service is measured.
+THROUGHPUT_WINDOW_S = 2.0
 # Retry-After as a share of the request's time limit; callers wait for at most a
 # third of that limit before they retry.
 RETRY_AFTER_SHARE = 0.2
@@ -47,6 +49,7 @@
         "_placement",
         "_queue",
         "_queued_at",
+        "_throughput",
         "handlers",
     )
 
@@ -58,6 +61,7 @@
         self._clock = clock
         self._queue: FairQueue[Request] = FairQueue(clock)
         self._queued_at: dict[str, float] = {}
+        self._throughput: dict[str, RecentRate] = {}
         self.handlers: Handlers = {
             Matched: self._on_matched,
             Closed: self._on_closed,
@@ -122,8 +126,16 @@
             if request is None:
                 return
             self._queued_at.pop(request.call_id, None)
+            self._service_throughput(request.service).note()
             yield Dequeued(request)
 
+    def _service_throughput(self, service: str) -> RecentRate:
+        rate = self._throughput.get(service)
+        if rate is None:
+            rate = RecentRate(self._clock, THROUGHPUT_WINDOW_S)
+            self._throughput[service] = rate
+        return rate
+
     def _has_capacity(self, request: Request) -> bool:
         return any(
             self._placement.has_capacity(request, endpoint)
@@ -147,13 +159,21 @@
         yield self._refuse_for_limit(request, wait_s)
 
     def _limit_wait_s(self, request: Request) -> float | None:
+        # None if nothing tells how long the limits will hold up the request.
+        if not self._eligibility.is_limited(request.service):
+            return None
         n_ahead = sum(
             item.service == request.service
             and item is not request
             and item.priority <= request.priority
             for item in self._queue
         )
-        return self._eligibility.limit_wait_s(request.service, n_ahead)
+        wait_s = self._eligibility.limit_wait_s(request.service, n_ahead)
+        if wait_s is not None:
+            return wait_s
+        # The other endpoints are full, and free places at the rate seen so far.
+        per_s = self._service_throughput(request.service).per_s
+        return (n_ahead + 1) / per_s if per_s else None
 
     def _refuse_for_limit(self, request: Request, wait_s: float | None) -> ReplyFailed:
         detail = f"endpoints of {request.service} are at the limit that they named"
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -16,6 +16,7 @@
 )
 from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .pause import PauseDetector
+from .recent_rate import RecentRate
 from .rendezvous import rank_owners, spread_subset
 from .retry import RetryBudget
 from .routing import Choice, PowerOfTwoChoices, RoutingPolicy
@@ -40,6 +41,7 @@
     "PauseDetector",
     "PrefixAffinity",
     "Queue",
+    "RecentRate",
     "RetryBudget",
     "RoutingPolicy",
     "SlowStart",
