Notice a restore of the store by its era, and read the tables whole

Callers could get answers by an older deployment for good: a gateway learned of a restore only by a 410, so one that asked again after the counter had passed its version got 200 and never saw what was written below. Store-Era was read nowhere. The client now keeps the latest era of any answer, refuses answers of an earlier one, pages of two eras and removals by a version of an earlier one; a feed of another era reads its table whole, and the gateway writes its row anew at once. `store_restored` is logged with feed and era.

Ruled out: a second cause in the 410, which reads whole as before. Two failed tries: my first test passed on the old feed, as the stand-in's long poll answered 410 in the outage, and the row was rewritten in the first seconds anyway; the stand-in now ends its calls as the store does.

--- a/features/steps/platform_standins.py
+++ b/features/steps/platform_standins.py
@@ -10,6 +10,7 @@
 from features.support.platform_standins import STEP_S, TABLE
 from hawthornyard.platform.endpoint import decode_report
 from hawthornyard.platform.names import NOT_RUN_HEADER
+from hawthornyard.platform.store import FIRST_ERA
 
 _NUMBER = re.compile(rb"id: (\d+)\n")
 _CONNECTION_ERRORS = (urllib3.exceptions.HTTPError, OSError)
@@ -48,7 +49,7 @@
 
 @when("row {name} is removed on the condition of an earlier version")
 def remove_conditionally(context: Context, name: str) -> None:
-    context.standins.client.remove(TABLE, name, 1)
+    context.standins.client.remove(TABLE, name, 1, FIRST_ERA)
 
 
 @when("the store discards its history of changes")
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -47,6 +47,7 @@
     ReportRequested,
     StoreAnswered,
     StoreFailed,
+    StoreRestored,
 )
 from hawthornyard.frames import (
     CrashReport,
@@ -196,6 +197,7 @@
             EndpointsRead,
             StoreAnswered,
             StoreFailed,
+            StoreRestored,
             Tick,
         )
         return {
@@ -226,7 +228,11 @@
             self.push(Tick(self.clock.now()))
 
     def push_deployment(
-        self, version: int = 1, routes: list[RouteRule] | None = None
+        self,
+        version: int = 1,
+        routes: list[RouteRule] | None = None,
+        *,
+        key: str = KEY,
     ) -> None:
         deployment = Deployment(
             version,
@@ -235,7 +241,7 @@
                 ServiceRule("scribe", cold_requests_per_s=10.0, engine=ENGINE),
                 ServiceRule("frontdesk"),
             ],
-            [TeamRule("kiosk", [KEY])],
+            [TeamRule("kiosk", [key])],
             INITIAL_LIMITS,
         )
         self.push(DeploymentRead(deployment))
--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -3,12 +3,15 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Decision, Handlers, Message
-from ..messages import StoreAnswered, StoreFailed
+from ..messages import StoreAnswered, StoreFailed, StoreRestored
 
 # Long-poll timeout: after it a feed is answered without changes, which confirms what is
 # known. It is short, since revoked keys must be refused and leaving endpoints be left
 # within seconds, also when a connection to the store has gone silent.
 LONG_POLL_S = 1.5
+# Time after the store's return in which what it lost, or what expired meanwhile, is
+# published again.
+STORE_RECOVERY_S = 2.0
 
 
 class FollowStore:
@@ -26,6 +29,7 @@
         self.handlers: Handlers = {
             StoreAnswered: self._on_store_answered,
             StoreFailed: self._on_store_failed,
+            StoreRestored: self._on_store_restored,
         }
 
     def _on_store_answered(self, msg: StoreAnswered) -> Iterator[Message]:
@@ -43,3 +47,7 @@
                 "store_lost", reason=msg.detail, feed=msg.feed, waited_s=waited_s
             )
         yield msg
+
+    def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
+        yield Decision("store_restored", feed=msg.feed, era=msg.era)
+        yield msg
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -27,6 +27,7 @@
     Origin,
     StoreAnswered,
     StoreFailed,
+    StoreRestored,
 )
 
 __all__ = [
@@ -69,4 +70,5 @@
     "Routed",
     "StoreAnswered",
     "StoreFailed",
+    "StoreRestored",
 ]
--- a/hawthornyard/edge/messages/updates.py
+++ b/hawthornyard/edge/messages/updates.py
@@ -147,6 +147,21 @@
         self.as_of = as_of
 
 
+class StoreRestored(Message):
+    """The return of the store from a copy that may lack the newest changes.
+
+    Attributes:
+        feed: Name of the feed that has noticed it; what it reads next may be the copy.
+        era: Number of the store's era, which rises with each restore.
+    """
+
+    __slots__ = ("feed", "era")
+
+    def __init__(self, feed: str, era: int) -> None:
+        self.feed = feed
+        self.era = era
+
+
 class StoreFailed(Message):
     """A failure of the store to answer a feed.
 
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -16,6 +16,7 @@
     EndpointsRead,
     StoreAnswered,
     StoreFailed,
+    StoreRestored,
 )
 from ..errors import PlatformError, RecordError
 from .connections import CONNECT_TIMEOUT_S
@@ -27,7 +28,7 @@
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
 )
-from .store import READ_TIMEOUT_S, PlatformStore, StoredRow
+from .store import FIRST_ERA, READ_TIMEOUT_S, PlatformStore, RowPage, StoredRow
 
 RETRY_DELAY_S = 0.25
 """Delay after a failed call."""
@@ -137,6 +138,7 @@
     __slots__ = (
         "_clock",
         "_decoder",
+        "_era",
         "_has_failed",
         "_inbox",
         "_name",
@@ -173,6 +175,7 @@
         self._next_wait_s = wait_s
         self._pause_s = pause_s
         self._version: int | None = None
+        self._era = FIRST_ERA
         self._has_failed = False
 
     def run(self) -> None:
@@ -193,8 +196,9 @@
         timeout_s = READ_TIMEOUT_S
         if self._has_failed:
             wait_s, timeout_s = 0.0, PROBE_TIMEOUT_S
-        if self._version is None:
+        if self._version is None or self._store.era != self._era:
             page = self._store.read(self._table)
+            self._note_era(page)
             self._decoder.decode(page.rows, is_complete=True)
             self._next_wait_s = self._random_source.random() * self._wait_s
         else:
@@ -205,6 +209,10 @@
                 logger.bind(feed=self._name).info("history_gone")
                 self._version = None
                 return
+            if changes.era != self._era:
+                # Changes below the version asked for would be missing.
+                self._version = None
+                return
             page = changes
             if page.rows:
                 self._decoder.decode(page.rows, is_complete=False)
@@ -219,6 +227,12 @@
                 as_of = min(self._clock.now(), requested_at + wait_s)
         self._confirm(page.version, as_of)
 
+    def _note_era(self, page: RowPage) -> None:
+        # A feed that has just begun can't know when the restore was.
+        if page.era != self._era:
+            self._era = page.era
+            self._inbox.put(StoreRestored(self._name, page.era))
+
     def _confirm(self, version: int, as_of: float) -> None:
         self._version = version
         self._inbox.put(StoreAnswered(self._name, as_of))
--- a/hawthornyard/platform/gateway_registry.py
+++ b/hawthornyard/platform/gateway_registry.py
@@ -3,10 +3,11 @@
 import json
 
 import eventlet
+from eventlet.event import Event
 from loguru import logger
 
-from ..core import Inbox
-from ..edge.messages import GatewaysRead
+from ..core import Consumers, Inbox
+from ..edge.messages import GatewaysRead, StoreRestored
 from ..errors import PlatformError, RecordError
 from .fields import decode_object, get_number, get_text
 from .store import PlatformStore, RowPage, StoredRow
@@ -31,6 +32,8 @@
 class GatewayRegistry:
     """Registration of this gateway and discovery of the others.
 
+    It is also the sink of `StoreRestored`: the store may have lost this gateway's row.
+
     Args:
         name: Name of this gateway.
         address: "address:port" on which this gateway receives frames.
@@ -38,7 +41,7 @@
         inbox: Receives the addresses of all gateways, this one included.
     """
 
-    __slots__ = ("_address", "_inbox", "_name", "_store")
+    __slots__ = ("_address", "_inbox", "_name", "_restored", "_store", "consumers")
 
     def __init__(
         self, name: str, address: str, store: PlatformStore, inbox: Inbox
@@ -47,6 +50,8 @@
         self._address = address
         self._store = store
         self._inbox = inbox
+        self._restored = Event()
+        self.consumers: Consumers = {StoreRestored: self._on_store_restored}
 
     def run(self) -> None:
         """Write this gateway's row and read the others at intervals; never returns."""
@@ -56,8 +61,16 @@
                 self._refresh()
             except PlatformError as exc:
                 logger.bind(detail=str(exc)).warning("gateways_unreadable")
-            eventlet.sleep(delay_s)
+            with eventlet.Timeout(delay_s, False):
+                self._restored.wait()
             delay_s = min(REFRESH_INTERVAL_S, delay_s * 4)
+            if self._restored.ready():
+                self._restored = Event()
+                delay_s = FIRST_REFRESH_DELAY_S
+
+    def _on_store_restored(self, msg: StoreRestored) -> None:
+        if not self._restored.ready():
+            self._restored.send()
 
     def _refresh(self) -> None:
         page = self._store.read(GATEWAY_TABLE)
@@ -84,4 +97,4 @@
         if age_ms < ROW_TTL_MS:
             addresses[row.key] = address
         elif age_ms > ROW_REMOVAL_AGE_MS:
-            self._store.remove(GATEWAY_TABLE, row.key, row.version)
+            self._store.remove(GATEWAY_TABLE, row.key, row.version, page.era)
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -21,6 +21,9 @@
 COPY_SOURCE_HEADER = "Kv-From"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
 
+# Number of times that the store has come back from a copy, counted from 1.
+STORE_ERA_HEADER = "Store-Era"
+
 LOWEST_PRIORITY = 9
 """Largest value of the priority header; 0 is the most urgent."""
 
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -202,6 +202,7 @@
                 CopySink(self._inbox, notices),
                 ReportSink(self._inbox, notices),
                 self._datagrams,
+                self._registry,
                 DecisionLog(settings.name),
                 DiscardSink(
                     Tick,
--- a/hawthornyard/platform/standins/store.py
+++ b/hawthornyard/platform/standins/store.py
@@ -11,6 +11,7 @@
 from eventlet.event import Event
 
 from ...front.exchange import Environ, StartResponse
+from ..names import STORE_ERA_HEADER
 
 MAX_PAGE_ROWS = 500
 """Rows per response, the maximum of the platform's store."""
@@ -21,6 +22,7 @@
 
     Attributes:
         delay_s: Delay of each response in seconds.
+        era: Number of the era, which rises with each restore.
         is_down: Whether all calls are refused with status 503.
         n_calls: Number of calls received.
         oldest_version: Version after which changes are kept.
@@ -30,7 +32,9 @@
 
     __slots__ = (
         "_changed",
+        "_copy",
         "delay_s",
+        "era",
         "is_down",
         "n_calls",
         "oldest_version",
@@ -45,6 +49,8 @@
         self.n_calls = 0
         self.is_down = False
         self.delay_s = 0.0
+        self.era = 1
+        self._copy = (self.rows, self.version)
         self._changed = Event()
 
     def put(self, table: str, key: str, value: bytes | dict[str, Any]) -> None:
@@ -61,6 +67,17 @@
         self.oldest_version = self.version
         self._wake_waiters()
 
+    def take_copy(self) -> None:
+        """Keep the rows and the version as they are, for `restore`."""
+        self._copy = (dict(self.rows), self.version)
+
+    def restore(self) -> None:
+        """Go back to the copy that was taken last, in a new era."""
+        rows, self.version = self._copy
+        self.rows = dict(rows)
+        self.era += 1
+        self._wake_waiters()
+
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
         self.n_calls += 1
@@ -93,22 +110,34 @@
         after = int(query["after"])
         table = query["table_name"]
         with eventlet.Timeout(int(query["wait_ms"]) / 1000, False):
-            while after >= self.oldest_version and not self._select_rows(
-                table, after, include_removed=True
-            ):
+            while self._must_wait(table, after):
                 self._changed.wait()
-        if after < self.oldest_version:
-            start("410 Gone", [])
+        if self.is_down:
+            start("503 Service Unavailable", [])
+            return [b""]
+        if not self._has_history(after):
+            start("410 Gone", self._era_headers())
             return [b""]
         return self._answer(
             start, self._select_rows(table, after, include_removed=True)
         )
 
+    def _must_wait(self, table: str, after: int) -> bool:
+        if self.is_down or not self._has_history(after):
+            return False
+        return not self._select_rows(table, after, include_removed=True)
+
+    def _has_history(self, after: int) -> bool:
+        return self.oldest_version <= after <= self.version
+
+    def _era_headers(self) -> list[tuple[str, str]]:
+        return [(STORE_ERA_HEADER, str(self.era))]
+
     def _transact(self, body: Any, start: StartResponse) -> Iterable[bytes]:
         for row in body["expect"]:
             current = self.rows.get((row["table_name"], row["key"]), (None, 0))
             if current[1] != row["ver"]:
-                start("412 Precondition Failed", [])
+                start("412 Precondition Failed", self._era_headers())
                 return [b"{}"]
         for row in body["puts"]:
             value = base64.b64decode(row["value"])
@@ -158,5 +187,5 @@
             "now_ms": now_ms,
             "has_more": has_more,
         }
-        start("200 OK", [("Content-Type", "application/json")])
+        start("200 OK", [("Content-Type", "application/json"), *self._era_headers()])
         return [json.dumps(body).encode()]
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -3,13 +3,15 @@
 import base64
 import binascii
 import json
+import re
 from collections.abc import Sequence
 from typing import Any
 
 from ..core import Message
 from ..errors import PlatformError
-from ..stores.http import HttpService
+from ..stores.http import HttpResponse, HttpService
 from .connections import CONNECT_TIMEOUT_S
+from .names import STORE_ERA_HEADER
 
 READ_TIMEOUT_S = 1.0
 """Read timeout, on top of the long poll if there is one. The store answers in 4 ms, and
@@ -18,8 +20,12 @@
 MAX_PAGE_ROWS = 500
 """Rows requested per page, the maximum of the store."""
 
+FIRST_ERA = 1
+"""Era of a store that has never come back from a copy."""
+
 _GONE = 410
 _CONFLICT = 412
+_ERA = re.compile(r"[0-9]{1,9}")
 
 
 class StoredRow(Message):
@@ -47,26 +53,38 @@
         rows: The rows.
         version: Version up to which the rows are complete.
         now_ms: Time of the store's monotonic clock, in milliseconds.
+        era: Era of the store; versions of different eras can't be compared.
     """
 
-    __slots__ = ("rows", "version", "now_ms")
+    __slots__ = ("rows", "version", "now_ms", "era")
 
     def __init__(
-        self, rows: Sequence[StoredRow], version: int, now_ms: float = 0.0
+        self,
+        rows: Sequence[StoredRow],
+        version: int,
+        now_ms: float = 0.0,
+        era: int = FIRST_ERA,
     ) -> None:
         self.rows = rows
         self.version = version
         self.now_ms = now_ms
+        self.era = era
 
 
 class PlatformStore:
     """Access to the tables of the platform's store.
 
+    The store may come back from a copy that lacks the newest changes. Its era rises
+    then, and an answer of an earlier era, which may come late, is refused.
+
     Args:
         address: "address:port" of the store.
+
+    Attributes:
+        era: Latest era that an answer had.
     """
 
-    __slots__ = ("_service",)
+    __slots__ = ("_service", "era")
 
     def __init__(self, address: str) -> None:
         self._service = HttpService(
@@ -75,6 +93,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             read_timeout_s=READ_TIMEOUT_S,
         )
+        self.era = FIRST_ERA
 
     def read(self, table: str) -> RowPage:
         """Return all rows of a table.
@@ -84,21 +103,25 @@
         """
         rows: list[StoredRow] = []
         version: int | None = None
+        era = FIRST_ERA
         start = ""
         while True:
             fields = {"table_name": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             if start:
                 fields["from"] = start
-            answer = self._service.call("GET", "/rows-get", fields=fields)
+            answer = self._call("GET", "/rows-get", fields=fields)
             body = _decode_body(answer.data)
             page = _decode_rows(body)
             # Keep the version of the first page, so that the feed returns the rows
             # that change while later pages are read.
             if version is None:
                 version = _decode_version(body)
+                era = self.era
+            elif era != self.era:
+                raise PlatformError(f"store: it was restored while {table} was read")
             rows += page
             if not body.get("has_more") or not page:
-                return RowPage(rows, version, _decode_now_ms(body))
+                return RowPage(rows, version, _decode_now_ms(body), era)
             # Continue at the smallest key that sorts after the last row.
             start = page[-1].key + "\0"
 
@@ -130,7 +153,7 @@
             "after": str(after_version),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        answer = self._service.call(
+        answer = self._call(
             "GET",
             "/rows-feed",
             fields=fields,
@@ -140,7 +163,9 @@
         if answer.status == _GONE:
             return None
         body = _decode_body(answer.data)
-        return RowPage(_decode_rows(body), _decode_version(body), _decode_now_ms(body))
+        return RowPage(
+            _decode_rows(body), _decode_version(body), _decode_now_ms(body), self.era
+        )
 
     def write(self, table: str, key: str, value: bytes) -> None:
         """Write one row unconditionally.
@@ -152,28 +177,57 @@
         row = {**_row_id(table, key), "value": base64.b64encode(value).decode()}
         self._transact({"expect": [], "puts": [row], "remove": []})
 
-    def remove(self, table: str, key: str, version: int) -> None:
+    def remove(self, table: str, key: str, version: int, era: int) -> None:
         """Remove one row unless it has changed since `version`.
 
+        Args:
+            table: Name of the table.
+            key: Key of the row.
+            version: Version at which the row was read.
+            era: Era in which the row was read; a later one gives versions out again.
+
         Raises:
-            PlatformError: If there is no response, or one with an unexpected status;
-                the row may have been removed.
+            PlatformError: If the store was restored since, there is no response, or
+                one with an unexpected status; the row may have been removed.
         """
+        if era != self.era:
+            raise PlatformError(f"store: it was restored since {key} was read")
         name = _row_id(table, key)
         expected = {**name, "ver": version}
         self._transact({"expect": [expected], "puts": [], "remove": [name]})
 
     def _transact(self, body: dict[str, Any]) -> None:
         data = json.dumps(body).encode()
-        self._service.call(
+        self._call(
             "POST", "/rows-tx", data=data, expected_statuses=frozenset({_CONFLICT})
         )
 
+    def _call(self, method: str, path: str, **arguments: Any) -> HttpResponse:
+        answer = self._service.call(method, path, **arguments)
+        era = _decode_era(answer, self.era)
+        if era < self.era:
+            raise PlatformError(
+                f"store: the response is of era {era}, expected {self.era} or later"
+            )
+        self.era = era
+        return answer
+
 
 def _row_id(table: str, key: str) -> dict[str, str]:
     return {"table_name": table, "part": "", "key": key}
 
 
+def _decode_era(answer: HttpResponse, default: int) -> int:
+    text = answer.headers.get(STORE_ERA_HEADER)
+    if text is None:
+        return default
+    if not _ERA.fullmatch(text):
+        raise PlatformError(
+            f"store: {STORE_ERA_HEADER} is {text[:100]!r}, expected 1 to 9 digits"
+        )
+    return int(text)
+
+
 def _decode_now_ms(body: dict[str, Any]) -> float:
     now_ms: Any = body.get("now_ms")
     if type(now_ms) not in (int, float):
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -1,6 +1,7 @@
 """Call a platform service over HTTP, with limits on the time and size of responses."""
 
 import json
+from collections.abc import Mapping
 from typing import Any
 
 import urllib3
@@ -20,13 +21,15 @@
     Attributes:
         status: HTTP status code, below 300 or one that the caller expects.
         data: Body.
+        headers: Headers.
     """
 
-    __slots__ = ("status", "data")
+    __slots__ = ("status", "data", "headers")
 
-    def __init__(self, status: int, data: bytes) -> None:
+    def __init__(self, status: int, data: bytes, headers: Mapping[str, str]) -> None:
         self.status = status
         self.data = data
+        self.headers = headers
 
 
 class HttpService:
@@ -96,7 +99,7 @@
                 redirect=False,
                 preload_content=False,
             )
-            response = HttpResponse(resp.status, self._read_body(resp))
+            response = HttpResponse(resp.status, self._read_body(resp), resp.headers)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise PlatformError(f"{self._name}: {exc}") from exc
         if response.status >= 300 and response.status not in expected_statuses:
