Take nothing back and confirm nothing while the store recovers from a restore

Callers with a withdrawn key could be served, and a failure domain that was out could get requests: what is read between the return of the store and the rewriting is an older copy, but each answer confirmed the deployment in force as the newest, and the copy's list of domains replaced the known one. For 2 s after a feed notices the new era, rows now only add, and only an answer that was current after that confirms. A gateway that starts in an era after the first can't tell how old the restore is, so it waits as long before it is ready. Four scenarios, all failing with the condition on confirmations taken out, one with that on domains. Cost: a gateway that starts after any restore is ready 2 to 3.5 s later.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -22,6 +22,52 @@
     When the store is away and comes back from its copy
     Then the gateway's row is there within 2 seconds
 
+  @fixture.platform_world
+  Scenario: A gateway that starts on the copy is not ready before the store has recovered
+    Given version 8 is in force and the store keeps a copy
+    And version 9 is in force after 0 other changes
+    When the store is away and comes back from its copy
+    And the gateway starts anew
+    Then it is not ready for 1.5 seconds
+    And it is ready within 5 seconds
+
+  @fixture.edge
+  Scenario: A withdrawn key that the copy has is not in force where the copy is read first
+    Given a gateway that reads the copy of a store in era 2
+    When a lookup is sent
+    Then the request ends as platform_unavailable
+    When the store withdraws the key in version 3
+    And 2.5 seconds go by
+    And the store confirms the operators' rows
+    And a lookup is sent
+    Then the request ends as unauthenticated
+
+  @fixture.edge
+  Scenario: An answer right after a restore does not confirm the keys
+    Given the plain endpoints desk-a
+    And keys stay valid for 5 seconds without a confirmation
+    When 4 seconds go by
+    And the store is restored
+    And the store confirms the operators' rows
+    And 1.5 seconds go by
+    And a lookup is sent
+    Then the request ends as platform_unavailable
+    When 1 seconds go by
+    And the store confirms the operators' rows
+    And a lookup is sent
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario: A failure domain that is out stays out until the store has recovered
+    Given the plain endpoints desk-a
+    When the failure domain of desk-a is out
+    And the store is restored
+    And the copy has no failure domain that is out
+    Then desk-a gets no requests
+    When 2.1 seconds go by
+    And the store confirms the operators' rows
+    Then desk-a gets requests
+
   @fixture.platform_standins
   Scenario: An answer of an earlier era is refused after one of a later era
     Given a store client that has seen era 2
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -103,7 +103,7 @@
     resumption = Resumption(state.inflight, mirroring, clock)
     return [
         FollowStore(clock),
-        FollowDeployment(state.directory),
+        FollowDeployment(state.directory, clock),
         FollowEndpoints(state.endpoints, clock),
         FollowNotices(state.endpoints, clock),
         WatchEngines(
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -87,8 +87,9 @@
 
     @property
     def is_ready(self) -> bool:
-        """Return whether a deployment is in force and `domains_out` is known."""
-        return self.version > 0 and self.are_domains_known
+        """Return whether a deployment is in force that was confirmed at least once."""
+        is_read = self.version > 0 and self.are_domains_known
+        return is_read and self._confirmed_at is not None
 
     @property
     def are_keys_valid(self) -> bool:
--- a/hawthornyard/edge/fleet/deployment.py
+++ b/hawthornyard/edge/fleet/deployment.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterator
 
-from ...core import Decision, Handlers, Message
+from ...core import Clock, Decision, Handlers, Message
 from ..directory import Directory
-from ..messages import DeploymentRead, DomainsRead, StoreAnswered
+from ..messages import DeploymentRead, DomainsRead, StoreAnswered, StoreRestored
+from .store import STORE_RECOVERY_S
 
 OPERATOR_FEED = "operator"
 """Name of the feed of deployments and of failure domains out of service."""
@@ -13,18 +14,26 @@
 class FollowDeployment:
     """Filter that updates the directory when the operators' rows are read.
 
+    While the store recovers from a restore, its rows may be older than what is known:
+    they add to it, but take nothing back and confirm nothing.
+
     Args:
         directory: Deployment in force.
+        clock: Source of time.
     """
 
-    __slots__ = ("_directory", "handlers")
+    __slots__ = ("_clock", "_directory", "_domains_read", "_recovers_at", "handlers")
 
-    def __init__(self, directory: Directory) -> None:
+    def __init__(self, directory: Directory, clock: Clock) -> None:
         self._directory = directory
+        self._clock = clock
+        self._domains_read: frozenset[str] = frozenset()
+        self._recovers_at = float("-inf")
         self.handlers: Handlers = {
             DeploymentRead: self._on_deployment_read,
             DomainsRead: self._on_domains_read,
             StoreAnswered: self._on_store_answered,
+            StoreRestored: self._on_store_restored,
         }
 
     def _on_deployment_read(self, msg: DeploymentRead) -> Iterator[Message]:
@@ -48,15 +57,29 @@
             )
 
     def _on_domains_read(self, msg: DomainsRead) -> Iterator[Message]:
+        self._domains_read = msg.names
+        names = msg.names
+        if self._clock.now() < self._recovers_at:
+            names |= self._directory.domains_out
+        yield from self._set_domains_out(names)
+
+    def _set_domains_out(self, names: frozenset[str]) -> Iterator[Message]:
         if (
             not self._directory.are_domains_known
-            or msg.names != self._directory.domains_out
+            or names != self._directory.domains_out
         ):
-            yield Decision("domains_out", domains=sorted(msg.names))
-        self._directory.domains_out = msg.names
+            yield Decision("domains_out", domains=sorted(names))
+        self._directory.domains_out = names
         self._directory.are_domains_known = True
 
     def _on_store_answered(self, msg: StoreAnswered) -> Iterator[Message]:
-        if msg.feed == OPERATOR_FEED:
+        if msg.feed == OPERATOR_FEED and msg.as_of >= self._recovers_at:
+            if self._directory.are_domains_known:
+                yield from self._set_domains_out(self._domains_read)
             self._directory.confirm(msg.as_of)
         yield msg
+
+    def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
+        if msg.feed == OPERATOR_FEED:
+            self._recovers_at = self._clock.now() + STORE_RECOVERY_S
+        yield msg
