Neither lose nor bring back endpoints by the entries of a restored copy

Callers' requests could reach an endpoint that had left, since its entry stands again in the copy, and endpoints that the copy lacks were given up although they run: the time to wait for missing entries was counted from a failed call alone. It now also runs from the moment at which the new era is noticed, and an endpoint that has left stays unused for 5 s (three heartbeats and a margin) unless its entry is written anew. An endpoint that has announced its leaving was safe before.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -68,6 +68,32 @@
     And the store confirms the operators' rows
     Then desk-a gets requests
 
+  @fixture.edge
+  Scenario: An endpoint that the copy lacks is kept until the store has recovered
+    Given the plain endpoints desk-a and desk-b
+    When the store is restored
+    And the copy has only the entry of desk-a
+    Then desk-b gets requests
+    When 2.1 seconds go by
+    Then desk-b gets no requests
+
+  @fixture.edge
+  Scenario Outline: An endpoint that has left is not used again for its entry in the copy
+    Given the plain endpoints desk-a and desk-b
+    When the entry of desk-b is removed
+    And the store is restored
+    And the copy has the entries of desk-a and desk-b
+    Then desk-b gets no requests
+    When <next>
+    Then desk-b gets <some>
+
+    Examples:
+      | next                            | some        |
+      | 2.1 seconds go by               | no requests |
+      | its entry is written anew       | requests    |
+      | 5.1 seconds go by               | requests    |
+      | the entry of desk-b is removed and 6 seconds go by | no requests |
+
   @fixture.platform_standins
   Scenario: An answer of an earlier era is refused after one of a later era
     Given a store client that has seen era 2
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -13,13 +13,16 @@
     ReportRead,
     StoreAnswered,
     StoreFailed,
+    StoreRestored,
 )
+from .store import STORE_RECOVERY_S
 
 ENDPOINT_FEED = "endpoints"
 """Name of the feed of endpoints' entries."""
 
-# Time after the store's return in which entries that expired meanwhile are republished.
-STORE_RECOVERY_S = 2.0
+# Time after a restore of the store in which the entry of an endpoint that has left may
+# still be the copy's: it expires three heartbeats after the return.
+COPIED_ENTRY_S = 5.0
 # Least time that an endpoint is kept after it began to leave, for runs still there.
 GONE_RETENTION_S = 30.0
 
@@ -34,10 +37,13 @@
 
     __slots__ = (
         "_clock",
+        "_copied_entries",
+        "_copied_until",
         "_endpoints",
         "_is_store_lost",
         "_last_failed_call_at",
         "_pending_removals",
+        "_recovers_at",
         "handlers",
     )
 
@@ -47,19 +53,31 @@
         self._pending_removals: set[str] = set()
         self._is_store_lost = False
         self._last_failed_call_at = float("-inf")
+        self._recovers_at = float("-inf")
+        self._copied_entries: dict[str, EndpointEntry] = {}
+        self._copied_until = float("-inf")
         self.handlers: Handlers = {
             EndpointsRead: self._on_endpoints_read,
             ReportRead: self._on_report_read,
             LeavingNotice: self._on_leaving_notice,
             StoreAnswered: self._on_store_answered,
             StoreFailed: self._on_store_failed,
+            StoreRestored: self._on_store_restored,
             Tick: self._on_tick,
         }
 
     def _on_endpoints_read(self, msg: EndpointsRead) -> Iterator[Message]:
         self._endpoints.is_loaded = True
         for entry in msg.entries:
-            yield from self._on_entry(entry)
+            if msg.is_complete and self._may_be_copied(entry):
+                self._copied_entries[entry.name] = entry
+                yield Decision(
+                    "entry_not_used",
+                    endpoint=entry.name,
+                    reason="it has left, and the store was restored",
+                )
+            else:
+                yield from self._on_entry(entry)
         gone = list(msg.gone)
         if msg.is_complete:
             present = {entry.name for entry in msg.entries}
@@ -70,6 +88,7 @@
 
     def _on_entry(self, entry: EndpointEntry) -> Iterator[Message]:
         self._pending_removals.discard(entry.name)
+        self._copied_entries.pop(entry.name, None)
         known = self._endpoints.get(entry.name)
         was_leaving = known is not None and known.leaving_since is not None
         endpoint = self._endpoints.update(entry)
@@ -85,7 +104,14 @@
         if endpoint.leaving_since is not None and not was_leaving:
             yield from self._announce_leaving(endpoint, "draining", Origin.STORE)
 
+    def _may_be_copied(self, entry: EndpointEntry) -> bool:
+        known = self._endpoints.get(entry.name)
+        if known is None or known.leaving_since is None:
+            return False
+        return known.entry.born == entry.born and self._clock.now() < self._copied_until
+
     def _on_gone(self, name: str) -> Iterator[Message]:
+        self._copied_entries.pop(name, None)
         endpoint = self._endpoints.get(name)
         if endpoint is None or name in self._pending_removals:
             return
@@ -146,12 +172,20 @@
             self._last_failed_call_at = msg.sent_at
         yield msg
 
+    def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
+        if msg.feed == ENDPOINT_FEED:
+            now = self._clock.now()
+            self._recovers_at = now + STORE_RECOVERY_S
+            self._copied_until = now + COPIED_ENTRY_S
+        yield msg
+
     def _is_store_recovering(self) -> bool:
         # The store may have been back since the last failed call was sent. Counted from
         # the first answer, the time to notice its return would be added to the time for
         # which an endpoint that has left gets work.
         return (
             self._is_store_lost
+            or self._clock.now() < self._recovers_at
             or self._clock.now() < self._last_failed_call_at + STORE_RECOVERY_S
         )
 
@@ -160,6 +194,10 @@
             names, self._pending_removals = self._pending_removals, set()
             for name in names:
                 yield from self._on_gone(name)
+        if self._copied_entries and msg.now >= self._copied_until:
+            entries, self._copied_entries = self._copied_entries, {}
+            for entry in entries.values():
+                yield from self._on_entry(entry)
         for endpoint in self._endpoints:
             since = endpoint.leaving_since
             if since is None or endpoint.requests:
