Count gateways that go on although the store has lost their rows

Endpoints could get more than common limits allow after a restore: a gateway whose row the copy lacks was forgotten by the others until it wrote again, up to 20 s later, and each limit was divided by too few. A gateway heard from within 2 s now keeps its address until a later reading of the table. One scenario, failing without the change.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -94,6 +94,16 @@
       | 5.1 seconds go by               | requests    |
       | the entry of desk-b is removed and 6 seconds go by | no requests |
 
+  @fixture.edge
+  Scenario: Other gateways that go on are counted although their rows are gone
+    Given 2 other gateways
+    And another gateway that reports a prefill backlog of 10 tokens at desk-a
+    When the store lists only this gateway
+    Then 2 gateways share the limits
+    When 3 seconds go by
+    And the store lists only this gateway
+    Then 1 gateways share the limits
+
   @fixture.platform_standins
   Scenario: An answer of an earlier era is refused after one of a later era
     Given a store client that has seen era 2
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -63,10 +63,17 @@
         return sum(name < self._name for name in live) < N_FEED_READERS
 
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
-        """Replace the addresses, and forget gateways that have none."""
-        self._addresses = {
-            name: address for name, address in addresses.items() if name != self._name
+        """Replace the addresses, and forget gateways that have none and are silent.
+
+        The store may have lost the address of a gateway that goes on.
+        """
+        live = {
+            name: address
+            for name, address in self._addresses.items()
+            if name in self._by_name and self._is_live(self._by_name[name])
         }
+        self._addresses = {**live, **addresses}
+        self._addresses.pop(self._name, None)
         for name in list(self._by_name):
             if name not in self._addresses:
                 del self._by_name[name]
