Put a deployment in force whose version was given out again

Callers could be answered by a deployment that the store no longer holds: after a restore operators may use a version number once more with other content, and a gateway that had read the first one took the second for known. Equal versions are now compared by content, and the one read later holds; the log line says "same version, other content". One scenario, failing without the change.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -94,6 +94,14 @@
       | 5.1 seconds go by               | requests    |
       | the entry of desk-b is removed and 6 seconds go by | no requests |
 
+  @fixture.edge
+  Scenario: A deployment with the same version and other content is put in force
+    Given the plain endpoints desk-a
+    When the store is restored
+    And version 1 with no route is deployed
+    And a lookup is sent
+    Then the request ends as unknown_route
+
   @fixture.edge
   Scenario: Other gateways that go on are counted although their rows are gone
     Given 2 other gateways
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -25,6 +25,7 @@
     __slots__ = (
         "_clock",
         "_confirmed_at",
+        "_deployment",
         "_has_teams",
         "_routes",
         "_services",
@@ -40,6 +41,7 @@
         self._clock = clock
         self.key_ttl_s: float | None = None
         self._confirmed_at: float | None = None
+        self._deployment: Deployment | None = None
         self._routes: dict[str, list[RouteRule]] = {}
         self._services: dict[str, ServiceRule] = {}
         self._teams: dict[str, TeamRule] = {}
@@ -50,13 +52,16 @@
         self.are_domains_known = False
 
     def replace(self, deployment: Deployment) -> bool:
-        """Put a deployment in force, unless the version in force is the same or newer.
+        """Put a deployment in force, unless a newer version is.
+
+        A store that was restored may get a version once more, with other content.
 
         Returns:
             Whether the deployment was put in force.
         """
-        if deployment.version <= self.version:
+        if deployment.version < self.version or deployment == self._deployment:
             return False
+        self._deployment = deployment
         self.version = deployment.version
         self.limits = deployment.limits
         self._services = {rule.name: rule for rule in deployment.services}
--- a/hawthornyard/edge/fleet/deployment.py
+++ b/hawthornyard/edge/fleet/deployment.py
@@ -40,9 +40,10 @@
         before = self._directory.version
         is_new = self._directory.replace(msg.deployment)
         if is_new:
+            is_newer = msg.deployment.version > before
             yield Decision(
                 "deployment",
-                reason="newer version",
+                reason="newer version" if is_newer else "same version, other content",
                 version=msg.deployment.version,
                 before=before,
                 n_routes=len(msg.deployment.routes),
