Confirm keys after a restore as soon as the operators' row is written anew

The version in force under another change number than before is no longer the copy's row: operators have written it anew, which confirms it.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -57,6 +57,22 @@
     And a lookup is sent
     Then 1 attempts were sent for it
 
+  @fixture.edge
+  Scenario Outline: A deployment that was written anew is confirmed at once
+    Given the plain endpoints desk-a
+    And keys stay valid for 5 seconds without a confirmation
+    When 4 seconds go by
+    And the store is restored
+    And the operators write version 1 anew as change <revision>
+    And 1.5 seconds go by
+    And a lookup is sent
+    Then <n> attempts were sent for it
+
+    Examples:
+      | revision | n |
+      | 0        | 0 |
+      | 21       | 1 |
+
   @fixture.edge
   Scenario: A failure domain that is out stays out until the store has recovered
     Given the plain endpoints desk-a
--- a/features/steps/restored_store.py
+++ b/features/steps/restored_store.py
@@ -129,7 +129,7 @@
 def read_copy_first(context: Context, era: int) -> None:
     context.edge.state.directory.key_ttl_s = 5.0
     for feed in ("operator", "endpoints"):
-        context.edge.push(StoreRestored(feed, era))
+        context.edge.push(StoreRestored(feed, era, context.edge.clock.now()))
     context.edge.push_deployment(2)
     context.edge.add_endpoint("desk-a")
 
@@ -137,7 +137,12 @@
 @when("the store is restored")
 def note_restored(context: Context) -> None:
     for feed in ("operator", "endpoints"):
-        context.edge.push(StoreRestored(feed, 2))
+        context.edge.push(StoreRestored(feed, 2, context.edge.clock.now()))
+
+
+@when("the operators write version {version:d} anew as change {revision:d}")
+def write_anew(context: Context, version: int, revision: int) -> None:
+    context.edge.push_deployment(version, revision=revision)
 
 
 @when("the store withdraws the key in version {version:d}")
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -233,6 +233,7 @@
         routes: list[RouteRule] | None = None,
         *,
         key: str = KEY,
+        revision: int = 0,
     ) -> None:
         deployment = Deployment(
             version,
@@ -244,7 +245,7 @@
             [TeamRule("kiosk", [key])],
             INITIAL_LIMITS,
         )
-        self.push(DeploymentRead(deployment))
+        self.push(DeploymentRead(deployment, revision))
         self.push(DomainsRead(frozenset()))
         self.confirm_operator_feed()
 
--- a/hawthornyard/edge/fleet/deployment.py
+++ b/hawthornyard/edge/fleet/deployment.py
@@ -22,13 +22,23 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_directory", "_domains_read", "_recovers_at", "handlers")
+    __slots__ = (
+        "_clock",
+        "_confirmable_from",
+        "_directory",
+        "_domains_read",
+        "_recovers_at",
+        "_revision",
+        "handlers",
+    )
 
     def __init__(self, directory: Directory, clock: Clock) -> None:
         self._directory = directory
         self._clock = clock
         self._domains_read: frozenset[str] = frozenset()
         self._recovers_at = float("-inf")
+        self._confirmable_from = float("-inf")
+        self._revision = 0
         self.handlers: Handlers = {
             DeploymentRead: self._on_deployment_read,
             DomainsRead: self._on_domains_read,
@@ -38,6 +48,11 @@
 
     def _on_deployment_read(self, msg: DeploymentRead) -> Iterator[Message]:
         before = self._directory.version
+        if msg.deployment.version == before and msg.revision != self._revision:
+            # The copy has it as the old write, so the operators have written it anew.
+            self._confirmable_from = float("-inf")
+        if msg.deployment.version >= before:
+            self._revision = msg.revision
         is_new = self._directory.replace(msg.deployment)
         if is_new:
             is_newer = msg.deployment.version > before
@@ -74,13 +89,15 @@
         self._directory.are_domains_known = True
 
     def _on_store_answered(self, msg: StoreAnswered) -> Iterator[Message]:
-        if msg.feed == OPERATOR_FEED and msg.as_of >= self._recovers_at:
-            if self._directory.are_domains_known:
+        if msg.feed == OPERATOR_FEED:
+            if msg.as_of >= self._recovers_at and self._directory.are_domains_known:
                 yield from self._set_domains_out(self._domains_read)
-            self._directory.confirm(msg.as_of)
+            if msg.as_of >= self._confirmable_from:
+                self._directory.confirm(msg.as_of)
         yield msg
 
     def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
         if msg.feed == OPERATOR_FEED:
-            self._recovers_at = self._clock.now() + STORE_RECOVERY_S
+            self._recovers_at = msg.noticed_at + STORE_RECOVERY_S
+            self._confirmable_from = self._recovers_at
         yield msg
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -174,9 +174,8 @@
 
     def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
         if msg.feed == ENDPOINT_FEED:
-            now = self._clock.now()
-            self._recovers_at = now + STORE_RECOVERY_S
-            self._copied_until = now + COPIED_ENTRY_S
+            self._recovers_at = msg.noticed_at + STORE_RECOVERY_S
+            self._copied_until = msg.noticed_at + COPIED_ENTRY_S
         yield msg
 
     def _is_store_recovering(self) -> bool:
--- a/hawthornyard/edge/messages/updates.py
+++ b/hawthornyard/edge/messages/updates.py
@@ -16,12 +16,18 @@
 
 
 class DeploymentRead(Message):
-    """A deployment that was read from the store."""
+    """A deployment that was read from the store.
 
-    __slots__ = ("deployment",)
+    Attributes:
+        deployment: The deployment.
+        revision: Number that the store gave to the write, 0 if unknown.
+    """
+
+    __slots__ = ("deployment", "revision")
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, revision: int = 0) -> None:
         self.deployment = deployment
+        self.revision = revision
 
 
 class DomainsRead(Message):
@@ -153,13 +159,15 @@
     Attributes:
         feed: Name of the feed that has noticed it; what it reads next may be the copy.
         era: Number of the store's era, which rises with each restore.
+        noticed_at: Monotonic time in seconds at which the feed noticed it.
     """
 
-    __slots__ = ("feed", "era")
+    __slots__ = ("feed", "era", "noticed_at")
 
-    def __init__(self, feed: str, era: int) -> None:
+    def __init__(self, feed: str, era: int, noticed_at: float) -> None:
         self.feed = feed
         self.era = era
+        self.noticed_at = noticed_at
 
 
 class StoreFailed(Message):
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -9,7 +9,7 @@
 from ..core import Clock, Inbox, RandomSource
 from ..edge.fleet.deployment import OPERATOR_FEED
 from ..edge.fleet.endpoints import ENDPOINT_FEED
-from ..edge.fleet.store import LONG_POLL_S
+from ..edge.fleet.store import LONG_POLL_S, STORE_RECOVERY_S
 from ..edge.messages import (
     DeploymentRead,
     DomainsRead,
@@ -39,6 +39,10 @@
 answers in less."""
 
 
+AFTER_RECOVERY_S = 0.02
+"""Delay of the first answer that confirms what is known after a restore."""
+
+
 class TableDecoder(Protocol):
     """Decoder of the rows of one table."""
 
@@ -82,7 +86,9 @@
                 self._domains_out.add(domain)
         elif row.key == DEPLOYMENT_KEY and row.value is not None:
             try:
-                self._inbox.put(DeploymentRead(decode_deployment(row.value)))
+                self._inbox.put(
+                    DeploymentRead(decode_deployment(row.value), row.version)
+                )
             except RecordError as exc:
                 logger.bind(detail=str(exc)).error("deployment_unreadable")
 
@@ -145,6 +151,7 @@
         "_next_wait_s",
         "_pause_s",
         "_random_source",
+        "_recovered_at",
         "_store",
         "_table",
         "_version",
@@ -176,6 +183,7 @@
         self._pause_s = pause_s
         self._version: int | None = None
         self._era = FIRST_ERA
+        self._recovered_at = float("-inf")
         self._has_failed = False
 
     def run(self) -> None:
@@ -193,6 +201,8 @@
     def _poll(self, requested_at: float) -> None:
         as_of = requested_at
         wait_s, self._next_wait_s = self._next_wait_s, self._wait_s
+        if requested_at < self._recovered_at:
+            wait_s = min(wait_s, self._recovered_at - requested_at)
         timeout_s = READ_TIMEOUT_S
         if self._has_failed:
             wait_s, timeout_s = 0.0, PROBE_TIMEOUT_S
@@ -231,7 +241,9 @@
         # A feed that has just begun can't know when the restore was.
         if page.era != self._era:
             self._era = page.era
-            self._inbox.put(StoreRestored(self._name, page.era))
+            now = self._clock.now()
+            self._recovered_at = now + STORE_RECOVERY_S + AFTER_RECOVERY_S
+            self._inbox.put(StoreRestored(self._name, page.era, now))
 
     def _confirm(self, version: int, as_of: float) -> None:
         self._version = version
