Refuse numbers that do not fit in the rows of operators and endpoints

Callers could be answered by an old deployment and sent to endpoints that had left: a row with a number of 400 digits in slots, born, cold_remaining_ms or version raised an OverflowError past the handler of the feed, whose thread ended. Numbers are now from 0 to 2**53, also the store's clock and a team's priority, and errors show at most 100 characters of a value. odd_rows.feature: 21 passed; 5 of them fail on the code before. Ruled out: deep nesting and 1e999, which were refused before as well.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -10,6 +10,22 @@
       | limits that are a list |
       | routes that are a text |
       | deeply nested lists    |
+      | a version of 400 digits |
+      | a priority of 400 digits |
+
+  @fixture.platform_world
+  Scenario Outline: A malformed entry of an endpoint leaves the feed running
+    When an endpoint is listed with <field> <value> and then one without faults
+    Then the gateway knows only the one without faults
+
+    Examples:
+      | field             | value                |
+      | slots             | 400 digits           |
+      | born              | 400 digits           |
+      | cold_remaining_ms | 400 digits           |
+      | cold_remaining_ms | 1e999                |
+      | slots             | -1                   |
+      | state             | deeply nested lists  |
 
   Scenario Outline: A malformed answer is an error of the closed list
     When a process decodes <answer>
@@ -22,6 +38,7 @@
       | a store's answer of deep lists       |
       | a claim without its fields           |
       | a claim that is a list               |
+      | a store's answer with a huge clock   |
 
   Scenario: A gateway whose row has a malformed address holds up no datagram
     When frames are sent to the addresses "nowhere" and "127.0.0.1:many"
--- a/features/steps/odd_rows.py
+++ b/features/steps/odd_rows.py
@@ -29,6 +29,26 @@
     "limits that are a list": json.dumps({**CONFIG, "version": 8, "limits": [1]}),
     "routes that are a text": json.dumps({**CONFIG, "version": 8, "routes": "all"}),
     "deeply nested lists": DEEP_LISTS.decode(),
+    "a version of 400 digits": json.dumps({**CONFIG, "version": int("9" * 400)}),
+    "a priority of 400 digits": json.dumps(
+        {
+            **CONFIG,
+            "version": 8,
+            "tenants": [{**CONFIG["tenants"][0], "priority": int("9" * 400)}],
+        }
+    ),
+}
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:9",
+    "zone": "domain-1",
+    "slots": 6,
+    "state": "ready",
+    "born": 1,
+}
+FIELD_VALUES = {
+    "400 digits": "9" * 400,
+    "deeply nested lists": DEEP_LISTS.decode(),
 }
 
 
@@ -74,6 +94,23 @@
     wait_until(lambda: directory.version == 9, timeout_s=TIMEOUT_S)
 
 
+@when("an endpoint is listed with {field} {value} and then one without faults")
+def list_malformed(context: Context, field: str, value: str) -> None:
+    context.world.wait_ready()
+    text = FIELD_VALUES.get(value, value)
+    row = json.dumps({**ENTRY, field: "?"}).replace('"?"', text)
+    context.world.store.put("servers", "i-odd", row.encode())
+    eventlet.sleep(0.1)
+    context.world.store.put("servers", "i-plain", ENTRY)
+
+
+@then("the gateway knows only the one without faults")
+def check_known(context: Context) -> None:
+    endpoints = context.world.gateway.state.endpoints
+    wait_until(lambda: endpoints.get("i-plain") is not None, timeout_s=TIMEOUT_S)
+    assert endpoints.get("i-odd") is None
+
+
 @when("a process decodes {name}")
 def decode_answer(context: Context, name: str) -> None:
     calls = {
@@ -84,6 +121,9 @@
         "a store's answer of deep lists": lambda: _read_store(DEEP_LISTS),
         "a claim without its fields": lambda: decode_claim("{}"),
         "a claim that is a list": lambda: decode_claim("[]"),
+        "a store's answer with a huge clock": lambda: _read_store(
+            b'{"rows": [], "ver": 1, "now_ms": %s}' % (b"9" * 400)
+        ),
     }
     try:
         calls[name]()
--- a/hawthornyard/platform/deployment.py
+++ b/hawthornyard/platform/deployment.py
@@ -89,11 +89,11 @@
 
 
 def _decode_team(item: dict[str, Any]) -> TeamRule:
-    priority = item.get("priority")
+    has_priority = item.get("priority") is not None
     return TeamRule(
         get_text(item, "name"),
         get_texts(item, "api_keys"),
-        priority=priority if type(priority) is int else None,
+        priority=int(get_number(item, "priority")) if has_priority else None,
     )
 
 
--- a/hawthornyard/platform/fields.py
+++ b/hawthornyard/platform/fields.py
@@ -5,6 +5,12 @@
 
 from ..errors import RecordError
 
+MAX_NUMBER = 2**53
+"""Largest number that is accepted; above it, not every integer is a float."""
+
+MAX_SHOWN = 100
+"""Characters of a value that an error tells."""
+
 
 def decode_object(data: bytes) -> dict[str, Any]:
     """Return the JSON object that the bytes encode.
@@ -30,7 +36,7 @@
     value = source.get(name)
     if not isinstance(value, str) or not value:
         raise RecordError(
-            f"field {name!r} is {value!r}, expected a text that is not empty"
+            f"field {name!r} is {shorten(value)}, expected a text that is not empty"
         )
     return value
 
@@ -41,17 +47,23 @@
     """Return the number in a field, `default` if the field is missing.
 
     Raises:
-        RecordError: If the field is missing without a default, negative, infinite or
-            of another type.
+        RecordError: If the field is missing without a default, negative, above
+            `MAX_NUMBER` or of another type.
     """
     value: Any = source.get(name, default)
-    if type(value) not in (int, float) or not 0 <= value < float("inf"):
+    if type(value) not in (int, float) or not 0 <= value <= MAX_NUMBER:
         raise RecordError(
-            f"field {name!r} is {value!r}, expected a finite number from 0 up"
+            f"field {name!r} is {shorten(value)}, expected a number from 0 to 2**53"
         )
     return float(value)
 
 
+def shorten(value: Any) -> str:
+    """Return the text of a value that an error tells, cut after some characters."""
+    text = repr(value)
+    return text if len(text) <= MAX_SHOWN else f"{text[:MAX_SHOWN]}..."
+
+
 def get_flag(source: dict[str, Any], name: str) -> bool:
     """Return the boolean in a field, False if the field is missing.
 
@@ -60,7 +72,7 @@
     """
     value = source.get(name, False)
     if not isinstance(value, bool):
-        raise RecordError(f"field {name!r} is {value!r}, expected true or false")
+        raise RecordError(f"field {name!r} is {shorten(value)}, expected true or false")
     return value
 
 
@@ -74,7 +86,7 @@
     if value is None:
         return {}
     if not isinstance(value, dict):
-        raise RecordError(f"field {name!r} is {value!r}, expected an object")
+        raise RecordError(f"field {name!r} is {shorten(value)}, expected an object")
     return value
 
 
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -8,9 +8,10 @@
 from typing import Any
 
 from ..core import Message
-from ..errors import PlatformError
+from ..errors import PlatformError, RecordError
 from ..stores.http import HttpResponse, HttpService
 from .connections import CONNECT_TIMEOUT_S
+from .fields import get_number
 from .names import STORE_ERA_HEADER
 
 READ_TIMEOUT_S = 1.0
@@ -229,10 +230,10 @@
 
 
 def _decode_now_ms(body: dict[str, Any]) -> float:
-    now_ms: Any = body.get("now_ms")
-    if type(now_ms) not in (int, float):
-        raise PlatformError("store: field 'now_ms' of the response is not a number")
-    return float(now_ms)
+    try:
+        return get_number(body, "now_ms")
+    except RecordError as exc:
+        raise PlatformError(f"store: {exc.detail}") from exc
 
 
 def _decode_body(data: bytes) -> dict[str, Any]:
