Refuse addresses of endpoints that no host can have

A caller's request could reach a stranger: a port of 0 or above 65,535 and octets above 255 were taken, and a connection to port 99,999 goes to port 34,463. A datagram to such a port raised an OverflowError in the loop. Ruled out: addresses with spaces or underscores, refused before as well.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -26,6 +26,16 @@
       | cold_remaining_ms | 1e999                |
       | slots             | -1                   |
       | state             | deeply nested lists  |
+      | address           | "127.0.0.1:0"        |
+      | address           | "127.0.0.1:65536"    |
+      | address           | "127.0.0.1:99999"    |
+      | address           | "10.0.0.256:80"      |
+      | address           | "10.0.0.01:80"       |
+      | address           | "10.0.0:80"          |
+      | address           | "0.0.0.0:80"         |
+      | address           | "255.255.255.255:80" |
+      | address           | "127.0.0.1:8_0"      |
+      | address           | 80                   |
 
   Scenario Outline: A malformed answer is an error of the closed list
     When a process decodes <answer>
@@ -42,6 +52,7 @@
 
   Scenario: A gateway whose row has a malformed address holds up no datagram
     When frames are sent to the addresses "nowhere" and "127.0.0.1:many"
+    And frames are sent to the addresses "127.0.0.1:99999" and "127.0.0.1:-1"
     Then none of them raises an error
 
   Scenario: A peer is connected to after its malformed address was mended
--- a/features/steps/odd_rows.py
+++ b/features/steps/odd_rows.py
@@ -142,7 +142,7 @@
         (LOOPBACK, 0), MsgpackCodec(), RecordingInbox(), LeavingNotice
     )
     send = transport.consumers[LeavingNotice]
-    context.errors = []
+    context.errors = getattr(context, "errors", [])
     for address in (first, second):
         try:
             send(LeavingNotice("i-1", 1).with_peer(address))
--- a/hawthornyard/io/__init__.py
+++ b/hawthornyard/io/__init__.py
@@ -10,12 +10,13 @@
 from .log import configure_log
 from .loop import StopSink, freeze_startup_objects, run_loop
 from .mailbox import Mailbox
-from .peer_links import PeerLinks, split_address
+from .peer_links import MAX_PORT, PeerLinks, split_address
 from .peer_listener import PeerListener
 from .reserved_port import ReservedPort
 from .timer import run_timer
 
 __all__ = [
+    "MAX_PORT",
     "ConfigPoller",
     "Connection",
     "Connections",
--- a/hawthornyard/io/peer_links.py
+++ b/hawthornyard/io/peer_links.py
@@ -17,6 +17,7 @@
 IDLE_TIMEOUT_S = 3.0
 RECONNECT_MIN_DELAY_S = 0.05
 RECONNECT_MAX_DELAY_S = 2.0
+MAX_PORT = 65_535
 
 
 class PeerLinks:
@@ -146,7 +147,10 @@
     An IPv6 address is written in brackets, which the result leaves out.
 
     Raises:
-        ValueError: If the port is missing or not a number.
+        ValueError: If the port is missing or not a number from 0 to 65535.
     """
-    host, _, port = text.rpartition(":")
-    return host.strip("[]"), int(port)
+    host, _, port_text = text.rpartition(":")
+    port = int(port_text)
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"port is {port}, expected 0 to {MAX_PORT}")
+    return host.strip("[]"), port
--- a/hawthornyard/platform/endpoint.py
+++ b/hawthornyard/platform/endpoint.py
@@ -1,13 +1,15 @@
 """Decode the reports and the table entries of endpoints."""
 
 import re
+from ipaddress import IPv4Address
 
 from ..edge.messages import EndpointEntry, ReportRead
 from ..errors import RecordError
-from .fields import decode_object, get_number, get_text
+from ..io import split_address
+from .fields import decode_object, get_number, get_text, shorten
 
 _IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
-_ADDRESS = re.compile(r"[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}")
+_ADDRESS = re.compile(r"[0-9.]{7,15}:[0-9]{1,5}")
 
 
 def decode_report(name: str, data: bytes) -> ReportRead:
@@ -46,10 +48,7 @@
     if state not in _IS_DRAINING_BY_STATE:
         raise RecordError(f"state is {state!r}, expected 'ready' or 'draining'")
     address = get_text(body, "address")
-    if not _ADDRESS.fullmatch(address):
-        raise RecordError(
-            f"address is {address!r}, expected an IPv4 address and a port"
-        )
+    _check_address(address)
     return EndpointEntry(
         name,
         get_text(body, "service"),
@@ -61,3 +60,24 @@
         # Start time in Unix milliseconds; only compared for equality.
         born=int(get_number(body, "born", 0.0)),
     )
+
+
+def _check_address(address: str) -> None:
+    if not _is_callable(address):
+        raise RecordError(
+            f"address is {shorten(address)}, expected the IPv4 address of a host and "
+            "a port from 1 to 65535"
+        )
+
+
+def _is_callable(address: str) -> bool:
+    if not _ADDRESS.fullmatch(address):
+        return False
+    try:
+        host_text, port = split_address(address)
+        host = IPv4Address(host_text)
+    except ValueError:
+        # `AddressValueError` is a ValueError as well.
+        return False
+    is_host = not (host.is_unspecified or host.is_multicast or host.is_reserved)
+    return is_host and port > 0
--- a/hawthornyard/platform/settings.py
+++ b/hawthornyard/platform/settings.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..errors import RecordError, SettingsError
+from ..io import MAX_PORT
 from .fields import decode_object, get_flag, get_number, get_text
 
 SETTINGS_PATH_VARIABLE = "HAWTHORNYARD_NODE_FILE"
@@ -134,9 +135,14 @@
 def _get_ports(body: dict[str, Any]) -> tuple[int, int]:
     ports: Any = body.get("internal_ports")
     is_pair = isinstance(ports, list) and len(ports) == 2
-    if not is_pair or not all(type(port) is int for port in ports):
+    if not is_pair or not all(_is_port(port) for port in ports):
         given = json.dumps(ports)[:100]
         raise RecordError(
-            f"field 'internal_ports' is {given}, expected a list of two ports"
+            f"field 'internal_ports' is {given}, expected a list of two ports "
+            "from 1 to 65535"
         )
     return ports[0], ports[1]
+
+
+def _is_port(value: Any) -> bool:
+    return type(value) is int and 1 <= value <= MAX_PORT
