Let threads that follow something go on after an unexpected error

A gateway could follow a table no longer for the rest of its life, so that callers were answered by what it knew last: any error that the thread of a feed did not expect ended it, as the OverflowError of an odd row did. The same held for the registry of gateways, the pollers of records, hosts and the plan, claims, orders and datagrams. Ruled out: a handler in the loop alone, which had one already.

--- a/features/odd_rows.feature
+++ b/features/odd_rows.feature
@@ -37,6 +37,12 @@
       | address           | "127.0.0.1:8_0"      |
       | address           | 80                   |
 
+  @fixture.platform_world
+  Scenario: A feed goes on after an error that nobody expected
+    Given a decoder of entries that fails once
+    When an endpoint is listed with slots 6 and then one without faults
+    Then the gateway knows the one without faults
+
   Scenario Outline: A malformed answer is an error of the closed list
     When a process decodes <answer>
     Then the error has a kind of the closed list
--- a/features/steps/odd_rows.py
+++ b/features/steps/odd_rows.py
@@ -2,7 +2,9 @@
 
 import errno
 import json
+from collections.abc import Sequence
 from typing import Any
+from unittest import mock
 
 import eventlet
 from behave import given, then, when
@@ -20,7 +22,8 @@
 from hawthornyard.io.claim_codec import decode_claim
 from hawthornyard.io.datagrams import DatagramTransport
 from hawthornyard.platform.endpoint import decode_report
-from hawthornyard.platform.store import PlatformStore
+from hawthornyard.platform.feeds import EndpointTableDecoder
+from hawthornyard.platform.store import PlatformStore, StoredRow
 from hawthornyard.stores import Page, Row
 
 DEEP_LISTS = b"[" * 100_000
@@ -104,11 +107,35 @@
     context.world.store.put("servers", "i-plain", ENTRY)
 
 
-@then("the gateway knows only the one without faults")
-def check_known(context: Context) -> None:
+@given("a decoder of entries that fails once")
+def fail_once(context: Context) -> None:
+    decode = EndpointTableDecoder.decode
+    has_failed = False
+
+    def decode_or_fail(
+        self: EndpointTableDecoder, rows: Sequence[StoredRow], *, is_complete: bool
+    ) -> None:
+        nonlocal has_failed
+        if rows and not has_failed:
+            has_failed = True
+            raise OverflowError("a fault of the decoder")
+        decode(self, rows, is_complete=is_complete)
+
+    patch = mock.patch.object(EndpointTableDecoder, "decode", decode_or_fail)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("the gateway knows the one without faults")
+def check_goes_on(context: Context) -> None:
     endpoints = context.world.gateway.state.endpoints
     wait_until(lambda: endpoints.get("i-plain") is not None, timeout_s=TIMEOUT_S)
-    assert endpoints.get("i-odd") is None
+
+
+@then("the gateway knows only the one without faults")
+def check_known(context: Context) -> None:
+    check_goes_on(context)
+    assert context.world.gateway.state.endpoints.get("i-odd") is None
 
 
 @when("a process decodes {name}")
--- a/hawthornyard/io/__init__.py
+++ b/hawthornyard/io/__init__.py
@@ -12,6 +12,7 @@
 from .mailbox import Mailbox
 from .peer_links import MAX_PORT, PeerLinks, split_address
 from .peer_listener import PeerListener
+from .repeat import repeat
 from .reserved_port import ReservedPort
 from .timer import run_timer
 
@@ -34,6 +35,7 @@
     "configure_log",
     "freeze_startup_objects",
     "listen",
+    "repeat",
     "run_loop",
     "run_timer",
     "split_address",
--- a/hawthornyard/io/claims.py
+++ b/hawthornyard/io/claims.py
@@ -21,6 +21,7 @@
 from ..gateway.messages import ClaimAnswered, ClaimRequested, ClaimSettled
 from ..stores import Condition, Put, Row, TableStore
 from .claim_codec import decode_claim, encode_claim
+from .repeat import repeat
 
 MAX_BATCH_CLAIMS = 64
 SETTLE_RETRY_INTERVAL_S = 1.0
@@ -153,9 +154,11 @@
         eventlet.spawn_n(self._run_settles)
 
     def _run_claims(self) -> None:
-        while True:
-            for answer in self._table.claim(_next_batch(self._claim_queue)):
-                self._inbox.put(answer)
+        repeat(self._claim_next, "claims")
+
+    def _claim_next(self) -> None:
+        for answer in self._table.claim(_next_batch(self._claim_queue)):
+            self._inbox.put(answer)
 
     def _run_settles(self) -> None:
         while True:
--- a/hawthornyard/io/config_poller.py
+++ b/hawthornyard/io/config_poller.py
@@ -11,6 +11,7 @@
 from ..frames import ConfigPush, RecordEntry
 from ..operator import RECORD_PREFIX
 from ..stores import Row, TableStore
+from .repeat import repeat
 
 POLL_INTERVAL_S = 1.0
 
@@ -40,9 +41,11 @@
 
     def run(self) -> None:
         """Poll at intervals with jitter; never returns."""
-        while True:
-            self.poll()
-            eventlet.sleep(self._interval_s * (0.5 + random.random()))
+        repeat(self._poll_and_wait, "config poller")
+
+    def _poll_and_wait(self) -> None:
+        self.poll()
+        eventlet.sleep(self._interval_s * (0.5 + random.random()))
 
     def poll(self) -> None:
         """Poll once; a failure is logged, and the next poll is the retry."""
--- a/hawthornyard/io/datagrams.py
+++ b/hawthornyard/io/datagrams.py
@@ -11,6 +11,7 @@
 from ..frames import Frame
 from ..net import FairSocket
 from .peer_links import split_address
+from .repeat import repeat
 
 MAX_DATAGRAM_BYTES = 65_507
 
@@ -50,14 +51,16 @@
 
     def run(self) -> None:
         """Read frames into the inbox; never returns."""
-        while True:
-            try:
-                data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            except OSError as exc:
-                # An ICMP error for a datagram sent to a closed port is raised here.
-                logger.bind(detail=str(exc)).debug("datagram_unreachable")
-                continue
-            self._read(data, f"{sender[0]}:{sender[1]}")
+        repeat(self._receive, "datagrams")
+
+    def _receive(self) -> None:
+        try:
+            data, sender = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+        except OSError as exc:
+            # An ICMP error for a datagram sent to a closed port is raised here.
+            logger.bind(detail=str(exc)).debug("datagram_unreachable")
+            return
+        self._read(data, f"{sender[0]}:{sender[1]}")
 
     def _read(self, data: bytes, sender: str) -> None:
         try:
--- a/hawthornyard/io/host_poller.py
+++ b/hawthornyard/io/host_poller.py
@@ -9,6 +9,7 @@
 from ..errors import PlatformError
 from ..gateway.fleet import HostsListed
 from ..stores import HostList
+from .repeat import repeat
 
 HOST_POLL_INTERVAL_S = 1.0
 
@@ -38,9 +39,11 @@
 
     def run(self) -> None:
         """Poll at intervals with jitter; never returns."""
-        while True:
-            self.poll()
-            eventlet.sleep(self._interval_s * (0.5 + random.random()))
+        repeat(self._poll_and_wait, "host poller")
+
+    def _poll_and_wait(self) -> None:
+        self.poll()
+        eventlet.sleep(self._interval_s * (0.5 + random.random()))
 
     def poll(self) -> None:
         """Poll once; a failure is logged, and the next poll is the retry."""
--- a/hawthornyard/io/orders.py
+++ b/hawthornyard/io/orders.py
@@ -20,6 +20,7 @@
     SendOrder,
     StateAnswered,
 )
+from .repeat import repeat
 
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 4.0
@@ -142,9 +143,11 @@
         eventlet.spawn_n(self._run)
 
     def _run(self) -> None:
-        while True:
-            call: Callable[[], Message] = self._queue.get()
-            self._inbox.put(call())
+        repeat(self._run_next, "orders")
+
+    def _run_next(self) -> None:
+        call: Callable[[], Message] = self._queue.get()
+        self._inbox.put(call())
 
     def _read_state(self) -> Message:
         try:
--- a/hawthornyard/io/plan_table.py
+++ b/hawthornyard/io/plan_table.py
@@ -28,6 +28,7 @@
     encode_lease,
     encode_plan,
 )
+from .repeat import repeat
 
 PLAN_POLL_INTERVAL_S = 2.0
 
@@ -124,13 +125,17 @@
             return PlanTableOutcomeUnknown(token)
 
     def _run_poll(self) -> None:
-        while True:
-            self.poll()
-            eventlet.sleep(self._interval_s * (0.5 + random.random()))
+        repeat(self._poll_and_wait, "plan table reader")
+
+    def _poll_and_wait(self) -> None:
+        self.poll()
+        eventlet.sleep(self._interval_s * (0.5 + random.random()))
 
     def _run_writes(self) -> None:
-        while True:
-            self._inbox.put(self.write(self._write_queue.get()))
+        repeat(self._write_next, "plan table writer")
+
+    def _write_next(self) -> None:
+        self._inbox.put(self.write(self._write_queue.get()))
 
     def _apply_row(self, row: Row) -> None:
         try:
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -19,6 +19,7 @@
     StoreRestored,
 )
 from ..errors import PlatformError, RecordError
+from ..io import repeat
 from .connections import CONNECT_TIMEOUT_S
 from .deployment import decode_deployment
 from .endpoint import decode_endpoint_entry
@@ -188,15 +189,17 @@
 
     def run(self) -> None:
         """Follow the table; never returns."""
-        while True:
-            sent_at = self._clock.now()
-            try:
-                self._poll(sent_at)
-                self._has_failed = False
-            except PlatformError as exc:
-                self._has_failed = True
-                self._inbox.put(StoreFailed(self._name, str(exc), sent_at))
-                eventlet.sleep(RETRY_DELAY_S)
+        repeat(self._follow, f"feed of {self._name}")
+
+    def _follow(self) -> None:
+        sent_at = self._clock.now()
+        try:
+            self._poll(sent_at)
+            self._has_failed = False
+        except PlatformError as exc:
+            self._has_failed = True
+            self._inbox.put(StoreFailed(self._name, str(exc), sent_at))
+            eventlet.sleep(RETRY_DELAY_S)
 
     def _poll(self, requested_at: float) -> None:
         as_of = requested_at
--- a/hawthornyard/platform/gateway_registry.py
+++ b/hawthornyard/platform/gateway_registry.py
@@ -9,6 +9,7 @@
 from ..core import Consumers, Inbox
 from ..edge.messages import GatewaysRead, StoreRestored
 from ..errors import PlatformError, RecordError
+from ..io import repeat
 from .fields import decode_object, get_number, get_text
 from .store import PlatformStore, RowPage, StoredRow
 
@@ -41,7 +42,15 @@
         inbox: Receives the addresses of all gateways, this one included.
     """
 
-    __slots__ = ("_address", "_inbox", "_name", "_restored", "_store", "consumers")
+    __slots__ = (
+        "_address",
+        "_delay_s",
+        "_inbox",
+        "_name",
+        "_restored",
+        "_store",
+        "consumers",
+    )
 
     def __init__(
         self, name: str, address: str, store: PlatformStore, inbox: Inbox
@@ -50,23 +59,25 @@
         self._address = address
         self._store = store
         self._inbox = inbox
+        self._delay_s = FIRST_REFRESH_DELAY_S
         self._restored = Event()
         self.consumers: Consumers = {StoreRestored: self._on_store_restored}
 
     def run(self) -> None:
         """Write this gateway's row and read the others at intervals; never returns."""
-        delay_s = FIRST_REFRESH_DELAY_S
-        while True:
-            try:
-                self._refresh()
-            except PlatformError as exc:
-                logger.bind(detail=str(exc)).warning("gateways_unreadable")
-            with eventlet.Timeout(delay_s, False):
-                self._restored.wait()
-            delay_s = min(REFRESH_INTERVAL_S, delay_s * 4)
-            if self._restored.ready():
-                self._restored = Event()
-                delay_s = FIRST_REFRESH_DELAY_S
+        repeat(self._refresh_and_wait, "gateway registry")
+
+    def _refresh_and_wait(self) -> None:
+        try:
+            self._refresh()
+        except PlatformError as exc:
+            logger.bind(detail=str(exc)).warning("gateways_unreadable")
+        with eventlet.Timeout(self._delay_s, False):
+            self._restored.wait()
+        self._delay_s = min(REFRESH_INTERVAL_S, self._delay_s * 4)
+        if self._restored.ready():
+            self._restored = Event()
+            self._delay_s = FIRST_REFRESH_DELAY_S
 
     def _on_store_restored(self, msg: StoreRestored) -> None:
         if not self._restored.ready():
