Charge no more than four seconds of a limit for another gateway's count

Callers could be refused at an endpoint with a limit for as long as a wrong count of another gateway weighed: a datagram with a huge n_sent put the bucket in debt for good, and one that told of a long cut charged requests that no longer matter. Ruled out by reading: other numbers of datagrams, which only add to averages that expire with their sender.

--- a/features/named_limits.feature
+++ b/features/named_limits.feature
@@ -83,6 +83,16 @@
     When an answer of the incarnation before names the limit 3.0
     Then the limit of desk-a is none
 
+  @fixture.edge
+  Scenario: A huge count of another gateway does not close an endpoint for long
+    Given the plain endpoints desk-a
+    When an answer to a request from 0.1 s ago names the limit 2.0
+    And another gateway tells of 1 and then of 9000000000000000000 requests to desk-a
+    And 12 seconds go by
+    And the store confirms the operators' rows
+    And a lookup is sent
+    Then 1 attempts were sent for it
+
   @fixture.edge
   Scenario: A stream resumes at a limited mirror only within the reserve
     Given the engines engine-a and engine-b
--- a/features/steps/named_limits.py
+++ b/features/steps/named_limits.py
@@ -170,6 +170,14 @@
         context.edge.push(frame)
 
 
+@when("another gateway tells of {n:d} and then of {m:d} requests to {name}")
+def tell_counts(context: Context, n: int, m: int, name: str) -> None:
+    context.edge.push(GatewaysRead({"gateway-1": "peer-1", "gateway-2": "peer-2"}))
+    for n_sent in (n, m):
+        frame = EndpointLimit("gateway-2", name, 0, n_sent, True, 2.0, 0.0, 0.0)
+        context.edge.push(frame)
+
+
 @then("its mirror got no request of it")
 def check_not_resumed(context: Context) -> None:
     sent = [msg.endpoint for msg in context.edge.messages_of(Dispatch)]
--- a/hawthornyard/edge/named_limit.py
+++ b/hawthornyard/edge/named_limit.py
@@ -8,6 +8,8 @@
 # An endpoint that takes less is still asked now and then: only its answers tell that
 # the limit is over.
 MIN_RATE_PER_S = 0.1
+# Requests of another gateway that are charged at once, in seconds of the limit.
+MAX_BACKLOG_S = 4.0
 # Requests beyond the limit that streams may add which resume after a break.
 RESUME_RESERVE = 2.0
 
@@ -120,10 +122,12 @@
         self._n_sent_by_gateway[gateway] = n_sent
         if n_known is None:
             self._charge(min(1, n_sent))
-        else:
-            self._charge(n_sent - n_known if n_sent >= n_known else 1)
+            return
+        n_new = n_sent - n_known if n_sent >= n_known else 1
+        # Requests that were not told of for longer no longer weigh on the endpoint.
+        self._charge(min(n_new, MAX_BACKLOG_S * self.rate_per_s + 1))
 
-    def _charge(self, n: int) -> None:
+    def _charge(self, n: float) -> None:
         if self.per_s is not None:
             self._bucket.charge(n)
 
