Let settings name port 0 for a free one, and give the fake store an era

The fake store of two features had no era, so that its feed failed at each poll and the features hung. Ruled out: a fault of Feed, which the real client passes.

--- a/features/support/wait_recording_store.py
+++ b/features/support/wait_recording_store.py
@@ -3,7 +3,7 @@
 from eventlet.event import Event
 
 from hawthornyard.errors import PlatformError
-from hawthornyard.platform.store import RowPage, StoredRow
+from hawthornyard.platform.store import FIRST_ERA, RowPage, StoredRow
 
 N_RECORDED_CALLS = 4
 
@@ -15,17 +15,19 @@
     poll numbered N_RECORDED_CALLS never returns.
 
     Attributes:
+        era: Era of the store.
         failing_call: Number of the poll that fails, 0 for none.
         longest_s: Seconds that each poll may take before it fails.
         waits: Requested waits in seconds.
         all_recorded: Event sent at the poll numbered N_RECORDED_CALLS.
     """
 
-    __slots__ = ("all_recorded", "failing_call", "longest_s", "waits")
+    __slots__ = ("all_recorded", "era", "failing_call", "longest_s", "waits")
 
     def __init__(self) -> None:
         self.waits: list[float] = []
         self.longest_s: list[float] = []
+        self.era = FIRST_ERA
         self.failing_call = 0
         self.all_recorded = Event()
 
--- a/hawthornyard/platform/settings.py
+++ b/hawthornyard/platform/settings.py
@@ -139,10 +139,10 @@
         given = json.dumps(ports)[:100]
         raise RecordError(
             f"field 'internal_ports' is {given}, expected a list of two ports "
-            "from 1 to 65535"
+            "from 0 to 65535"
         )
     return ports[0], ports[1]
 
 
 def _is_port(value: Any) -> bool:
-    return type(value) is int and 1 <= value <= MAX_PORT
+    return type(value) is int and 0 <= value <= MAX_PORT
