Take a refusal for "not run" only if it tells which request it is for

Clients could be told "not run, try again" for a request that runs, or it could run at a second endpoint: a refusal without a request id was taken for the answer to any request. One without it now counts as an answer that broke; the request may have run. Two rows of edge_adapter.feature, which fail on the code before; the two older rows of refusals now bear the id, as endpoints send it, and the stand-in echoes it. Ruled out: refusals on connections in use again, as none are.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -26,6 +26,8 @@
       | a refusal                     | closes | 503    |
       | the refusal of another        | closes | 503    |
       | the refusal of another request | closes | 502    |
+      | a refusal without id | closes | 502    |
+      | the refusal of another without id | closes | 502    |
       | no HTTP                       | closes | 502    |
       | nothing                       | closes | 502    |
       | nothing                       | resets | 502    |
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -60,12 +60,17 @@
     "a failure of its own": b"HTTP/1.1 500 Oops\r\n"
     + SIGNATURE_HEADERS
     + b"Content-Length: 4\r\n\r\nbody",
-    "a refusal": b"HTTP/1.1 503 Full\r\nX-Hawthornyard-Not-Executed: 1\r\n"
-    b"Content-Length: 0\r\n\r\n",
+    "a refusal": b"HTTP/1.1 503 Full\r\nX-Hawthornyard-Request-Id: {id}\r\n"
+    b"X-Hawthornyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "a refusal without id": b"HTTP/1.1 503 Full\r\n"
+    b"X-Hawthornyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
     "the refusal of another request": b"HTTP/1.1 503 Full\r\n"
     b"X-Hawthornyard-Request-Id: other\r\nX-Hawthornyard-Not-Executed: 1\r\n"
     b"Content-Length: 0\r\n\r\n",
     "the refusal of another": b"HTTP/1.1 421 Misdirected Request\r\n"
+    b"X-Hawthornyard-Instance-Id: i-other\r\n"
+    b"X-Hawthornyard-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n",
+    "the refusal of another without id": b"HTTP/1.1 421 Misdirected Request\r\n"
     b"X-Hawthornyard-Instance-Id: i-other\r\nContent-Length: 0\r\n\r\n",
     "no HTTP": b"\x00\x01garbage\r\n\r\n",
     "nothing": b"",
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -124,6 +124,8 @@
 
     def _handle_response(self, resp: Any, msg: Dispatch) -> None:
         if resp.status == _MISDIRECTED or resp.headers.get(NOT_RUN_HEADER):
+            if REQUEST_ID_HEADER not in resp.headers:
+                raise EndpointError("a refusal does not tell which request it is for")
             self._inbox.put(
                 AttemptRefused(
                     msg.attempt_id,
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -146,13 +146,13 @@
         request_id = _header(environ, REQUEST_ID_HEADER)
         environ["wsgi.input"].read()
         if _header(environ, EXPECTED_ENDPOINT_HEADER) not in ("", self._name):
-            return self._refuse(start, "421 Misdirected Request")
+            return self._refuse(start, request_id, "421 Misdirected Request")
         mode = self.behaviour.mode
         if mode == "full" or self._n_running >= self._n_slots:
-            return self._refuse(start, "503 Service Unavailable")
+            return self._refuse(start, request_id, "503 Service Unavailable")
         source = _header(environ, COPY_SOURCE_HEADER).rpartition("/")[2]
         if source and self._copies.pop(source, None) is None:
-            return self._refuse(start, "503 Service Unavailable")
+            return self._refuse(start, request_id, "503 Service Unavailable")
         self._journal.write(
             "run",
             request_id=request_id,
@@ -274,8 +274,17 @@
         self.behaviour.leaves_ms = body.get("leaves_ms", self.behaviour.leaves_ms)
         return _answer_json(start, "200 OK", {})
 
-    def _refuse(self, start: StartResponse, status: str) -> Iterable[bytes]:
-        start(status, [(NOT_RUN_HEADER, "1"), ("Content-Type", "text/plain")])
+    def _refuse(
+        self, start: StartResponse, request_id: str, status: str
+    ) -> Iterable[bytes]:
+        start(
+            status,
+            [
+                (NOT_RUN_HEADER, "1"),
+                (REQUEST_ID_HEADER, request_id),
+                ("Content-Type", "text/plain"),
+            ],
+        )
         return [b""]
 
 
