End a generation whose last event arrives with the end of its answer

A caller of the product's own gateways waited until the deadline: the sidecar's client of an engine raised an AttributeError when an answer was read to its end at once, as the response no longer has its connection then, and the attempt got no outcome. Platform gateways do not use this client.

--- a/hawthornyard/io/engine.py
+++ b/hawthornyard/io/engine.py
@@ -108,9 +108,11 @@
     def _relay_stream(self, resp: Any, attempt: Attempt, inbox: Inbox) -> None:
         n_tokens = 0
         for _ in range(1 + MAX_RESUMES):
+            # A response that has been read to its end no longer has its connection.
+            conn = resp.connection
             try:
                 for event in _iter_events(resp):
-                    resp.connection.limit_time(self._timeout.read_timeout)
+                    conn.limit_time(self._timeout.read_timeout)
                     if "token" in event:
                         n_tokens += 1
                         inbox.put(EndpointTokens(attempt.attempt_id, [event["token"]]))
