--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -306,6 +306,14 @@
             "Endpoints that take new work.",
             lambda: sum(map(state.eligibility.accepts, state.endpoints)),
         )
+        add_gauge(
+            "endpoints_limited",
+            "Endpoints that name a limit on their requests.",
+            lambda: sum(
+                endpoint.allowance.limit.per_s is not None
+                for endpoint in state.endpoints
+            ),
+        )
         add_gauge(
             "parts_quarantined",
             "Parts of prompts that are kept from endpoints.",
