--- a/review/harness.py
+++ b/review/harness.py
@@ -39,6 +39,7 @@
 TOKENS_PER_EVENT = 4
 COPY_S = 0.05
 N_QUEUED = 8
+CUT_EVENT = 2
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 """Exit statuses of a case."""
@@ -191,6 +192,9 @@
             returns the bytes to write instead, empty to write the event.
         drops: Whether it drops a request when its channel closes, as most runners do.
         n_slots: Requests that it runs at once; a few more wait.
+        cut: Called before the second event of each stream; returns after how many bytes
+            of its chunk the runner closes the channel, None to go on.
+        size_format: Format of the sizes of chunks.
     """
 
     def __init__(
@@ -206,6 +210,8 @@
         spoil_event: Callable[[int], bytes] | None = None,
         drops: bool = True,
         n_slots: int = 24,
+        cut: Callable[[], int | None] | None = None,
+        size_format: bytes = b"%x",
     ) -> None:
         self.name = name
         self.service = service
@@ -217,6 +223,8 @@
         self._spoil_event = spoil_event
         self._drops = drops
         self._n_slots = n_slots
+        self._cut = cut
+        self._size_format = size_format
         self._n_held = 0
         self._is_leaving = False
         self._socks: set[Any] = set()
@@ -377,6 +385,11 @@
                 data = f"id: {number}\ndata: {request_id}/{number}\n\n".encode()
                 if self._spoil_event is not None:
                     data = self._spoil_event(number) or data
+                if self._cut is not None and number == CUT_EVENT:
+                    n_bytes = self._cut()
+                    if n_bytes is not None:
+                        sock.sendall(self._frame(data)[:n_bytes])
+                        raise EOFError("the answer is broken off")
                 if is_open:
                     is_open = self._write_chunk(sock, data)
                 arrival.worked_until = self._world.record.now()
@@ -391,10 +404,13 @@
             )
         sock.sendall(b"0\r\n\r\n")
 
+    def _frame(self, data: bytes) -> bytes:
+        return self._size_format % len(data) + b"\r\n" + data + b"\r\n"
+
     def _write_chunk(self, sock: Any, data: bytes) -> bool:
         # Returns False if the channel is closed and the runner goes on all the same.
         try:
-            sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+            sock.sendall(self._frame(data))
         except OSError:
             if self._drops:
                 raise
