Ask a queue's condition once for each item, so that nobody is sent twice

Cause: FairQueue.discard asked its predicate twice for each item, for what is kept and for what is returned; the predicate reads the clock, and an item whose wait ended in between was kept and returned. The log's KeyError of WaitForCapacity in every tick is the entry that was left behind.

The same cause elsewhere: the queues of the other gateway and of the sidecar pass predicates that read the clock too; they now compare with one time. What let it through: InFlight.begin_attempt dropped a running attempt, which is an error now in both gateways; and an error of one filter kept a tick from the filters behind it, and their other messages from being processed. The pipeline goes on with both and raises the errors afterwards.

Ruled out: the retries and the resumption; each second run came from the queue.

--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -124,6 +124,24 @@
 M = TypeVar("M", bound=Message)
 
 
+class SteppingClock(ManualClock):
+    """Manual clock that can also advance with each reading.
+
+    Attributes:
+        step_s: Seconds that a reading takes.
+    """
+
+    __slots__ = ("step_s",)
+
+    def __init__(self, now: float) -> None:
+        super().__init__(now)
+        self.step_s = 0.0
+
+    def now(self) -> float:
+        self.advance(self.step_s)
+        return super().now()
+
+
 class FirstChoiceRandom:
     """Random source that always picks a route's first service."""
 
@@ -156,7 +174,7 @@
     def __init__(
         self, name: str = "gateway-1", *, random_source: RandomSource | None = None
     ) -> None:
-        self.clock = ManualClock(START_TIME_S)
+        self.clock = SteppingClock(START_TIME_S)
         self.state = EdgeState(name, self.clock)
         self.state.retry_budget.set_limits(ratio=0.2, slack=10.0, window_s=10.0)
         self.messages: list[Message] = []
--- a/hawthornyard/core/event.py
+++ b/hawthornyard/core/event.py
@@ -13,6 +13,8 @@
 
     __slots__ = ("now",)
 
+    reaches_all = True
+
     def __init__(self, now: float) -> None:
         self.now = now
 
--- a/hawthornyard/core/message.py
+++ b/hawthornyard/core/message.py
@@ -1,7 +1,7 @@
 """Base class of typed messages."""
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, ClassVar
 
 
 class Message:
@@ -9,10 +9,16 @@
 
     Provides `repr` and equality by value. A subclass lists its fields in
     `__slots__`, in the order of its constructor parameters.
+
+    Attributes:
+        reaches_all: Whether the message goes on to the filters behind one that fails
+            to handle it.
     """
 
     __slots__ = ()
 
+    reaches_all: ClassVar[bool] = False
+
     @classmethod
     def fields(cls) -> tuple[str, ...]:
         """Return the names of the fields in constructor order."""
--- a/hawthornyard/core/pipeline.py
+++ b/hawthornyard/core/pipeline.py
@@ -73,20 +73,44 @@
     def push(self, msg: Message) -> None:
         """Process a message and all messages that result from it.
 
+        An error in one filter or sink holds up no other: messages that do not result
+        from the failed one are processed before it is raised.
+
         Args:
             msg: Message for the head of the chain.
 
         Raises:
             HawthornyardError: If no filter and no sink handles a message.
+            ExceptionGroup: If several filters or sinks failed.
         """
-        self._push(msg, 0)
-
-    def _push(self, msg: Message, index: int) -> None:
+        errors: list[Exception] = []
+        self._push(msg, 0, errors)
+        if len(errors) == 1:
+            raise errors[0]
+        if errors:
+            raise ExceptionGroup(
+                f"{len(errors)} errors while {type(msg).__name__} was processed", errors
+            )
+
+    def _push(self, msg: Message, index: int, errors: list[Exception]) -> None:
         stage = self._stage_tables[index].get(type(msg))
-        if stage is not None:
-            for out in stage.handler(msg):
-                self._push(out, stage.next_index)
+        if stage is None:
+            try:
+                self._consume(msg)
+            except Exception as exc:
+                errors.append(exc)
             return
+        has_passed_on = False
+        try:
+            for out in stage.handler(msg):
+                has_passed_on = has_passed_on or out is msg
+                self._push(out, stage.next_index, errors)
+        except Exception as exc:
+            errors.append(exc)
+            if msg.reaches_all and not has_passed_on:
+                self._push(msg, stage.next_index, errors)
+
+    def _consume(self, msg: Message) -> None:
         consume = self._consumers.get(type(msg))
         if consume is None:
             raise HawthornyardError(f"no filter or sink handles {type(msg).__name__}")
--- a/hawthornyard/edge/inflight.py
+++ b/hawthornyard/edge/inflight.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from ..core import Clock
+from ..errors import HawthornyardError
 from .endpoints import Endpoints
 from .messages import Attempt, Request
 
@@ -41,15 +42,22 @@
         mirror: str = "",
         is_resumed: bool = False,
     ) -> Attempt:
-        """Start a new attempt of a request, in place of the current one.
+        """Start a new attempt of a request.
 
         Args:
             request: The request.
             endpoint: Name of the endpoint that runs it.
             mirror: Name of the endpoint that mirrors it, empty for none.
             is_resumed: Whether it resumes from a copy of an earlier attempt's run.
+
+        Raises:
+            HawthornyardError: If the request has an attempt that was not ended.
         """
-        self.end_attempt(request)
+        if request.attempt is not None:
+            raise HawthornyardError(
+                f"request {request.request_id} has attempt "
+                f"{request.attempt.attempt_id}, which must end before the next one"
+            )
         request.n_attempts += 1
         attempt = Attempt(
             f"{request.call_id}.{request.n_attempts}",
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -109,7 +109,8 @@
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
         yield from self._dequeue()
-        for request in self._queue.discard(self._is_wait_over):
+        now = self._clock.now()
+        for request in self._queue.discard(lambda item: self._is_wait_over(item, now)):
             if self._eligibility.is_limited(request.service):
                 # Endpoints without a limit would be overloaded by what is over it.
                 yield self._refuse_for_limit(request, self._limit_wait_s(request))
@@ -142,8 +143,8 @@
             for endpoint in self._eligibility.for_request(request)
         )
 
-    def _is_wait_over(self, request: Request) -> bool:
-        waited_s = self._clock.now() - self._queued_at[request.call_id]
+    def _is_wait_over(self, request: Request, now: float) -> bool:
+        waited_s = now - self._queued_at[request.call_id]
         if self._eligibility.is_limited(request.service):
             return waited_s >= MAX_LIMIT_WAIT_SHARE * request.route.target_s
         allowed_s = MAX_WAIT_SHARE * request.route.target_s
--- a/hawthornyard/edge/streams/resumption.py
+++ b/hawthornyard/edge/streams/resumption.py
@@ -31,7 +31,7 @@
     def begin_attempt(
         self, request: Request, endpoint: Endpoint, address: str, handle: str
     ) -> Dispatch:
-        """Start an attempt that resumes from a copy and return its dispatch.
+        """End the attempt, start one that resumes from a copy, return its dispatch.
 
         Args:
             request: The request.
@@ -43,6 +43,7 @@
         endpoint.allowance.note_send()
         request.migration = None
         mirror = self._mirroring.choose(request, endpoint)
+        self._inflight.end_attempt(request)
         attempt = self._inflight.begin_attempt(
             request,
             endpoint.name,
--- a/hawthornyard/gateway/inflight.py
+++ b/hawthornyard/gateway/inflight.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from ..errors import HawthornyardError
 from .messages import Request
 
 
@@ -25,7 +26,16 @@
         self._by_call[request.call_id] = request
 
     def begin_attempt(self, request: Request, attempt_id: str) -> None:
-        """Set the current attempt of a request."""
+        """Set the current attempt of a request.
+
+        Raises:
+            HawthornyardError: If the request has an attempt that was not ended.
+        """
+        if request.attempt_id:
+            raise HawthornyardError(
+                f"request {request.request_id} has attempt {request.attempt_id}, "
+                "which must end before the next one"
+            )
         self.end_attempt(request)
         request.attempt_id = attempt_id
         self._by_attempt[attempt_id] = request
--- a/hawthornyard/gateway/request/queue.py
+++ b/hawthornyard/gateway/request/queue.py
@@ -114,9 +114,12 @@
         return _prompt_cost(request) + n_output
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
-        for request in self._queue.discard(self._is_expired):
+        now = self._clock.now()
+        for request in self._queue.discard(lambda item: now >= item.deadline):
             yield self._refuse(request, ErrorKind.DEADLINE_EXCEEDED)
-        for request in self._queue.discard(self._has_no_endpoint):
+        for request in self._queue.discard(
+            lambda item: self._has_no_endpoint(item, now)
+        ):
             yield self._refuse(request, ErrorKind.NO_ENDPOINT)
         yield from self._dequeue()
         yield msg
@@ -139,11 +142,8 @@
         self._queued_at.pop(request.call_id, None)
         return ReplyFailed(request.call_id, kind)
 
-    def _is_expired(self, request: Request) -> bool:
-        return self._clock.now() >= request.deadline
-
-    def _has_no_endpoint(self, request: Request) -> bool:
-        waited = self._clock.now() - self._queued_at[request.call_id]
+    def _has_no_endpoint(self, request: Request, now: float) -> bool:
+        waited = now - self._queued_at[request.call_id]
         return waited > NO_ENDPOINT_GRACE_S and not self._fleet.has_endpoint(request)
 
 
--- a/hawthornyard/policy/fair_queue.py
+++ b/hawthornyard/policy/fair_queue.py
@@ -212,7 +212,10 @@
         """
         now = self._clock.now()
         reserved_lanes: set[str] = set()
-        for sub_queue in sorted(self._sub_queues.values(), key=self._order_key):
+        order = sorted(
+            self._sub_queues.values(), key=lambda item: self._order_key(item, now)
+        )
+        for sub_queue in order:
             if sub_queue.lane in reserved_lanes:
                 continue
             entry = sub_queue.head(self._accounts)
@@ -236,21 +239,30 @@
         self._charge_account(team, account, amount)
 
     def discard(self, predicate: Callable[[T], bool]) -> list[T]:
-        """Remove and return the items for which `predicate` holds."""
+        """Remove and return the items for which `predicate` holds.
+
+        Args:
+            predicate: Called once with each item; its answer may change meanwhile.
+        """
         removed: list[T] = []
         for sub_queue in list(self._sub_queues.values()):
             for team, entries in list(sub_queue.teams.items()):
-                kept = deque(entry for entry in entries if not predicate(entry.item))
-                if len(kept) == len(entries):
+                kept: deque[_Entry[T]] = deque()
+                n_removed = len(removed)
+                for entry in entries:
+                    if predicate(entry.item):
+                        removed.append(entry.item)
+                    else:
+                        kept.append(entry)
+                if len(removed) == n_removed:
                     continue
-                removed += [entry.item for entry in entries if predicate(entry.item)]
                 self._accounts[team].n_waiting -= len(entries) - len(kept)
                 self._n_items -= len(entries) - len(kept)
                 self._set_entries(sub_queue, team, kept)
         return removed
 
-    def _order_key(self, sub_queue: _SubQueue[T]) -> float:
-        waited_s = self._clock.now() - sub_queue.served_at
+    def _order_key(self, sub_queue: _SubQueue[T], now: float) -> float:
+        waited_s = now - sub_queue.served_at
         return -(sub_queue.priority + waited_s / self._ageing_s_per_step)
 
     def _account(self, team: str, weight: float) -> _Account:
--- a/hawthornyard/sidecar/request/admit.py
+++ b/hawthornyard/sidecar/request/admit.py
@@ -182,11 +182,14 @@
         yield msg
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
-        for attempt in self._queue.discard(self._is_orphan):
+        now = self._clock.now()
+        for attempt in self._queue.discard(lambda item: _is_orphan(item, now)):
             yield from self._refuse(attempt, ErrorKind.CANCELLED, "no gateway")
-        for attempt in self._queue.discard(lambda item: msg.now >= item.deadline):
+        for attempt in self._queue.discard(lambda item: now >= item.deadline):
             yield from self._refuse(attempt, ErrorKind.DEADLINE_EXCEEDED, "")
-        for attempt in self._queue.discard(self._has_waited_too_long):
+        for attempt in self._queue.discard(
+            lambda item: self._has_waited_too_long(item, now)
+        ):
             yield from self._refuse(attempt, ErrorKind.OVERLOADED, "waited too long")
         latency_s = self._inter_token_latency.sample(self._running.values(), msg.now)
         if latency_s is not None:
@@ -194,16 +197,10 @@
         yield from self._admit()
         yield msg
 
-    def _is_orphan(self, attempt: Attempt) -> bool:
-        orphaned_at = attempt.orphaned_at
-        if orphaned_at is None:
-            return False
-        return self._clock.now() - orphaned_at >= QUEUED_ORPHAN_GRACE_S
-
-    def _has_waited_too_long(self, attempt: Attempt) -> bool:
+    def _has_waited_too_long(self, attempt: Attempt, now: float) -> bool:
         queued_at = self._queued_at[attempt.attempt_id]
         allowed_s = self._max_wait_fraction * (attempt.deadline - queued_at)
-        return self._clock.now() - queued_at > allowed_s
+        return now - queued_at > allowed_s
 
     def _admit(self) -> Iterator[Message]:
         self._update_memory()
@@ -264,3 +261,8 @@
         self._expected_tokens.pop(attempt.attempt_id, None)
         self._occupants.pop(attempt.attempt_id, None)
         self._state.n_waiting = len(self._queue)
+
+
+def _is_orphan(attempt: Attempt, now: float) -> bool:
+    orphaned_at = attempt.orphaned_at
+    return orphaned_at is not None and now - orphaned_at >= QUEUED_ORPHAN_GRACE_S
