Bound what all messages of a process hold in memory together

Cause: the bounds were for one answer, in bytes, and the library's reader held each chunk as an object of its own until the end. No bound stood for the sum of all answers, callers' bodies and events that wait for slow callers. Bodies of the store, of reports, copies, services, orders and callers were read in the same way.

All of them are read into one buffer now, and a budget counts the bytes that the process holds: what is over it costs the peer that holds most its largest message, or the message that grows where nobody holds more than a quarter. A caller's body without room is refused with 503 before anything of it is passed on. Metrics held_bytes and messages_evicted and the log event message_evicted show it.

Ruled out: a smaller bound for one answer, which ten answers together exceed all the same; a bounded queue for each caller, which holds up sound endpoints behind slow callers.

--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -61,8 +61,10 @@
     "letters": b"a" * 100,
     "header lines": b"X-A: a\r\n",
     "chunks of one byte": b"1\r\na\r\n",
+    "chunks of 4 bytes": b"4\r\nword\r\n",
     "zeros": b"0" * 100,
     "numbered events": b"id: %d\ndata: words\n\n",
+    "long events": b"id: %d\ndata: " + b"w" * 1000 + b"\n\n",
     "the same event": b"id: 1\ndata: words\n\n",
     "comments": b":\n",
     "line ends": b"\r\n",
@@ -98,7 +100,7 @@
 
 @given("an endpoint that sends {prefix}, then {unit} without end")
 def add_endless_endpoint(context: Context, prefix: str, unit: str) -> None:
-    address = _start_sender(context, PREFIXES[prefix], UNITS[unit])
+    address = start_sender(context, PREFIXES[prefix], UNITS[unit])
     context.world.add_entry("i-1", address)
     context.world.wait_ready()
     with eventlet.Timeout(CALL_TIMEOUT_S):
@@ -108,7 +110,7 @@
 
 @given("a server that sends {prefix}, then {unit} without end")
 def start_endless_server(context: Context, prefix: str, unit: str) -> None:
-    context.address = _start_sender(context, PREFIXES[prefix], UNITS[unit])
+    context.address = start_sender(context, PREFIXES[prefix], UNITS[unit])
 
 
 @given("a server that sends one byte of a body every {interval_s:g} s")
@@ -224,7 +226,8 @@
     assert context.seconds <= seconds, (context.seconds, context.outcome)
 
 
-def _start_sender(context: Context, prefix: bytes, unit: bytes) -> str:
+def start_sender(context: Context, prefix: bytes, unit: bytes) -> str:
+    """Start a process that sends to whoever connects, and return its address."""
     sender = _run_sender(context, prefix, unit)
     context.sender_address = f"127.0.0.1:{int(sender.stdout.readline())}"
     return context.sender_address
--- a/hawthornyard/core/message.py
+++ b/hawthornyard/core/message.py
@@ -29,6 +29,11 @@
         for name in self.fields():
             yield getattr(self, name)
 
+    @property
+    def n_payload_bytes(self) -> int:
+        """Return the size of the payload in bytes, 0 if there is none to speak of."""
+        return 0
+
     def __eq__(self, other: object) -> bool:
         if type(other) is not type(self):
             return NotImplemented
--- a/hawthornyard/edge/messages/reply.py
+++ b/hawthornyard/edge/messages/reply.py
@@ -26,3 +26,8 @@
     def __init__(self, call_id: str, data: bytes) -> None:
         self.call_id = call_id
         self.data = data
+
+    @property
+    def n_payload_bytes(self) -> int:
+        """Return the size of the events in bytes."""
+        return len(self.data)
--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -1,17 +1,19 @@
 """Read request bodies within limits on size and time."""
 
 import json
+import socket
 from typing import Any, NoReturn
 
 import eventlet
 
 from ..errors import ErrorKind, OversizedMessageError, RequestError
-from ..net import limit_body
-from .exchange import Environ
+from ..net import FairSocket, Holding, limit_body
+from .exchange import HOLDING_KEY, Environ
 
 MAX_BODY_BYTES = 1024 * 1024
 BODY_TIMEOUT_S = 30.0
 MAX_LENGTH_DIGITS = 12
+READ_BYTES = 16_384
 
 
 def read_body(
@@ -28,21 +30,28 @@
         timeout_s: Seconds within which the whole body must arrive.
 
     Raises:
-        RequestError: If the body is malformed, late or too large.
+        RequestError: If the body is malformed, late or too large, or if all messages
+            of this process together are too large.
     """
-    sock = environ["wsgi.input"].get_socket()
+    sock: FairSocket = environ["wsgi.input"].get_socket()
+    holding: Holding = environ[HOLDING_KEY]
+    # The caller can still be sent the refusal.
+    holding.on_evict = lambda: sock.abort(socket.SHUT_RD)
     # Bounds what comes between the chunks of a body, too.
     limit_body(sock, max_bytes)
     try:
         with eventlet.Timeout(timeout_s):
-            body = _read_bounded(environ, max_bytes)
-    except OversizedMessageError:
+            body = _read_bounded(environ, holding, max_bytes)
+    except OversizedMessageError as exc:
+        if holding.is_evicted:
+            raise RequestError(exc.detail, kind=ErrorKind.OVERLOADED) from exc
         _refuse_large_body(max_bytes)
     except (ValueError, OSError) as exc:
         raise RequestError("the body is truncated or malformed") from exc
     except eventlet.Timeout as exc:
         raise RequestError(f"the body did not arrive within {timeout_s:g} s") from exc
     finally:
+        holding.on_evict = sock.abort
         sock.limit_bytes(None)
     if len(body) > max_bytes:
         _refuse_large_body(max_bytes)
@@ -64,21 +73,37 @@
     return value
 
 
-def _read_bounded(environ: Environ, max_bytes: int) -> bytes:
-    stream = environ["wsgi.input"]
+def _read_bounded(environ: Environ, holding: Holding, max_bytes: int) -> bytes:
     coding = environ.get("HTTP_TRANSFER_ENCODING", "").lower()
     if coding == "chunked":
-        chunked: bytes = stream.read(max_bytes + 1)
-        return chunked
+        return _read_pieces(environ, holding, max_bytes + 1)
     if coding:
         raise RequestError("Transfer-Encoding must be chunked")
     length = _decode_content_length(environ, max_bytes)
-    body: bytes = stream.read(length)
+    # The whole length counts at once, so that a body without room is not read at all.
+    holding.resize(length)
+    body = _read_pieces(environ, holding, length)
     if len(body) < length:
         raise RequestError("the body is shorter than Content-Length")
     return body
 
 
+def _read_pieces(environ: Environ, holding: Holding, n_bytes: int) -> bytes:
+    # One buffer: an object for each chunk of a few bytes would take many times
+    # their size.
+    body = bytearray()
+    holding.check()
+    while len(body) < n_bytes:
+        data = environ["wsgi.input"].read(min(READ_BYTES, n_bytes - len(body)))
+        holding.check()
+        if not data:
+            break
+        body += data
+        holding.resize(max(holding.n_bytes, len(body)))
+        holding.check()
+    return bytes(body)
+
+
 def _decode_content_length(environ: Environ, max_bytes: int) -> int:
     text = environ.get("CONTENT_LENGTH") or "0"
     if not text.isascii() or not text.isdigit():
--- a/hawthornyard/front/exchange.py
+++ b/hawthornyard/front/exchange.py
@@ -9,6 +9,9 @@
 
 MAX_REQUEST_ID_CHARS = 100
 
+HOLDING_KEY = "hawthornyard.holding"
+"""Key in the WSGI environment of what the request and its answer hold in memory."""
+
 
 class Exchange:
     """One HTTP request, with the identifiers of its answer.
--- a/hawthornyard/front/models.py
+++ b/hawthornyard/front/models.py
@@ -7,7 +7,7 @@
 from ..gateway.messages import ModelsQuery, ReplyFailed, ReplyModels
 from .answer import answer_error, answer_json
 from .call import decode_bearer
-from .exchange import Exchange, StartResponse
+from .exchange import HOLDING_KEY, Exchange, StartResponse
 from .replies import ReplyQueues
 
 OWNER = "hawthornyard"
@@ -31,7 +31,7 @@
         """Answer a query; see `Route.answer`."""
         if exchange.method not in ("GET", "HEAD"):
             raise RequestError("only GET and HEAD are allowed on this path")
-        self._replies.open(exchange.call_id)
+        self._replies.open(exchange.call_id, exchange.environ[HOLDING_KEY])
         try:
             self._inbox.put(ModelsQuery(exchange.call_id, decode_bearer(exchange)))
             reply = self._replies.take(exchange.call_id)[-1]
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -10,6 +10,8 @@
 from loguru import logger
 
 from ..io import listen
+from ..net import PROCESS_BUDGET, Holding
+from .exchange import HOLDING_KEY
 
 MAX_CONNECTIONS = 10_000
 # File descriptors reserved for peers, the platform and the process itself.
@@ -61,14 +63,19 @@
     def __init__(self, conn_state: Any, server: Any, exchanges: Exchanges) -> None:
         self._exchanges = exchanges
         self._is_open = False
+        self._holding: Holding | None = None
         # Handles the connection until its end.
         super().__init__(conn_state, server)
 
     def handle_one_request(self) -> None:
         """Read and answer a request, which counts as open from its first line on."""
+        host, port = self.client_address[:2]
+        holding = PROCESS_BUDGET.hold(f"{host}:{port}", self.connection.abort)
+        self._holding = holding
         try:
             super().handle_one_request()
         finally:
+            holding.release()
             if self._is_open:
                 self._is_open = False
                 self._exchanges.end()
@@ -86,6 +93,12 @@
             self.connection.limit_time(None)
         return is_valid
 
+    def get_environ(self) -> dict[str, Any]:
+        """Return the WSGI environment, with what the request holds in memory."""
+        environ: dict[str, Any] = super().get_environ()
+        environ[HOLDING_KEY] = self._holding
+        return environ
+
     def _read_request_line(self) -> bytes:
         self.connection.limit_time(self.server.keepalive + self.head_timeout_s)
         line: bytes = super()._read_request_line()
--- a/hawthornyard/front/session.py
+++ b/hawthornyard/front/session.py
@@ -2,7 +2,7 @@
 
 from ..core import Inbox, Message
 from ..gateway.messages import CallerGone, ReplyEnded, ReplyFailed, ReplyResponse
-from .exchange import Exchange
+from .exchange import HOLDING_KEY, Exchange
 from .replies import Reply, ReplyQueues
 from .watch import CallerWatch
 
@@ -35,7 +35,7 @@
         self._inbox = inbox
         self._is_open = True
         self.is_final = False
-        replies.open(exchange.call_id)
+        replies.open(exchange.call_id, exchange.environ[HOLDING_KEY])
         inbox.put(call)
         sock = exchange.environ["wsgi.input"].get_socket()
         self._watch = CallerWatch(sock, self._report_caller_gone)
--- a/hawthornyard/gateway/messages/reply.py
+++ b/hawthornyard/gateway/messages/reply.py
@@ -44,6 +44,11 @@
         self.offset = offset
         self.texts = texts
 
+    @property
+    def n_payload_bytes(self) -> int:
+        """Return the approximate size of the texts in bytes."""
+        return sum(map(len, self.texts))
+
 
 class ReplyEnded(Message):
     """A generation is complete and all of its tokens were relayed.
@@ -93,6 +98,11 @@
         self.body = body
         self.replayed = replayed
 
+    @property
+    def n_payload_bytes(self) -> int:
+        """Return the size of the body in bytes."""
+        return len(self.body)
+
 
 class ReplyFailed(Message):
     """A request failed.
--- a/hawthornyard/io/engine.py
+++ b/hawthornyard/io/engine.py
@@ -10,7 +10,7 @@
 
 from ..core import Inbox
 from ..frames import Generation
-from ..net import new_pool
+from ..net import new_pool, read_body
 from ..sidecar.messages import (
     Attempt,
     EndpointEnded,
@@ -25,6 +25,7 @@
 TOKEN_TIMEOUT_S = 30.0
 MAX_RESUMES = 2
 MAX_EVENT_BYTES = 1024 * 1024
+MAX_REPORT_BYTES = 1024 * 1024
 # The only error status that says that the engine did not run the generation.
 _SERVICE_UNAVAILABLE = 503
 
@@ -85,6 +86,7 @@
 
         Raises:
             urllib3.exceptions.HTTPError: If the engine does not answer.
+            OSError: If the report is too large.
             ValueError: If the response is not a load report.
         """
         resp = self._pool.request(
@@ -93,8 +95,9 @@
             timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=LOAD_TIMEOUT_S),
             retries=False,
             redirect=False,
+            preload_content=False,
         )
-        report = resp.json()
+        report = json.loads(read_body(resp, MAX_REPORT_BYTES))
         try:
             return EndpointLoadReport(
                 int(report["n_running"]),
--- a/hawthornyard/io/orders.py
+++ b/hawthornyard/io/orders.py
@@ -11,7 +11,7 @@
 from ..core import Consumers, Inbox, Message
 from ..errors import EndpointError
 from ..frames import PlanEntry
-from ..net import new_pool
+from ..net import new_pool, read_body
 from ..sidecar.orders import (
     EndpointState,
     Order,
@@ -86,7 +86,7 @@
         if resp.status != 200:
             raise EndpointError(f"the engine answered with status {resp.status}")
         try:
-            return _parse_state(json.loads(resp.data))
+            return _parse_state(json.loads(resp.body))
         except (ValueError, KeyError, TypeError) as exc:
             raise EndpointError(f"the engine's state is malformed: {exc!r}") from exc
 
@@ -105,20 +105,34 @@
             raise EndpointError(f"the engine answered with status {resp.status}")
         return bool(resp.status == 200)
 
-    def _request(self, method: str, path: str, *, body: bytes | None = None) -> Any:
+    def _request(
+        self, method: str, path: str, *, body: bytes | None = None
+    ) -> "_Answer":
         try:
-            return self._pool.request(
+            resp = self._pool.request(
                 method,
                 self._url + path,
                 body=body,
                 timeout=self._timeout,
                 retries=False,
                 redirect=False,
+                preload_content=False,
             )
+            return _Answer(resp.status, read_body(resp))
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise EndpointError(str(exc)) from exc
 
 
+class _Answer:
+    """The whole answer of an engine."""
+
+    __slots__ = ("body", "status")
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
 class OrderSink:
     """Sink that sends state requests and orders to the endpoint, one at a time.
 
--- a/hawthornyard/io/service.py
+++ b/hawthornyard/io/service.py
@@ -4,7 +4,7 @@
 
 from ..core import Inbox, Message
 from ..frames import ServiceCall
-from ..net import new_pool
+from ..net import new_pool, read_body
 from ..sidecar.messages import Attempt, EndpointFailed, EndpointReplied
 
 CONNECT_TIMEOUT_S = 1.0
@@ -56,13 +56,7 @@
                 preload_content=False,
                 decode_content=False,
             )
-            body = resp.read(MAX_RESPONSE_BYTES + 1)
-        if len(body) > MAX_RESPONSE_BYTES:
-            detail = f"the response is over {MAX_RESPONSE_BYTES} bytes"
-            return EndpointFailed(attempt.attempt_id, True, detail)
-        # A read with a size does not raise if the body ends before its length.
-        if resp.length_remaining:
-            return EndpointFailed(attempt.attempt_id, True, "the response is truncated")
+            body = read_body(resp, MAX_RESPONSE_BYTES)
         headers = list(resp.headers.items())
         return EndpointReplied(attempt.attempt_id, resp.status, headers, body)
 
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -1,12 +1,17 @@
 """Sockets and HTTP connections that bound what a peer can send and take turns."""
 
+from .byte_budget import PROCESS_BUDGET, ByteBudget, Holding
 from .fair_socket import FairSocket, connect
-from .http_connection import BoundedConnection, limit_body, new_pool
+from .http_connection import BoundedConnection, limit_body, new_pool, read_body
 
 __all__ = [
+    "PROCESS_BUDGET",
     "BoundedConnection",
+    "ByteBudget",
     "FairSocket",
+    "Holding",
     "connect",
     "limit_body",
     "new_pool",
+    "read_body",
 ]
--- a/hawthornyard/net/fair_socket.py
+++ b/hawthornyard/net/fair_socket.py
@@ -1,5 +1,6 @@
 """Read from peers that may send without end."""
 
+import contextlib
 import socket
 import time
 from typing import Any
@@ -64,6 +65,16 @@
         """
         self._deadline = None if seconds is None else time.monotonic() + seconds
 
+    def abort(self, how: int = socket.SHUT_RDWR) -> None:
+        """Shut the connection down, which wakes a thread that waits for it.
+
+        Args:
+            how: Direction, as `socket.shutdown` takes it.
+        """
+        # The peer may have closed the connection already.
+        with contextlib.suppress(OSError):
+            self.shutdown(how)
+
     def gettimeout(self) -> float | None:
         """Return the timeout of the next read in seconds, None for no timeout."""
         timeout_s: float | None = super().gettimeout()
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -7,6 +7,8 @@
 from urllib3.connection import HTTPConnection
 from urllib3.connectionpool import HTTPConnectionPool
 
+from ..errors import OversizedMessageError
+from .byte_budget import PROCESS_BUDGET, Holding
 from .fair_socket import FairSocket
 
 MAX_HEAD_BYTES = 65_536
@@ -16,6 +18,9 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 """Largest body of a response whose client sets no bound of its own."""
 
+READ_BYTES = 16_384
+"""Bytes that one read of a body takes at most."""
+
 WIRE_BYTES_PER_BODY_BYTE = 2
 """Bytes on the wire for each byte of a body, so that the sizes of small chunks fit."""
 
@@ -71,14 +76,41 @@
         self._reader.limit_time(self.timeout)
         return super().getresponse()
 
-    def limit_body(self, n_bytes: int) -> None:
-        """Bound the body of the response that is being read.
+    def hold(self) -> Holding:
+        """Return a holding of the response that is being read.
+
+        If it is evicted, the connection is shut down.
+        """
+        return PROCESS_BUDGET.hold(f"{self.host}:{self.port}", self._reader.abort)
+
+    def read_body(self, resp: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        """Return the whole body of a response of this connection, as it was sent.
 
         Args:
-            n_bytes: Largest body. A read that exceeds it with its framing raises
-                `OversizedMessageError`.
+            resp: The response.
+            max_bytes: Largest body that is accepted.
+
+        Raises:
+            OversizedMessageError: If the body is larger, or if all messages of this
+                process together are too large and this one is dropped.
+            urllib3.exceptions.HTTPError: If the body does not arrive whole.
+            OSError: If the connection breaks.
         """
-        limit_body(self._reader, n_bytes)
+        limit_body(self._reader, max_bytes)
+        # One buffer: an object for each chunk of a few bytes would take many times
+        # their size.
+        body = bytearray()
+        with self.hold() as holding:
+            while data := resp.read1(READ_BYTES, decode_content=False):
+                body += data
+                holding.resize(len(body))
+                holding.check()
+                if len(body) > max_bytes:
+                    raise OversizedMessageError(
+                        f"the body is over {max_bytes} bytes, the largest allowed"
+                    )
+            holding.check()
+        return bytes(body)
 
     def limit_time(self, seconds: float) -> None:
         """Set in how many seconds the rest of the response must arrive."""
@@ -118,3 +150,20 @@
         "http": _BoundedPool,
     }
     return pool
+
+
+def read_body(resp: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+    """Return the whole body of a response from a `new_pool`.
+
+    Args:
+        resp: The response, of which the body has not been read.
+        max_bytes: Largest body that is accepted.
+
+    Raises:
+        OversizedMessageError: See `BoundedConnection.read_body`.
+        urllib3.exceptions.HTTPError: If the body does not arrive whole.
+        OSError: If the connection breaks.
+    """
+    conn = resp.connection
+    assert isinstance(conn, BoundedConnection)
+    return conn.read_body(resp, max_bytes)
--- a/hawthornyard/operator/status.py
+++ b/hawthornyard/operator/status.py
@@ -8,7 +8,7 @@
 
 from ..core import Message
 from ..errors import PlatformError
-from ..net import new_pool
+from ..net import new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
@@ -122,10 +122,12 @@
         timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S),
         retries=False,
         redirect=False,
+        preload_content=False,
     )
+    body = read_body(resp)
     if resp.status != 200:
         raise PlatformError(f"unexpected HTTP status {resp.status}")
-    return json.loads(resp.data)
+    return json.loads(body)
 
 
 def _decode(url: str, body: dict[str, Any]) -> GatewayStatus:
--- a/hawthornyard/platform/connections.py
+++ b/hawthornyard/platform/connections.py
@@ -20,6 +20,9 @@
 KEEPALIVE_INTERVAL_S = 1
 """Interval of TCP keep-alive probes; three unanswered probes drop the connection."""
 
+MAX_CALL_ANSWER_BYTES = 1024 * 1024
+"""Largest answer to a small request, such as a report."""
+
 CALL_ERRORS = (
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -106,8 +109,10 @@
             path,
             body=body.encode() or None,
             headers={"Content-Type": "application/json"} if body else {},
+            preload_content=False,
         )
         resp = conn.getresponse()
-        return CallAnswer(resp.status, resp.headers, resp.data)
+        data = conn.read_body(resp, MAX_CALL_ANSWER_BYTES)
+        return CallAnswer(resp.status, resp.headers, data)
     finally:
         conn.close()
--- a/hawthornyard/platform/events.py
+++ b/hawthornyard/platform/events.py
@@ -38,6 +38,6 @@
             raise EndpointError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
 
     @property
-    def has_partial_event(self) -> bool:
-        """Return whether the bytes so far end within an event."""
-        return bool(self._buffer)
+    def n_unfinished(self) -> int:
+        """Return the number of bytes of an event whose end has not been read."""
+        return len(self._buffer)
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -60,6 +60,7 @@
 from ..io.edge_metrics import MeasureEdge
 from ..io.log_queue import LogQueue
 from ..io.metrics import ProgramMetrics
+from ..net import PROCESS_BUDGET
 from .copies import CopySink
 from .feeds import endpoint_feed, operator_feed
 from .front import PlatformFront
@@ -319,6 +320,16 @@
             "Parts of prompts that are kept from endpoints.",
             lambda: state.crash_evidence.n_accused,
         )
+        add_gauge(
+            "held_bytes",
+            "Bytes of messages that are held in memory.",
+            lambda: PROCESS_BUDGET.n_bytes,
+        )
+        add_gauge(
+            "messages_evicted",
+            "Messages dropped because all together were too large.",
+            lambda: PROCESS_BUDGET.n_evicted,
+        )
         if log_queue is not None:
             add_gauge(
                 "log_lines_dropped", "Log lines dropped.", lambda: log_queue.n_dropped
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -18,7 +18,7 @@
     Dispatch,
 )
 from ..errors import EndpointError
-from ..net import BoundedConnection
+from ..net import BoundedConnection, Holding
 from .connections import CALL_ERRORS, CONNECT_TIMEOUT_S, open_connection
 from .events import EventSplitter
 from .names import (
@@ -38,9 +38,6 @@
 from .notices import NoticeReader
 
 READ_CHUNK_BYTES = 16_384
-MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-"""Bound on a response that is held whole in memory."""
-
 RESPONSE_GRACE_S = 1.0
 """Time that the socket waits beyond the attempt's timeout, at which the endpoint ends
 the attempt itself."""
@@ -118,11 +115,13 @@
             self._notices.read(
                 resp.status, resp.headers, msg.endpoint, msg.born, asked_at
             )
-            self._handle_response(resp, msg)
+            self._handle_response(conn, resp, msg)
         finally:
             resp.close()
 
-    def _handle_response(self, resp: Any, msg: Dispatch) -> None:
+    def _handle_response(
+        self, conn: BoundedConnection, resp: Any, msg: Dispatch
+    ) -> None:
         if resp.status == _MISDIRECTED or resp.headers.get(NOT_RUN_HEADER):
             if REQUEST_ID_HEADER not in resp.headers:
                 raise EndpointError("a refusal does not tell which request it is for")
@@ -137,28 +136,23 @@
             return
         _check_response(resp)
         try:
-            self._relay_answer(resp, msg)
+            self._relay_answer(conn, resp, msg)
         except (*CALL_ERRORS, EndpointError) as exc:
             detail = f"{type(exc).__name__}: {exc}"
             self._inbox.put(AttemptBroke(msg.attempt_id, detail, has_begun=True))
 
-    def _relay_answer(self, resp: Any, msg: Dispatch) -> None:
+    def _relay_answer(self, conn: BoundedConnection, resp: Any, msg: Dispatch) -> None:
         kind = resp.headers.get("Content-Type", "")
         if msg.is_stream and kind.startswith("text/event-stream"):
-            self._relay_events(resp, msg)
+            with conn.hold() as holding:
+                self._relay_events(resp, msg, holding)
             return
-        body = resp.read(MAX_RESPONSE_BYTES + 1)
-        if len(body) > MAX_RESPONSE_BYTES:
-            raise EndpointError(
-                f"the response is longer than {MAX_RESPONSE_BYTES} bytes"
-            )
-        if resp.length_remaining:
-            raise EndpointError("the response ends before its Content-Length")
+        body = conn.read_body(resp)
         self._inbox.put(
             AttemptAnswered(msg.attempt_id, resp.status, _forwarded_headers(resp), body)
         )
 
-    def _relay_events(self, resp: Any, msg: Dispatch) -> None:
+    def _relay_events(self, resp: Any, msg: Dispatch, holding: Holding) -> None:
         self._inbox.put(
             AttemptBegan(msg.attempt_id, resp.status, _forwarded_headers(resp))
         )
@@ -166,10 +160,13 @@
         has_events = False
         while data := resp.read1(READ_CHUNK_BYTES):
             events = list(splitter.feed(data))
+            holding.resize(splitter.n_unfinished)
+            holding.check()
             if events:
                 has_events = True
                 self._inbox.put(AttemptEvents(msg.attempt_id, events))
-        if splitter.has_partial_event:
+        holding.check()
+        if splitter.n_unfinished:
             raise EndpointError("the stream ended within an event")
         is_delimited = resp.chunked or "Content-Length" in resp.headers
         if not is_delimited and not has_events:
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -8,11 +8,11 @@
 
 from ..core import Message
 from ..errors import PlatformError
-from ..net import new_pool
+from ..net import new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
-MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
 class HttpResponse(Message):
@@ -99,7 +99,8 @@
                 redirect=False,
                 preload_content=False,
             )
-            response = HttpResponse(resp.status, self._read_body(resp), resp.headers)
+            body = read_body(resp, self._max_response_bytes)
+            response = HttpResponse(resp.status, body, resp.headers)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise PlatformError(f"{self._name}: {exc}") from exc
         if response.status >= 300 and response.status not in expected_statuses:
@@ -135,14 +136,3 @@
             return json.loads(response.data)
         except ValueError as exc:
             raise PlatformError(f"{self._name}: {exc}") from exc
-
-    def _read_body(self, resp: Any) -> bytes:
-        resp.connection.limit_body(self._max_response_bytes)
-        data: bytes = resp.read(self._max_response_bytes + 1)
-        if len(data) > self._max_response_bytes:
-            resp.close()
-            raise PlatformError(
-                f"{self._name}: the response is over {self._max_response_bytes} bytes"
-            )
-        resp.release_conn()
-        return data
