Take a chunked body for whole only after the end of its trailer section

Cause: the standard library's reader does not ask for the end of a size line, so that "0000" before the connection's end passes for the last chunk; without padding, so does an answer that ends in its last size, the line after it or a trailer. Both relays and all other clients read with it.

Bodies are decoded by one strict decoder below all clients of a process. Chunks of one read now come together, which showed that Relay judged several events as one: a second copy ended the stream and a gap cost the events before it. It goes event by event.

Ruled out: checks in the two relays, which would leave the store, services and reports as they were; urllib3's own chunked reader, which takes cut lines as well.

--- a/hawthornyard/edge/reply/relay.py
+++ b/hawthornyard/edge/reply/relay.py
@@ -87,22 +87,24 @@
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None or request.attempt is None:
             return
-        new_events = [
-            event for event in msg.events if event.number > request.last_event
-        ]
-        if not new_events:
-            return
-        expected = range(
-            request.last_event + 1, request.last_event + 1 + len(new_events)
-        )
-        if [event.number for event in new_events] != list(expected):
+        new_data: list[bytes] = []
+        missing_before: int | None = None
+        last_event = request.last_event
+        for event in msg.events:
+            if event.number > last_event + 1:
+                missing_before = event.number
+                break
+            if event.number == last_event + 1:
+                new_data.append(event.data)
+                last_event = event.number
+        if new_data:
+            self._note_timing(request, len(new_data))
+            request.last_event = last_event
+            yield ReplyEvents(request.call_id, b"".join(new_data))
+        if missing_before is not None:
             yield from self._fail_stream(
-                request, f"event {new_events[0].number} is out of order"
+                request, f"event {missing_before} is out of order"
             )
-            return
-        self._note_timing(request, len(new_events))
-        request.last_event = new_events[-1].number
-        yield ReplyEvents(request.call_id, b"".join(event.data for event in new_events))
 
     def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
--- a/hawthornyard/io/engine.py
+++ b/hawthornyard/io/engine.py
@@ -10,7 +10,7 @@
 
 from ..core import Inbox
 from ..frames import Generation
-from ..net import new_pool, read_body
+from ..net import READ_BYTES, new_pool, read_body
 from ..sidecar.messages import (
     Attempt,
     EndpointEnded,
@@ -187,8 +187,8 @@
 
 def _iter_events(resp: Any) -> Iterator[dict[str, Any]]:
     buffer = b""
-    for chunk in resp.stream(None):
-        buffer += chunk
+    while data := resp.read1(READ_BYTES, decode_content=False):
+        buffer += data
         *blocks, buffer = buffer.split(b"\n\n")
         for block in blocks:
             if block.startswith(b"data: "):
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -1,13 +1,23 @@
 """Sockets and HTTP connections that bound what a peer can send and take turns."""
 
 from .byte_budget import PROCESS_BUDGET, ByteBudget, Holding
+from .chunks import ChunkDecoder, ChunkError
 from .fair_socket import FairSocket, connect
-from .http_connection import BoundedConnection, limit_body, new_pool, read_body
+from .http_connection import (
+    READ_BYTES,
+    BoundedConnection,
+    limit_body,
+    new_pool,
+    read_body,
+)
 
 __all__ = [
     "PROCESS_BUDGET",
+    "READ_BYTES",
     "BoundedConnection",
     "ByteBudget",
+    "ChunkDecoder",
+    "ChunkError",
     "FairSocket",
     "Holding",
     "connect",
--- /dev/null
+++ b/hawthornyard/net/chunks.py
@@ -0,0 +1,104 @@
+"""Decode chunked HTTP bodies strictly (RFC 9112, section 7.1)."""
+
+import re
+from collections.abc import Callable
+from http.client import HTTPException
+
+MAX_LINE_BYTES = 8192
+"""Longest line of a chunk's size, with its extensions, or of a trailer field."""
+
+MAX_TRAILER_BYTES = 65_536
+"""Largest trailer section."""
+
+_LINE_END = b"\r\n"
+_SIZE = re.compile(rb"([0-9A-Fa-f]+)(?:[ \t]*;[^\r\n]*)?\r\n")
+
+
+class ChunkError(HTTPException):
+    """A chunked body that is malformed."""
+
+
+class ChunkDecoder:
+    """Incremental decoder of one chunked body.
+
+    The body is complete only after the line that ends its trailer section: a size
+    line that is cut can look like the one of the last chunk.
+
+    Attributes:
+        is_complete: Whether the whole body has been fed.
+    """
+
+    __slots__ = (
+        "_line",
+        "_n_data_left",
+        "_n_trailer_bytes",
+        "_take_line",
+        "is_complete",
+    )
+
+    def __init__(self) -> None:
+        self.is_complete = False
+        self._line = bytearray()
+        self._n_data_left = 0
+        self._n_trailer_bytes = 0
+        self._take_line: Callable[[bytes], None] = self._take_size
+
+    def feed(self, data: bytes) -> bytes:
+        """Add bytes from the wire and return the bytes of the body that they hold.
+
+        Bytes behind the end of the body are ignored.
+
+        Raises:
+            ChunkError: If the body is malformed.
+        """
+        body = bytearray()
+        start = 0
+        while start < len(data) and not self.is_complete:
+            if self._n_data_left:
+                piece = data[start : start + self._n_data_left]
+                body += piece
+                self._n_data_left -= len(piece)
+                start += len(piece)
+                continue
+            line_end = data.find(b"\n", start) + 1
+            stop = line_end or len(data)
+            self._line += data[start:stop]
+            start = stop
+            if len(self._line) > MAX_LINE_BYTES:
+                raise ChunkError(
+                    f"a line of the chunked body is over {MAX_LINE_BYTES} bytes"
+                )
+            if line_end:
+                line = bytes(self._line)
+                self._line.clear()
+                self._take_line(line)
+        return bytes(body)
+
+    def _take_size(self, line: bytes) -> None:
+        match = _SIZE.fullmatch(line)
+        if match is None:
+            raise ChunkError(
+                f"the line of a chunk's size is {line[:100]!r}, expected hexadecimal "
+                "digits, extensions if any, and CR LF"
+            )
+        self._n_data_left = int(match[1], 16)
+        self._take_line = (
+            self._take_data_end if self._n_data_left else self._take_trailer
+        )
+
+    def _take_data_end(self, line: bytes) -> None:
+        if line != _LINE_END:
+            raise ChunkError(f"a chunk is followed by {line[:100]!r}, expected CR LF")
+        self._take_line = self._take_size
+
+    def _take_trailer(self, line: bytes) -> None:
+        if line == _LINE_END:
+            self.is_complete = True
+            return
+        if not line.endswith(_LINE_END):
+            raise ChunkError(
+                f"a line of the trailer section ends with {line[-2:]!r}, expected CR LF"
+            )
+        self._n_trailer_bytes += len(line)
+        if self._n_trailer_bytes > MAX_TRAILER_BYTES:
+            raise ChunkError(f"the trailer section is over {MAX_TRAILER_BYTES} bytes")
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -1,6 +1,7 @@
 """HTTP connections whose responses are bounded in bytes and in time."""
 
 import http.client
+import io
 from typing import Any
 
 import urllib3
@@ -9,6 +10,7 @@
 
 from ..errors import OversizedMessageError
 from .byte_budget import PROCESS_BUDGET, Holding
+from .chunks import ChunkDecoder
 from .fair_socket import FairSocket
 
 MAX_HEAD_BYTES = 65_536
@@ -30,8 +32,46 @@
     sock.limit_bytes(WIRE_BYTES_PER_BODY_BYTE * n_bytes + MAX_HEAD_BYTES)
 
 
+class _ChunkedReader(io.RawIOBase):
+    """Stream of the bytes in a chunked body.
+
+    Args:
+        fp: Stream of the bytes on the wire, closed with this one.
+    """
+
+    def __init__(self, fp: io.BufferedReader) -> None:
+        self._fp = fp
+        self._decoder = ChunkDecoder()
+        self._decoded = b""
+
+    def readable(self) -> bool:
+        return True
+
+    def readinto(self, buffer: Any) -> int:
+        """Read bytes of the body; 0 only at its end.
+
+        Raises:
+            ChunkError: If the body is malformed.
+            RemoteDisconnected: If the peer closes the connection within the body.
+        """
+        while not self._decoded and not self._decoder.is_complete:
+            data = self._fp.read1(READ_BYTES)
+            if not data:
+                raise http.client.RemoteDisconnected("the chunked body is cut")
+            self._decoded = self._decoder.feed(data)
+        n_bytes = min(len(buffer), len(self._decoded))
+        buffer[:n_bytes] = self._decoded[:n_bytes]
+        self._decoded = self._decoded[n_bytes:]
+        return n_bytes
+
+    def close(self) -> None:
+        """Close both streams."""
+        self._fp.close()
+        super().close()
+
+
 class _BoundedResponse(http.client.HTTPResponse):
-    """Response whose head is bounded, and refused if it is cut."""
+    """Response whose head is bounded, and refused if it or a chunked body is cut."""
 
     def __init__(self, sock: Any, *args: Any, **kwargs: Any) -> None:
         super().__init__(sock, *args, **kwargs)
@@ -50,6 +90,11 @@
         if self._reader.has_ended:
             raise http.client.RemoteDisconnected("the head of the response is cut")
         limit_body(self._reader, MAX_BODY_BYTES)
+        if self.chunked:
+            # The reader of the base class takes the connection's end for the last
+            # chunk, and so does the one in `urllib3.HTTPResponse.stream`.
+            self.fp = io.BufferedReader(_ChunkedReader(self.fp))
+            self.chunked = False
 
 
 class BoundedConnection(HTTPConnection):
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -18,7 +18,7 @@
     Dispatch,
 )
 from ..errors import EndpointError
-from ..net import BoundedConnection, Holding
+from ..net import READ_BYTES, BoundedConnection, Holding
 from .connections import CALL_ERRORS, CONNECT_TIMEOUT_S, open_connection
 from .events import EventSplitter
 from .names import (
@@ -37,7 +37,6 @@
 )
 from .notices import NoticeReader
 
-READ_CHUNK_BYTES = 16_384
 RESPONSE_GRACE_S = 1.0
 """Time that the socket waits beyond the attempt's timeout, at which the endpoint ends
 the attempt itself."""
@@ -158,7 +157,7 @@
         )
         splitter = EventSplitter()
         has_events = False
-        while data := resp.read1(READ_CHUNK_BYTES):
+        while data := resp.read1(READ_BYTES):
             events = list(splitter.feed(data))
             holding.resize(splitter.n_unfinished)
             holding.check()
