Split events in time by their bytes, whatever the pieces they come in

Cause: EventSplitter copied and searched the whole unfinished event, up to 1 MiB, for each piece, and one turn of a socket holds some 1,800 of them. The sidecar's reader of engines had the same code. Both use one splitter that appends to one buffer and searches only what is new; what came whole before a malformed event still goes on to the caller.

Ruled out: shorter turns, which leave the work quadratic and cost sound streams switches; a smaller bound for an event, which only moves the stall. Looked through for the same: the decoder of chunks and the one of frames (linear, tested), callers' bodies.

--- a/features/endless.feature
+++ b/features/endless.feature
@@ -36,6 +36,24 @@
       | letters           |
       | line ends         |
 
+  Scenario: An event without end in small chunks does not hold up the loop
+    Given an endpoint that sends a head of a chunked stream, then chunks of 4 bytes without end
+    When the loop is watched while a caller sends a summary
+    Then it gets a status of 502 or 504
+    And the loop never stands still for longer than 50 ms
+    And the endpoint's connection is closed
+
+  Scenario Outline: What splits a message takes time by its bytes, not by its pieces
+    Given a message of 240 KiB for <reader> and one of 15 KiB
+    When both are fed in pieces of 4 bytes
+    Then the larger one takes at most 4 times as long for each byte
+
+    Examples:
+      | reader                       |
+      | the splitter of events       |
+      | the decoder of chunks        |
+      | the decoder of frames        |
+
   Scenario Outline: A caller that sends without end is cut off
     Given an endpoint that answers with a whole answer and then closes
     When another process sends the gateway <prefix>, then <unit> without end
--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -8,9 +8,11 @@
 import subprocess
 import sys
 import time
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import eventlet
+import msgpack
 from behave import given, then, when
 from behave.runner import Context
 
@@ -24,9 +26,12 @@
     VALID_HEADERS,
 )
 from features.support.processes import ROOT
+from hawthornyard.codec.msgpack import MsgpackDecoder
 from hawthornyard.errors import PlatformError
 from hawthornyard.io import freeze_startup_objects
+from hawthornyard.net import ChunkDecoder
 from hawthornyard.platform.connections import CALL_ERRORS, call_once
+from hawthornyard.platform.events import EventSplitter
 from hawthornyard.platform.reports import REPORT_TIMEOUT_S
 from hawthornyard.platform.store import PlatformStore
 
@@ -38,12 +43,19 @@
 _CHUNKED_HEAD = _HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 _REQUEST_HEAD = BADGE_REQUEST_LINE + VALID_HEADERS
 _CHUNKED_REQUEST = _REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+
+
+def _drain(feed: Callable[[bytes], Iterable[Any]]) -> Callable[[bytes], Any]:
+    return lambda data: list(feed(data))
+
+
 PREFIXES = {
     "nothing": b"",
     "the start of a head": _HEAD + b"X-A: ",
     "a head with a length": _HEAD + b"Content-Length: 999999999999\r\n\r\n",
     "a head without a length": _HEAD + b"Connection: close\r\n\r\n",
     "a head of a chunked body": _CHUNKED_HEAD,
+    "a head of a chunked stream": STREAM_HEAD,
     "the start of an extension": _CHUNKED_HEAD + b"5;",
     "the last chunk": _CHUNKED_HEAD + b"0\r\n",
     "a head of a stream": STREAM_HEAD.replace(
@@ -56,6 +68,18 @@
     "a request and its last chunk": _CHUNKED_REQUEST + b"0\r\n",
     "a badge": BADGE.replace(b"Connection: close\r\n", b""),
 }
+READERS: dict[str, Any] = {
+    "the splitter of events": lambda: _drain(EventSplitter().feed),
+    "the decoder of chunks": lambda: ChunkDecoder().feed,
+    "the decoder of frames": lambda: _drain(
+        MsgpackDecoder(max_frame_bytes=2 << 20).feed
+    ),
+}
+MESSAGES: dict[str, Any] = {
+    "the splitter of events": lambda n_bytes: b"id: 1\ndata: " + b"w" * n_bytes,
+    "the decoder of chunks": lambda n_bytes: b"%x\r\n%s" % (n_bytes, b"w" * n_bytes),
+    "the decoder of frames": lambda n_bytes: msgpack.packb(b"w" * n_bytes)[:-1],
+}
 UNITS = {
     "interim responses": b"HTTP/1.1 100 Continue\r\n\r\n",
     "letters": b"a" * 100,
@@ -180,6 +204,30 @@
     _wait_for_exit(context.sender, seconds + CALL_TIMEOUT_S)
 
 
+@given("a message of {n:d} KiB for {reader} and one of {m:d} KiB")
+def make_messages(context: Context, n: int, reader: str, m: int) -> None:
+    context.feed_of = READERS[reader]
+    context.messages = [MESSAGES[reader](n_bytes) for n_bytes in (n * 1024, m * 1024)]
+
+
+@when("both are fed in pieces of {n:d} bytes")
+def feed_messages(context: Context, n: int) -> None:
+    context.seconds_per_byte = []
+    for message in context.messages:
+        feed = context.feed_of()
+        started_at = time.process_time()
+        for start in range(0, len(message), n):
+            feed(message[start : start + n])
+        seconds = time.process_time() - started_at
+        context.seconds_per_byte.append(seconds / len(message))
+
+
+@then("the larger one takes at most {ratio:g} times as long for each byte")
+def check_proportional(context: Context, ratio: float) -> None:
+    larger, smaller = context.seconds_per_byte
+    assert larger <= ratio * smaller, (larger, smaller)
+
+
 @then("it gets a status of 502 or 504")
 def check_failed(context: Context) -> None:
     status = context.response.split(b" ")[1:2]
--- a/hawthornyard/io/engine.py
+++ b/hawthornyard/io/engine.py
@@ -10,7 +10,7 @@
 
 from ..core import Inbox
 from ..frames import Generation
-from ..net import READ_BYTES, new_pool, read_body
+from ..net import READ_BYTES, BlockSplitter, Holding, new_pool, read_body
 from ..sidecar.messages import (
     Attempt,
     EndpointEnded,
@@ -24,7 +24,6 @@
 LOAD_POLL_INTERVAL_S = 0.5
 TOKEN_TIMEOUT_S = 30.0
 MAX_RESUMES = 2
-MAX_EVENT_BYTES = 1024 * 1024
 MAX_REPORT_BYTES = 1024 * 1024
 # The only error status that says that the engine did not run the generation.
 _SERVICE_UNAVAILABLE = 503
@@ -114,14 +113,16 @@
             # A response that has been read to its end no longer has its connection.
             conn = resp.connection
             try:
-                for event in _iter_events(resp):
-                    conn.limit_time(self._timeout.read_timeout)
-                    if "token" in event:
-                        n_tokens += 1
-                        inbox.put(EndpointTokens(attempt.attempt_id, [event["token"]]))
-                    if event.get("finish_reason"):
-                        inbox.put(_build_ended(attempt, event))
-                        return
+                with conn.hold() as holding:
+                    for event in _iter_events(resp, holding):
+                        conn.limit_time(self._timeout.read_timeout)
+                        if "token" in event:
+                            n_tokens += 1
+                            tokens = [event["token"]]
+                            inbox.put(EndpointTokens(attempt.attempt_id, tokens))
+                        if event.get("finish_reason"):
+                            inbox.put(_build_ended(attempt, event))
+                            return
                 detail = "the stream ended without a final event"
             except (urllib3.exceptions.HTTPError, OSError, ValueError) as exc:
                 detail = str(exc)
@@ -185,13 +186,11 @@
     }
 
 
-def _iter_events(resp: Any) -> Iterator[dict[str, Any]]:
-    buffer = b""
+def _iter_events(resp: Any, holding: Holding) -> Iterator[dict[str, Any]]:
+    splitter = BlockSplitter()
     while data := resp.read1(READ_BYTES, decode_content=False):
-        buffer += data
-        *blocks, buffer = buffer.split(b"\n\n")
-        for block in blocks:
+        for block in splitter.feed(data):
             if block.startswith(b"data: "):
                 yield json.loads(block[6:])
-        if len(buffer) > MAX_EVENT_BYTES:
-            raise ValueError(f"an event is longer than {MAX_EVENT_BYTES} bytes")
+        holding.resize(splitter.n_unfinished)
+        holding.check()
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -1,5 +1,6 @@
 """Sockets and HTTP connections that bound what a peer can send and take turns."""
 
+from .blocks import BLOCK_END, BlockSplitter
 from .byte_budget import PROCESS_BUDGET, ByteBudget, Holding
 from .chunks import ChunkDecoder, ChunkError
 from .fair_socket import FairSocket, connect
@@ -12,8 +13,10 @@
 )
 
 __all__ = [
+    "BLOCK_END",
     "PROCESS_BUDGET",
     "READ_BYTES",
+    "BlockSplitter",
     "BoundedConnection",
     "ByteBudget",
     "ChunkDecoder",
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -16,6 +16,7 @@
     AttemptRefused,
     Cancel,
     Dispatch,
+    Event,
 )
 from ..errors import EndpointError
 from ..net import READ_BYTES, BoundedConnection, Holding
@@ -158,12 +159,16 @@
         splitter = EventSplitter()
         has_events = False
         while data := resp.read1(READ_BYTES):
-            events = list(splitter.feed(data))
+            events: list[Event] = []
+            try:
+                events.extend(splitter.feed(data))
+            finally:
+                # What came whole before a malformed event goes to the caller.
+                if events:
+                    has_events = True
+                    self._inbox.put(AttemptEvents(msg.attempt_id, events))
             holding.resize(splitter.n_unfinished)
             holding.check()
-            if events:
-                has_events = True
-                self._inbox.put(AttemptEvents(msg.attempt_id, events))
         holding.check()
         if splitter.n_unfinished:
             raise EndpointError("the stream ended within an event")
