Refuse a caller's body with an invalid chunk and close the connection

Cause: the WSGI library reads sizes with int(), which takes signs, underscores, prefixes and blanks, and asks for no CR. The strict decoder of answers now reads callers' bodies as well, and any refused body closes its connection, in both fronts: the library would go on in the rest with its own reader. Weighed: a check of the size lines before the library's reader, which reads them twice; another server, for one function.

--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -7,8 +7,8 @@
 import eventlet
 
 from ..errors import ErrorKind, OversizedMessageError, RequestError
-from ..net import FairSocket, Holding, limit_body
-from .exchange import HOLDING_KEY, Environ
+from ..net import ChunkDecoder, ChunkError, FairSocket, Holding, limit_body
+from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, Environ
 
 MAX_BODY_BYTES = 1024 * 1024
 BODY_TIMEOUT_S = 30.0
@@ -33,6 +33,15 @@
         RequestError: If the body is malformed, late or too large, or if all messages
             of this process together are too large.
     """
+    try:
+        return _read_within_time(environ, max_bytes, timeout_s)
+    except RequestError:
+        # The next bytes on the connection may be the rest of the refused body.
+        environ[CLOSE_CONNECTION_KEY]()
+        raise
+
+
+def _read_within_time(environ: Environ, max_bytes: int, timeout_s: float) -> bytes:
     sock: FairSocket = environ["wsgi.input"].get_socket()
     holding: Holding = environ[HOLDING_KEY]
     # The caller can still be sent the refusal.
@@ -46,6 +55,8 @@
         if holding.is_evicted:
             raise RequestError(exc.detail, kind=ErrorKind.OVERLOADED) from exc
         _refuse_large_body(max_bytes)
+    except ChunkError as exc:
+        raise RequestError(str(exc)) from exc
     except (ValueError, OSError) as exc:
         raise RequestError("the body is truncated or malformed") from exc
     except eventlet.Timeout as exc:
@@ -76,7 +87,7 @@
 def _read_bounded(environ: Environ, holding: Holding, max_bytes: int) -> bytes:
     coding = environ.get("HTTP_TRANSFER_ENCODING", "").lower()
     if coding == "chunked":
-        return _read_pieces(environ, holding, max_bytes + 1)
+        return _read_chunked(environ, holding, max_bytes)
     if coding:
         raise RequestError("Transfer-Encoding must be chunked")
     length = _decode_content_length(environ, max_bytes)
@@ -88,6 +99,28 @@
     return body
 
 
+def _read_chunked(environ: Environ, holding: Holding, max_bytes: int) -> bytes:
+    # The server's own reader takes sizes such as "+0" or "0_0" for the last chunk.
+    stream = environ["wsgi.input"]
+    if stream.should_send_hundred_continue:
+        stream.send_hundred_continue_response()
+        stream.is_hundred_continue_response_sent = True
+    decoder = ChunkDecoder()
+    body = bytearray()
+    while not decoder.is_complete and len(body) <= max_bytes:
+        # Bytes behind the end of the body belong to the next request.
+        data = stream.rfile.peek(READ_BYTES)
+        if not data:
+            raise RequestError("the chunked body is cut")
+        body += decoder.feed(data)
+        stream.rfile.read(len(data) - decoder.n_excess)
+        holding.resize(len(body))
+        holding.check()
+    # Tells the server that nothing of the body is left to read.
+    stream.chunk_length = 0
+    return bytes(body)
+
+
 def _read_pieces(environ: Environ, holding: Holding, n_bytes: int) -> bytes:
     # One buffer: an object for each chunk of a few bytes would take many times
     # their size.
--- a/hawthornyard/front/exchange.py
+++ b/hawthornyard/front/exchange.py
@@ -9,6 +9,10 @@
 
 MAX_REQUEST_ID_CHARS = 100
 
+CLOSE_CONNECTION_KEY = "hawthornyard.close_connection"
+"""Key in the WSGI environment of a callable that makes the server close the connection
+after the response."""
+
 HOLDING_KEY = "hawthornyard.holding"
 """Key in the WSGI environment of what the request and its answer hold in memory."""
 
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -11,7 +11,7 @@
 
 from ..io import listen
 from ..net import PROCESS_BUDGET, Holding
-from .exchange import HOLDING_KEY
+from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY
 
 MAX_CONNECTIONS = 10_000
 # File descriptors reserved for peers, the platform and the process itself.
@@ -94,11 +94,15 @@
         return is_valid
 
     def get_environ(self) -> dict[str, Any]:
-        """Return the WSGI environment, with what the request holds in memory."""
+        """Return the WSGI environment, with the keys that `exchange` defines."""
         environ: dict[str, Any] = super().get_environ()
         environ[HOLDING_KEY] = self._holding
+        environ[CLOSE_CONNECTION_KEY] = self._close_after_response
         return environ
 
+    def _close_after_response(self) -> None:
+        self.close_connection = True
+
     def _read_request_line(self) -> bytes:
         self.connection.limit_time(self.server.keepalive + self.head_timeout_s)
         line: bytes = super()._read_request_line()
--- a/hawthornyard/net/chunks.py
+++ b/hawthornyard/net/chunks.py
@@ -26,6 +26,7 @@
 
     Attributes:
         is_complete: Whether the whole body has been fed.
+        n_excess: Bytes of the last feed that are behind the end of the body.
     """
 
     __slots__ = (
@@ -34,10 +35,12 @@
         "_n_trailer_bytes",
         "_take_line",
         "is_complete",
+        "n_excess",
     )
 
     def __init__(self) -> None:
         self.is_complete = False
+        self.n_excess = 0
         self._line = bytearray()
         self._n_data_left = 0
         self._n_trailer_bytes = 0
@@ -46,7 +49,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes from the wire and return the bytes of the body that they hold.
 
-        Bytes behind the end of the body are ignored.
+        Bytes behind the end of the body are only counted.
 
         Raises:
             ChunkError: If the body is malformed.
@@ -72,6 +75,7 @@
                 line = bytes(self._line)
                 self._line.clear()
                 self._take_line(line)
+        self.n_excess = len(data) - start
         return bytes(body)
 
     def _take_size(self, line: bytes) -> None:
--- a/hawthornyard/platform/front.py
+++ b/hawthornyard/platform/front.py
@@ -10,13 +10,17 @@
 from ..errors import ANSWERS, ErrorKind, RequestError, TruncatedStreamError
 from ..front.answer import answer_json, error_body, error_headers, status_line
 from ..front.body import read_body
-from ..front.exchange import Environ, Exchange, StartResponse
+from ..front.exchange import (
+    CLOSE_CONNECTION_KEY,
+    Environ,
+    Exchange,
+    StartResponse,
+)
 from ..front.replies import ReplyQueues
 from ..front.session import Session
 from ..gateway.messages import ReplyFailed, ReplyResponse
 from .decode import decode_call, decode_request_id
 from .names import REQUEST_ID_HEADER
-from .protocol import CLOSE_CONNECTION_KEY
 
 BODY_TIMEOUT_S = 10.0
 """Timeout for reading a body; callers' own timeouts are shorter."""
--- a/hawthornyard/platform/protocol.py
+++ b/hawthornyard/platform/protocol.py
@@ -1,15 +1,10 @@
 """Parse callers' HTTP requests strictly, against request smuggling."""
 
 import re
-from typing import Any
 
 from ..edge.directory import Directory
 from ..front.server import ServerProtocol
 
-CLOSE_CONNECTION_KEY = "hawthornyard.close_connection"
-"""Key in the WSGI environment of a callable that makes the server close the connection
-after the response."""
-
 _ERROR_RESPONSE = (
     b"HTTP/1.1 %d %s\r\nConnection: close\r\nContent-Type: text/plain\r\n"
     b"Content-Length: 0\r\n\r\n"
@@ -75,12 +70,4 @@
                 return bad_request
             return 0, b""
 
-        def get_environ(self) -> dict[str, Any]:
-            environ: dict[str, Any] = super().get_environ()
-            environ[CLOSE_CONNECTION_KEY] = self._close_after_response
-            return environ
-
-        def _close_after_response(self) -> None:
-            self.close_connection = True
-
     return StrictProtocol
