Send no body in answers to HEAD, so that the next answer stays whole

Cause: the WSGI library drops no body; it only leaves out the length. Every server of ours drops it now in one place, below both fronts, probes and metrics. Answers with 204 or 304 come from endpoints, whose reader gives them no body. Ruled out: a check in each answer.

Evidence: front_framing, "The body of a refused HEAD request", red before (the second answer began with the refusal's JSON), green now.

--- a/features/front_framing.feature
+++ b/features/front_framing.feature
@@ -1,6 +1,11 @@
 @fixture.platform_world
 Feature: No byte of one request or answer is taken for another
 
+  Scenario: The body of a refused HEAD request is not sent before the next answer
+    Given an endpoint that answers with a whole answer and then closes
+    When a HEAD request without a route and then a badge are sent on one connection
+    Then the first answer ends with its head, and the second one is the badge's
+
   Scenario Outline: What follows an invalid chunk is not run as a request
     Given an endpoint that answers with a whole answer and then closes
     When a badge is sent in chunks that begin with <wire>, and another one behind them
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -2,6 +2,7 @@
 
 import functools
 import resource
+from collections.abc import Iterable
 from typing import Any
 
 import eventlet
@@ -11,7 +12,7 @@
 
 from ..io import listen
 from ..net import PROCESS_BUDGET, Holding
-from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY
+from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, Environ, StartResponse
 
 MAX_CONNECTIONS = 10_000
 # File descriptors reserved for peers, the platform and the process itself.
@@ -116,6 +117,34 @@
         self.server.log.debug(format % args)
 
 
+class _HeadApplication:
+    """WSGI application that drops the bodies of answers to HEAD.
+
+    The WSGI server sends them, and the client takes them for the next answer.
+
+    Args:
+        app: The application that answers.
+    """
+
+    __slots__ = ("_app",)
+
+    def __init__(self, app: Any) -> None:
+        self._app = app
+
+    def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
+        """Answer one request."""
+        body: Iterable[bytes] = self._app(environ, start)
+        if environ["REQUEST_METHOD"] != "HEAD":
+            return body
+        try:
+            for _ in body:
+                pass
+        finally:
+            if hasattr(body, "close"):
+                body.close()
+        return []
+
+
 class HttpServer:
     """An HTTP server that runs a WSGI application in green threads.
 
@@ -137,7 +166,7 @@
         *,
         protocol: type[ServerProtocol] = ServerProtocol,
     ) -> None:
-        self._app = app
+        self._app = _HeadApplication(app)
         self.exchanges = Exchanges()
         self._protocol = functools.partial(protocol, exchanges=self.exchanges)
         self._sock = listen(address)
