Read a body with a length in one read, as it needs no pieces

A newcomer met a loop that grows the count of a body whose whole length is counted already, and a second READ_BYTES beside the one of hawthornyard/net. Since chunked bodies have their own reader, only bodies with a length came there; one read of a known length holds one buffer.

--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -7,13 +7,19 @@
 import eventlet
 
 from ..errors import ErrorKind, OversizedMessageError, RequestError
-from ..net import ChunkDecoder, ChunkError, FairSocket, Holding, limit_body
+from ..net import (
+    READ_BYTES,
+    ChunkDecoder,
+    ChunkError,
+    FairSocket,
+    Holding,
+    limit_body,
+)
 from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, Environ
 
 MAX_BODY_BYTES = 1024 * 1024
 BODY_TIMEOUT_S = 30.0
 MAX_LENGTH_DIGITS = 12
-READ_BYTES = 16_384
 
 
 def read_body(
@@ -93,7 +99,9 @@
     length = _decode_content_length(environ, max_bytes)
     # The whole length counts at once, so that a body without room is not read at all.
     holding.resize(length)
-    body = _read_pieces(environ, holding, length)
+    holding.check()
+    body: bytes = environ["wsgi.input"].read(length)
+    holding.check()
     if len(body) < length:
         raise RequestError("the body is shorter than Content-Length")
     return body
@@ -121,22 +129,6 @@
     return bytes(body)
 
 
-def _read_pieces(environ: Environ, holding: Holding, n_bytes: int) -> bytes:
-    # One buffer: an object for each chunk of a few bytes would take many times
-    # their size.
-    body = bytearray()
-    holding.check()
-    while len(body) < n_bytes:
-        data = environ["wsgi.input"].read(min(READ_BYTES, n_bytes - len(body)))
-        holding.check()
-        if not data:
-            break
-        body += data
-        holding.resize(max(holding.n_bytes, len(body)))
-        holding.check()
-    return bytes(body)
-
-
 def _decode_content_length(environ: Environ, max_bytes: int) -> int:
     text = environ.get("CONTENT_LENGTH") or "0"
     if not text.isascii() or not text.isdigit():
