Suspect prompts whose endpoint ended before their answer arrived

Cause: only an answer whose head had been read, with its first event under 0.1 s ago, was a suspect. A process that ends resets its connections, which discards a head that is not read yet, and a busy gateway reads the first event and the end of the stream apart. In both cases nothing was ever accused.

Change: such a request is a possible suspect if its endpoint has really ended, which ConfirmCrashes finds out by a refused connection, a removed entry or another incarnation; an endpoint that still reports has only lost an answer. Three crashes with possible suspects accuse a part, as one is weaker evidence; certain suspects keep their two, and four still hold for a part that was sound before, all under the fifth crash. What is already suspected is not resumed at a mirror, where it would end the next endpoint.

The step by which an engine ends now breaks all of its answers, as a process that ends does; it broke one, and the stream resumed there hid the next crash.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -62,6 +62,53 @@
       | before it begins     |
       | while it writes      |
 
+  @fixture.edge
+  Scenario Outline: Requests that got nothing of their answers are suspects once their endpoint has ended
+    Given the engines engine-a and engine-b and engine-c
+    When <n> engines end before a summary of "group,place,bad" begins, which shows as <sign>
+    And a caller sends "group,place,bad,own-9"
+    Then <attempts> attempts were sent for it
+
+    Examples:
+      | n | sign                | attempts |
+      | 2 | a refused connection | 1        |
+      | 3 | a refused connection | 0        |
+      | 3 | a removed entry      | 0        |
+      | 3 | a new incarnation    | 0        |
+      | 3 | nothing              | 1        |
+
+  @fixture.edge
+  Scenario: Answers lost by an endpoint that goes on accuse no part
+    Given the engines engine-a and engine-b and engine-c
+    When 4 engines lose the answer to a summary of "group,place,bad" and go on
+    And a caller sends "group,place,bad,own-9"
+    Then 1 attempts were sent for it
+
+  @fixture.edge
+  Scenario: An answer that breaks soon after its first event is a suspect once its endpoint has ended
+    Given the engines engine-a and engine-b and engine-c
+    When 3 engines end 0.3 seconds after the first event of a summary of "group,place,bad"
+    And a caller sends "group,place,bad,own-9"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: Possible suspects are reported to the others and count there
+    Given the engines engine-a
+    And 3 other gateways
+    When 1 engines end before a summary of "group,place,bad" begins, which shows as a refused connection
+    Then 3 gateways were told of a possible suspect
+    When another gateway reports a possible crash of engine-y on "group,place,bad"
+    And another gateway reports a possible crash of engine-z on "group,place,bad"
+    And a caller sends "group,place,bad,own-9"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: What may have ended an endpoint before is not resumed at a mirror
+    Given the engines engine-a and engine-b
+    When another gateway reports a possible crash of engine-y on "group,place,bad"
+    And an engine ends before it begins a summary of "group,place,bad,own-1"
+    Then 1 attempts were sent for it
+
   @fixture.edge
   Scenario: One crash accuses no part
     Given the engines engine-a and engine-b
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -13,13 +13,17 @@
     AttemptRefused,
     Cancel,
     Dispatch,
+    EndpointsRead,
     GatewaysRead,
+    ReportFailed,
+    ReportRead,
 )
 from hawthornyard.frames import (
     CrashReport,
     CrashReportsRequested,
     GatewayLoads,
     PartsSound,
+    PossibleCrashReport,
 )
 from hawthornyard.front.exchange import Exchange
 from hawthornyard.gateway.messages import ReplyFailed
@@ -36,7 +40,8 @@
     return sent[-1] if sent else None
 
 
-def _break(context: Context, prefix: str, state: str) -> None:
+def _break(context: Context, prefix: str, state: str, *, is_whole: bool = True) -> None:
+    # An engine that ends breaks all its answers, one that breaks an answer does not.
     edge: EdgeDriver = context.edge
     dispatch = _send(context, prefix)
     assert dispatch is not None, edge.messages_of(ReplyFailed)
@@ -47,6 +52,10 @@
         edge.push_events(dispatch.attempt_id, 1, 3)
         edge.advance(0.3)
     edge.push(AttemptBroke(dispatch.attempt_id, "cut", has_begun=has_begun))
+    if state == "as it begins" and is_whole:
+        endpoint = edge.state.endpoints.get(dispatch.endpoint)
+        for attempt_id in list(endpoint.requests):
+            edge.push(AttemptBroke(attempt_id, "cut", has_begun=True))
     edge.advance(NEXT_CRASH_S)
 
 
@@ -113,7 +122,7 @@
 
 @when('an engine breaks an answer as it begins a summary of "{prefix}"')
 def break_answer(context: Context, prefix: str) -> None:
-    _break(context, prefix, "as it begins")
+    _break(context, prefix, "as it begins", is_whole=False)
 
 
 @when('{n:d} endpoints end as they begin summaries of "{shared}"')
@@ -122,6 +131,72 @@
         _break(context, f"{shared},crash-{index}", "as it begins")
 
 
+@when('{n:d} engines end before a summary of "{shared}" begins, which shows as {sign}')
+def end_before_answers(context: Context, n: int, shared: str, sign: str) -> None:
+    for index in range(n):
+        dispatch = _send(context, f"{shared},own-{index}")
+        assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+        context.edge.push(AttemptBroke(dispatch.attempt_id, "reset"))
+        _show_end(context.edge, dispatch, sign)
+        context.edge.advance(NEXT_CRASH_S)
+
+
+@when('{n:d} engines lose the answer to a summary of "{shared}" and go on')
+def lose_answers(context: Context, n: int, shared: str) -> None:
+    for index in range(n):
+        dispatch = _send(context, f"{shared},own-{index}")
+        assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+        context.edge.push(AttemptBroke(dispatch.attempt_id, "reset"))
+        context.edge.push(
+            ReportRead(dispatch.endpoint, dispatch.born, is_leaving=False)
+        )
+        # Its entry goes later for another reason.
+        context.edge.push(EndpointsRead([], [dispatch.endpoint]))
+        context.edge.add_endpoint(dispatch.endpoint)
+        context.edge.advance(NEXT_CRASH_S)
+
+
+@when(
+    "{n:d} engines end {seconds:g} seconds after the first event of a summary of "
+    '"{shared}"'
+)
+def end_after_event(context: Context, n: int, seconds: float, shared: str) -> None:
+    for index in range(n):
+        dispatch = _send(context, f"{shared},own-{index}")
+        assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+        context.edge.begin_stream(dispatch.attempt_id)
+        context.edge.push_events(dispatch.attempt_id, 1, 1)
+        context.edge.advance(seconds)
+        context.edge.push(AttemptBroke(dispatch.attempt_id, "cut", has_begun=True))
+        _show_end(context.edge, dispatch, "a refused connection")
+        context.edge.advance(NEXT_CRASH_S)
+
+
+def _show_end(edge: EdgeDriver, dispatch: Dispatch, sign: str) -> None:
+    name = dispatch.endpoint
+    if sign == "a refused connection":
+        edge.push(ReportFailed(name, dispatch.born, is_refused=True))
+    elif sign == "a removed entry":
+        edge.push(EndpointsRead([], [name]))
+        edge.advance(0.1)
+        edge.add_endpoint(name)
+    elif sign == "a new incarnation":
+        edge.push(ReportRead(name, dispatch.born + 1, is_leaving=False))
+    else:
+        edge.push(ReportFailed(name, dispatch.born, is_refused=False))
+
+
+@when('another gateway reports a possible crash of {name} on "{prefix}"')
+def report_possible_crash(context: Context, name: str, prefix: str) -> None:
+    context.edge.push(PossibleCrashReport(name, 0.0, prefix.split(",")))
+
+
+@then("{n:d} gateways were told of a possible suspect")
+def check_possible_reports(context: Context, n: int) -> None:
+    told = {msg.peer for msg in context.edge.messages_of(PossibleCrashReport)}
+    assert len(told) == n, told
+
+
 @when('a summary of "{prefix}" goes on for {seconds:g} seconds')
 def write_on(context: Context, prefix: str, seconds: float) -> None:
     dispatch = _send(context, prefix)
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -46,6 +46,8 @@
     GenerationSize,
     ReplyBegan,
     ReplyEvents,
+    ReportFailed,
+    ReportRead,
     ReportRequested,
     StoreAnswered,
     StoreFailed,
@@ -58,6 +60,7 @@
     GatewayLoads,
     LeavingNotice,
     PartsSound,
+    PossibleCrashReport,
 )
 from hawthornyard.gateway.messages import (
     CallerGone,
@@ -202,6 +205,7 @@
             GatewayLoads,
             LeavingNotice,
             PartsSound,
+            PossibleCrashReport,
             ReplyBegan,
             ReplyEnded,
             ReplyEvents,
@@ -215,6 +219,8 @@
             CopyAnswered,
             EndpointLeaving,
             EndpointsRead,
+            ReportFailed,
+            ReportRead,
             StoreAnswered,
             StoreFailed,
             StoreRestored,
--- a/hawthornyard/cli/standin.py
+++ b/hawthornyard/cli/standin.py
@@ -1,6 +1,7 @@
 """Define the commands that run stand-ins of external systems."""
 
 from pathlib import Path
+from typing import Literal
 
 import cyclopts
 import eventlet
@@ -117,6 +118,7 @@
     born: int = 0,
     journal: Path | None = None,
     deadly_part: str = "",
+    deadly_end: Literal["close", "reset", "mute", "event"] = "close",
 ) -> None:
     """Run a stand-in endpoint of the users' platform.
 
@@ -129,6 +131,9 @@
         journal: File that records what was run, as one JSON object per line.
         deadly_part: Part of prompts, not the last, that ends the process as it begins
             to answer; empty for none.
+        deadly_end: How the process ends then: after the head of the answer, which
+            "reset" discards unread; without an answer; or some time after the first
+            event.
     """
     endpoint = EndpointStandIn(
         name,
@@ -137,6 +142,7 @@
         n_slots=slots,
         step_s=step_s,
         deadly_part=deadly_part,
+        deadly_end=deadly_end,
     )
     _serve(listen, endpoint)
 
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -8,6 +8,7 @@
 from .eligibility import Eligibility
 from .endpoints import Endpoints
 from .fleet import (
+    ConfirmCrashes,
     FollowDeployment,
     FollowEndpoints,
     FollowNotices,
@@ -126,6 +127,7 @@
             clock,
             random_source,
         ),
+        ConfirmCrashes(state.crash_evidence, state.inflight, state.endpoints, clock),
         TrackCrashes(
             state.peers,
             state.crash_evidence,
--- a/hawthornyard/edge/fleet/crashes.py
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -3,15 +3,19 @@
 from collections.abc import Iterator, Sequence
 
 from ...core import Clock, Decision, Handlers, Message, Tick
-from ...frames import CrashReport, CrashReportsRequested, PartsSound
+from ...frames import (
+    CrashReport,
+    CrashReportsRequested,
+    PartsSound,
+    PossibleCrashReport,
+)
 from ...policy import Crash, CrashEvidence
 from ..endpoints import Endpoints
 from ..inflight import InFlight
-from ..messages import AttemptBroke, Closed, PartAccused, Request
+from ..messages import AttemptBroke, Closed, EndpointEnded, PartAccused, Request
 from ..peers import Peers
+from .confirm import has_just_begun
 
-# An answer that had been writing for less than this when it broke had just begun.
-JUST_BEGUN_S = 0.1
 # Time in which all attempts at an endpoint that ended break.
 SETTLE_S = 0.1
 # An answer that has been writing for this long shows that its prompt is sound.
@@ -41,11 +45,14 @@
 class _OwnReport:
     """A crash that this gateway has seen itself and reports to the others."""
 
-    __slots__ = ("crash", "next_at", "pause_s", "prefix")
+    __slots__ = ("crash", "is_certain", "next_at", "pause_s", "prefix")
 
-    def __init__(self, crash: Crash, prefix: Sequence[str], now: float) -> None:
+    def __init__(
+        self, crash: Crash, prefix: Sequence[str], now: float, *, is_certain: bool
+    ) -> None:
         self.crash = crash
         self.prefix = prefix
+        self.is_certain = is_certain
         self.next_at = now
         self.pause_s = FIRST_RESEND_S
 
@@ -55,7 +62,8 @@
 
     An endpoint counts as ended if an attempt broke there as its answer began, and no
     older attempt of this gateway goes on there. A break on its own, such as that of one
-    connection, therefore accuses nobody.
+    connection, therefore accuses nobody. Where nothing of an answer had arrived,
+    `ConfirmCrashes` tells whether the endpoint has ended.
 
     Args:
         peers: The other gateways.
@@ -102,7 +110,9 @@
             Closed: self._on_closed,
             CrashReport: self._on_crash_report,
             CrashReportsRequested: self._on_reports_requested,
+            EndpointEnded: self._on_endpoint_ended,
             PartsSound: self._on_parts_sound,
+            PossibleCrashReport: self._on_possible_crash_report,
             Tick: self._on_tick,
         }
 
@@ -112,20 +122,15 @@
             yield msg
             return
         endpoint = request.attempt.endpoint
-        if request.shared_parts and msg.has_begun and self._has_just_begun(request):
-            request.is_suspect = not self._evidence.are_sound(request.shared_parts)
+        if has_just_begun(request, msg, self._clock.now()):
+            if not self._evidence.are_sound(request.shared_parts):
+                request.is_suspect = True
             brk = self._breaks.setdefault(endpoint, _Break(self._clock.now()))
             brk.prefixes.append(request.shared_parts)
         yield msg
         if endpoint in self._breaks and not self._has_older_attempts(endpoint):
             yield from self._report_crash(endpoint)
 
-    def _has_just_begun(self, request: Request) -> bool:
-        attempt = request.attempt
-        if attempt is None or attempt.first_event_at is None:
-            return True
-        return self._clock.now() - attempt.first_event_at < JUST_BEGUN_S
-
     def _has_older_attempts(self, name: str) -> bool:
         endpoint = self._endpoints.get(name)
         attempts = [] if endpoint is None else endpoint.requests.values()
@@ -158,12 +163,32 @@
 
     def _report_crash(self, name: str) -> Iterator[Message]:
         brk = self._breaks.pop(name)
-        for prefix in brk.prefixes:
-            crash = self._evidence.note_crash(name, brk.at, prefix)
-            self._reports.append(_OwnReport(crash, prefix, self._clock.now()))
+        yield from self._note_crash(name, brk.at, brk.prefixes, is_certain=True)
+
+    def _on_endpoint_ended(self, msg: EndpointEnded) -> Iterator[Message]:
+        yield from self._note_crash(
+            msg.endpoint, msg.at, msg.prefixes, is_certain=False
+        )
+
+    def _note_crash(
+        self,
+        name: str,
+        at: float,
+        prefixes: Sequence[Sequence[str]],
+        *,
+        is_certain: bool,
+    ) -> Iterator[Message]:
+        reason = "it ended as it began an answer"
+        if not is_certain:
+            reason = "it ended before an answer arrived"
+        now = self._clock.now()
+        for prefix in prefixes:
+            crash = self._evidence.note_crash(name, at, prefix, is_certain=is_certain)
+            report = _OwnReport(crash, prefix, now, is_certain=is_certain)
+            self._reports.append(report)
             yield Decision(
                 "endpoint_crashed",
-                reason="it ended as it began an answer",
+                reason=reason,
                 endpoint=name,
                 parts=list(prefix),
                 n_crashes=len(self._evidence.crashes),
@@ -216,10 +241,17 @@
             report.next_at = now + report.pause_s
             report.pause_s = min(MAX_RESEND_S, 2 * report.pause_s)
             for address in self._peers.addresses():
-                yield self._report(report.crash, report.prefix).with_peer(address)
-
-    def _report(self, crash: Crash, prefix: Sequence[str]) -> CrashReport:
-        return CrashReport(crash.endpoint, self._clock.now() - crash.at, prefix)
+                yield self._report(
+                    report.crash, report.prefix, is_certain=report.is_certain
+                ).with_peer(address)
+
+    def _report(
+        self, crash: Crash, prefix: Sequence[str], *, is_certain: bool
+    ) -> CrashReport | PossibleCrashReport:
+        age_s = self._clock.now() - crash.at
+        if is_certain:
+            return CrashReport(crash.endpoint, age_s, prefix)
+        return PossibleCrashReport(crash.endpoint, age_s, prefix)
 
     def _ask(self) -> Iterator[Message]:
         n_asks = {
@@ -236,10 +268,17 @@
         self._evidence.note_crash(msg.endpoint, at, msg.prefix)
         yield from self._accuse()
 
+    def _on_possible_crash_report(self, msg: PossibleCrashReport) -> Iterator[Message]:
+        at = self._clock.now() - max(0.0, msg.age_s)
+        self._evidence.note_crash(msg.endpoint, at, msg.prefix, is_certain=False)
+        yield from self._accuse()
+
     def _on_reports_requested(self, msg: CrashReportsRequested) -> Iterator[Message]:
         for crash in self._evidence.crashes:
             for prefix in crash.prefixes:
-                yield self._report(crash, prefix).with_peer(msg.peer)
+                yield self._report(crash, prefix, is_certain=True).with_peer(msg.peer)
+            for prefix in crash.possible_prefixes:
+                yield self._report(crash, prefix, is_certain=False).with_peer(msg.peer)
 
     def _on_parts_sound(self, msg: PartsSound) -> Iterator[Message]:
         _, accused = self._evidence.note_sound(msg.parts)
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -135,6 +135,7 @@
             yield from self._announce_leaving(
                 endpoint, "reported by the endpoint", Origin.ENDPOINT
             )
+        yield msg
 
     def _on_leaving_notice(self, msg: LeavingNotice) -> Iterator[Message]:
         endpoint = self._mark_leaving(msg.endpoint, msg.started_at)
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -11,10 +11,11 @@
 )
 from .call import Call, GenerationSize
 from .copy import CopyAnswered, CopyDropped, CopyRequested, CopySource
+from .crash import EndpointEnded
 from .dispatch import Cancel, Dispatch
 from .notice import EndpointNotice, LimitChanged
 from .reply import ReplyBegan, ReplyEvents
-from .report import ReportRead, ReportRequested
+from .report import ReportFailed, ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
 from .stage import AttemptFailed, Closed, Dequeued, Matched, PartAccused, Routed
 from .updates import (
@@ -50,6 +51,7 @@
     "Dequeued",
     "Dispatch",
     "DomainsRead",
+    "EndpointEnded",
     "EndpointEntry",
     "EndpointLeaving",
     "EndpointNotice",
@@ -64,6 +66,7 @@
     "PartAccused",
     "ReplyBegan",
     "ReplyEvents",
+    "ReportFailed",
     "ReportRead",
     "ReportRequested",
     "Request",
--- a/hawthornyard/edge/messages/report.py
+++ b/hawthornyard/edge/messages/report.py
@@ -20,6 +20,24 @@
         self.born = born
 
 
+class ReportFailed(Message):
+    """A report that could not be fetched.
+
+    Attributes:
+        endpoint: Name of the engine.
+        born: Incarnation that was asked, a start time in Unix milliseconds.
+        is_refused: Whether the host refused the connection, so that no process listens
+            at the address.
+    """
+
+    __slots__ = ("endpoint", "born", "is_refused")
+
+    def __init__(self, endpoint: str, born: int, *, is_refused: bool) -> None:
+        self.endpoint = endpoint
+        self.born = born
+        self.is_refused = is_refused
+
+
 class ReportRead(Message):
     """The state that an engine reports.
 
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -206,6 +206,13 @@
             self.longest_gap_s = max(self.longest_gap_s, self.last_gap_s)
         self.last_event_at = now
 
+    def writing_s(self, now: float) -> float:
+        """Return the seconds since the first event of its attempt, 0 before it."""
+        attempt = self.attempt
+        if attempt is None or attempt.first_event_at is None:
+            return 0.0
+        return now - attempt.first_event_at
+
     @property
     def may_rerun(self) -> bool:
         """Return whether it may be retried after an attempt that may have run."""
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -14,7 +14,12 @@
     Tokens,
 )
 from .config import ConfigPull, ConfigPush, RecordEntry
-from .crash import CrashReport, CrashReportsRequested, PartsSound
+from .crash import (
+    CrashReport,
+    CrashReportsRequested,
+    PartsSound,
+    PossibleCrashReport,
+)
 from .direction import (
     GATEWAY_TO_SIDECAR,
     SENT_BY_GATEWAY,
@@ -59,6 +64,7 @@
     "LeavingNotice",
     "LoadedReport",
     "PartsSound",
+    "PossibleCrashReport",
     "PlanEntry",
     "PlanPush",
     "Proof",
--- a/hawthornyard/frames/crash.py
+++ b/hawthornyard/frames/crash.py
@@ -22,6 +22,23 @@
         self.prefix = prefix
 
 
+class PossibleCrashReport(Frame):
+    """Gateway to gateway: an endpoint ended before the answer to a prompt arrived.
+
+    Attributes:
+        endpoint: Name of the endpoint.
+        age_s: Seconds since it ended.
+        prefix: Parts of the prompt that others may share, in order.
+    """
+
+    __slots__ = ("endpoint", "age_s", "prefix")
+
+    def __init__(self, endpoint: str, age_s: float, prefix: Sequence[str]) -> None:
+        self.endpoint = endpoint
+        self.age_s = age_s
+        self.prefix = prefix
+
+
 class CrashReportsRequested(Frame):
     """Gateway to gateway: a request for a report of each crash that is known."""
 
--- a/hawthornyard/platform/connections.py
+++ b/hawthornyard/platform/connections.py
@@ -66,6 +66,13 @@
     return conn
 
 
+def is_refused(exc: BaseException) -> bool:
+    """Return whether a call failed because no process listens at the address."""
+    return isinstance(exc, ConnectionRefusedError) or isinstance(
+        exc.__cause__, ConnectionRefusedError
+    )
+
+
 class CallAnswer(Message):
     """The whole answer to one small request.
 
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -29,6 +29,8 @@
     EndpointsRead,
     ReplyBegan,
     ReplyEvents,
+    ReportFailed,
+    ReportRead,
     StoreAnswered,
     StoreFailed,
 )
@@ -39,6 +41,7 @@
     GatewayLoads,
     LeavingNotice,
     PartsSound,
+    PossibleCrashReport,
 )
 from ..front import HttpServer, ListenerSink, MetricsApplication, ReplyQueues
 from ..front.exchange import Environ, StartResponse
@@ -184,6 +187,7 @@
             GatewayLoads,
             LeavingNotice,
             PartsSound,
+            PossibleCrashReport,
         )
         self._registry = GatewayRegistry(
             settings.name,
@@ -216,6 +220,8 @@
                     CallerGone,
                     CopyAnswered,
                     StopRequested,
+                    ReportFailed,
+                    ReportRead,
                     StoreAnswered,
                     StoreFailed,
                     EndpointsRead,
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -4,9 +4,9 @@
 from loguru import logger
 
 from ..core import Consumers, Inbox
-from ..edge.messages import ReportRequested
+from ..edge.messages import ReportFailed, ReportRequested
 from ..errors import RecordError
-from .connections import CALL_ERRORS, call_once
+from .connections import CALL_ERRORS, call_once, is_refused
 from .endpoint import decode_report
 from .names import REPORT_PATH
 from .notices import NoticeReader
@@ -21,7 +21,8 @@
     """Sink that fetches each report in its own green thread.
 
     Args:
-        inbox: Receives the reports; a failure is only logged.
+        inbox: Receives the reports, and a `ReportFailed` for each call without an
+            answer; an answer that is no report is only logged.
         notices: Reads what the engines say of themselves beside their reports.
     """
 
@@ -42,6 +43,9 @@
             answer = call_once("GET", msg.address, REPORT_PATH, "", REPORT_TIMEOUT_S)
         except CALL_ERRORS as exc:
             log.bind(detail=str(exc)).info("report_failed")
+            self._inbox.put(
+                ReportFailed(msg.endpoint, msg.born, is_refused=is_refused(exc))
+            )
             return
         self._notices.read(
             answer.status, answer.headers, msg.endpoint, msg.born, asked_at
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -31,7 +31,7 @@
     TOKEN_COUNTS_HEADER,
 )
 from .journal import Journal
-from .run import Run
+from .run import Run, format_event
 
 BEHAVIOUR_PATH = "/standin/behave"
 """Path on which tests set the stand-in's behaviour; the platform has no such call."""
@@ -47,6 +47,13 @@
 DEADLY_PART_STATUS = 86
 """Exit status of a stand-in that a part of a prompt has ended."""
 
+DEADLY_ENDS = ("close", "reset", "mute", "event")
+"""How a stand-in ends on the deadly part: after the head of the answer, which "reset"
+discards unread; without any answer; or some time after the first event."""
+
+DEADLY_EVENT_DELAY_S = 0.3
+"""Time from the first event to the end of the process, for the end "event"."""
+
 # SO_LINGER enabled with a timeout of 0 s: closing the socket sends a TCP reset.
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -79,13 +86,18 @@
         step_s: Seconds between events, and duration of a plain request.
         copy_s: Duration of a copy in seconds.
         deadly_part: Part of prompts, not the last, that ends this process as it begins
-            the answer, after its head; empty for none.
+            the answer; empty for none.
+        deadly_end: How the process ends then, one of `DEADLY_ENDS`.
+
+    Raises:
+        ValueError: If `deadly_end` is none of `DEADLY_ENDS`.
     """
 
     __slots__ = (
         "_born",
         "_copies",
         "_copy_s",
+        "_deadly_end",
         "_deadly_part",
         "_journal",
         "_n_running",
@@ -107,7 +119,11 @@
         step_s: float = 0.02,
         copy_s: float = 0.03,
         deadly_part: str = "",
+        deadly_end: str = "close",
     ) -> None:
+        if deadly_end not in DEADLY_ENDS:
+            allowed = ", ".join(DEADLY_ENDS)
+            raise ValueError(f"deadly_end is {deadly_end!r}, expected one of {allowed}")
         self._name = name
         self._journal = journal
         self._born = born
@@ -115,6 +131,7 @@
         self._step_s = step_s
         self._copy_s = copy_s
         self._deadly_part = deadly_part
+        self._deadly_end = deadly_end
         self._runs: dict[str, Run] = {}
         # Number of the newest event in each copy held here, by handle.
         self._copies: dict[str, int] = {}
@@ -201,7 +218,7 @@
             step_s=self._step_s,
         )
         if self._deadly_part and self._deadly_part in _shared_parts(environ):
-            _end_process(environ, request_id)
+            _end_process(environ, request_id, self._deadly_end)
         self._runs[request_id] = run
         self._n_running += 1
         start(
@@ -303,14 +320,23 @@
     return [part.partition(":")[0].strip() for part in parts[:-1]]
 
 
-def _end_process(environ: Environ, request_id: str) -> None:
-    head = (
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        f"{REQUEST_ID_HEADER}: {request_id}\r\n"
-        f"{SIGNATURE_HEADER}: {sign(request_id, b'')}\r\n"
-        "Transfer-Encoding: chunked\r\n\r\n"
-    )
-    environ["eventlet.input"].get_socket().sendall(head.encode())
+def _end_process(environ: Environ, request_id: str, how: str) -> None:
+    sock = environ["eventlet.input"].get_socket()
+    if how != "mute":
+        head = (
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            f"{REQUEST_ID_HEADER}: {request_id}\r\n"
+            f"{SIGNATURE_HEADER}: {sign(request_id, b'')}\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+        )
+        sock.sendall(head.encode())
+    if how == "event":
+        event = format_event(request_id, 1)
+        sock.sendall(b"%x\r\n%s\r\n" % (len(event), event))
+        eventlet.sleep(DEADLY_EVENT_DELAY_S)
+    if how == "reset":
+        # A peer that has not read the head yet never gets it.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
     os._exit(DEADLY_PART_STATUS)
 
 
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -1,8 +1,10 @@
 """Find the parts of prompts that end endpoints.
 
 An endpoint ends as it begins the answer to a prompt with such a part. Each request
-whose answer had just begun when its endpoint ended is a suspect, with all parts of its
-prompt but the last, which no other prompt shares. A part whose answers go on is sound.
+whose answer had just begun when its endpoint ended is a certain suspect, with all parts
+of its prompt but the last, which no other prompt shares. A request of whose answer
+nothing had arrived is a possible one: the end of a process may discard the head of an
+answer that is on its way. A part whose answers go on is sound.
 """
 
 from collections import OrderedDict
@@ -10,8 +12,11 @@
 
 from ..core import Clock
 
-# Crashes that accuse a part, and that accuse one with which answers had gone on before.
+# Crashes that accuse a part if its prompts are certain suspects of that many, if they
+# are possible suspects, and if answers with the part had gone on before. All are below
+# 5, the crashes after which gateways must keep the part from endpoints.
 MIN_CRASHES = 2
+MIN_POSSIBLE_CRASHES = 3
 MIN_CRASHES_IF_SOUND = 4
 # Reports of the same endpoint within this time are about the same crash.
 SAME_CRASH_S = 1.0
@@ -34,25 +39,32 @@
     Attributes:
         endpoint: Name of the endpoint.
         at: Monotonic time in seconds.
-        prefixes: Shared parts of each suspect's prompt, in order.
+        prefixes: Shared parts of each certain suspect's prompt, in order.
+        possible_prefixes: The same of each possible suspect.
     """
 
-    __slots__ = ("at", "endpoint", "prefixes")
+    __slots__ = ("at", "endpoint", "possible_prefixes", "prefixes")
 
     def __init__(self, endpoint: str, at: float) -> None:
         self.endpoint = endpoint
         self.at = at
         self.prefixes: list[Sequence[str]] = []
+        self.possible_prefixes: list[Sequence[str]] = []
 
-    def add(self, prefix: Sequence[str]) -> None:
+    def add(self, prefix: Sequence[str], *, is_certain: bool) -> None:
         """Add a suspect unless it is known or there are too many."""
-        if prefix not in self.prefixes and len(self.prefixes) < MAX_PREFIXES_PER_CRASH:
-            self.prefixes.append(prefix)
+        prefixes = self.prefixes if is_certain else self.possible_prefixes
+        if prefix not in prefixes and len(prefixes) < MAX_PREFIXES_PER_CRASH:
+            prefixes.append(prefix)
+
+    def has_certain(self, part: str) -> bool:
+        """Return whether a certain suspect's prompt has the part."""
+        return any(part in prefix for prefix in self.prefixes)
 
     def depths(self) -> dict[str, int]:
         """Return the suspected parts with their largest positions in a prompt."""
         depths: dict[str, int] = {}
-        for prefix in self.prefixes:
+        for prefix in (*self.prefixes, *self.possible_prefixes):
             for depth, part in enumerate(prefix):
                 depths[part] = max(depth, depths.get(part, 0))
         return depths
@@ -122,13 +134,27 @@
         """Return whether answers to prompts with each of the parts have gone on."""
         return all(part in self._sound_at for part in parts)
 
-    def note_crash(self, endpoint: str, at: float, prefix: Sequence[str]) -> Crash:
+    def are_suspected(self, parts: Iterable[str]) -> bool:
+        """Return whether one of the parts is accused or suspected of a crash."""
+        return any(
+            part in self._accusations or self._is_suspected(part) for part in parts
+        )
+
+    def note_crash(
+        self,
+        endpoint: str,
+        at: float,
+        prefix: Sequence[str],
+        *,
+        is_certain: bool = True,
+    ) -> Crash:
         """Record that an endpoint ended as it began an answer.
 
         Args:
             endpoint: Name of the endpoint.
             at: Monotonic time in seconds of the crash.
             prefix: Shared parts of the prompt, in order.
+            is_certain: Whether the answer had begun; else nothing of it had arrived.
 
         Returns:
             The crash, with all its known suspects.
@@ -147,7 +173,7 @@
             for part in prefix:
                 if part in self._accusations:
                     self._accusations[part].put_off_trial(at)
-        crash.add(prefix)
+        crash.add(prefix, is_certain=is_certain)
         self._forget_old()
         return crash
 
@@ -211,7 +237,7 @@
         candidates = [
             part
             for part, crashes in crashes_by_part.items()
-            if len(crashes) >= self._min_crashes(part)
+            if self._is_enough(part, crashes)
         ]
         if not candidates:
             return None
@@ -221,14 +247,17 @@
         )
         return best, crashes_by_part[best]
 
-    def _min_crashes(self, part: str) -> int:
-        return MIN_CRASHES_IF_SOUND if part in self._sound_at else MIN_CRASHES
+    def _is_enough(self, part: str, crashes: Sequence[Crash]) -> bool:
+        if part in self._sound_at:
+            return len(crashes) >= MIN_CRASHES_IF_SOUND
+        if len(crashes) >= MIN_POSSIBLE_CRASHES:
+            return True
+        return sum(crash.has_certain(part) for crash in crashes) >= MIN_CRASHES
 
     def _is_suspected(self, part: str) -> bool:
         sound_at = self._sound_at.get(part, float("-inf"))
         return any(
-            crash.at > sound_at and any(part in prefix for prefix in crash.prefixes)
-            for crash in self._crashes
+            crash.at > sound_at and part in crash.depths() for crash in self._crashes
         )
 
     def _forget_old(self) -> None:
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -48,7 +48,14 @@
     )
 
     def __init__(
-        self, folder: Path, name: str, service: str, domain: str, born: int
+        self,
+        folder: Path,
+        name: str,
+        service: str,
+        domain: str,
+        born: int,
+        *,
+        deadly_end: str = "close",
     ) -> None:
         self.name = name
         self.service = service
@@ -66,6 +73,7 @@
                 *("--listen", self._port.address, "--name", name),
                 *("--born", str(born), "--journal", str(self.journal)),
                 *("--step-s", STEP_S[service], "--deadly-part", DEADLY_PART),
+                *("--deadly-end", deadly_end),
             ],
         )
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -53,6 +53,7 @@
     Args:
         folder: Folder of logs, journals and settings.
         seed: Seed of the callers' choices.
+        deadly_end: How an endpoint ends on the deadly part, see `EndpointStandIn`.
 
     Attributes:
         fault_spans: Spans of the injected faults.
@@ -72,6 +73,7 @@
     """
 
     __slots__ = (
+        "_deadly_end",
         "_folder",
         "_is_stopped",
         "_n_endpoints",
@@ -89,7 +91,8 @@
         "versions",
     )
 
-    def __init__(self, folder: Path, seed: int) -> None:
+    def __init__(self, folder: Path, seed: int, *, deadly_end: str = "close") -> None:
+        self._deadly_end = deadly_end
         self._folder = folder
         self._seed = seed
         self._is_stopped = False
@@ -203,7 +206,9 @@
         self._n_endpoints += 1
         name = name or f"{service}-{self._n_endpoints}"
         born = int(time.time() * 1000) + self._n_endpoints
-        endpoint = Endpoint(self._folder, name, service, domain, born)
+        endpoint = Endpoint(
+            self._folder, name, service, domain, born, deadly_end=self._deadly_end
+        )
         self.endpoints.append(endpoint)
         endpoint.process.start()
         endpoint.wait_started()
