Keep streams with an accused part from further endpoints

Cause: Quarantine looks at requests that are matched or queued. A stream that began before its part was accused was still resumed at its mirror when its engine broke, and copied to another engine when its engine left; neither way asks Quarantine.

Evidence: the two rows of features/quarantine.feature with four crashes reported failed before the change with a second attempt and a requested copy, and pass after it; the two rows without crashes show that other streams are resumed and copied as before.

Resume and Migrate now ask the same evidence. The stream ends with its engine, as nothing truthful but its loss can be told; ending it earlier was weighed and not taken, since it may still end well where it is.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -109,6 +109,22 @@
     And an engine ends before it begins a summary of "group,place,bad,own-1"
     Then 1 attempts were sent for it
 
+  @fixture.edge
+  Scenario Outline: A stream whose part was accused meanwhile goes to no other engine
+    Given the engines engine-a and engine-b and engine-c
+    When a caller sends "group,place,bad,own-0" and gets events for 1.2 seconds
+    And other gateways report <n> crashes on "bad"
+    And its engine <ends>
+    Then <attempts> attempts were sent for it
+    And <copies> copies of it were requested
+
+    Examples:
+      | n | ends   | attempts | copies |
+      | 4 | breaks | 1        | 0      |
+      | 4 | leaves | 1        | 0      |
+      | 0 | breaks | 2        | 0      |
+      | 0 | leaves | 1        | 1      |
+
   @fixture.edge
   Scenario: One crash accuses no part
     Given the engines engine-a and engine-b
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -12,6 +12,7 @@
     AttemptEnded,
     AttemptRefused,
     Cancel,
+    CopyRequested,
     Dispatch,
     EndpointsRead,
     GatewaysRead,
@@ -186,6 +187,41 @@
         edge.push(ReportFailed(name, dispatch.born, is_refused=False))
 
 
+@when('a caller sends "{prefix}" and gets events for {seconds:g} seconds')
+def begin_long_stream(context: Context, prefix: str, seconds: float) -> None:
+    dispatch = _send(context, prefix)
+    assert dispatch is not None, context.edge.messages_of(ReplyFailed)
+    context.edge.begin_stream(dispatch.attempt_id)
+    context.edge.push_events(dispatch.attempt_id, 1, 3)
+    context.edge.advance(seconds)
+
+
+@when('other gateways report {n:d} crashes on "{part}"')
+def report_crashes_on_part(context: Context, n: int, part: str) -> None:
+    for index in range(n):
+        context.edge.push(CrashReport(f"engine-{index}", 0.0, [part]))
+
+
+@when("its engine {ends}")
+def end_its_engine(context: Context, ends: str) -> None:
+    edge: EdgeDriver = context.edge
+    dispatch = edge.dispatches(context.call_id)[-1]
+    if ends == "breaks":
+        edge.push(AttemptBroke(dispatch.attempt_id, "cut", has_begun=True))
+        return
+    # Without a mirror a stream is copied.
+    edge.state.endpoints.get(dispatch.endpoint).requests[
+        dispatch.attempt_id
+    ].attempt.mirror = ""
+    edge.add_endpoint(dispatch.endpoint, is_draining=True)
+
+
+@then("{n:d} copies of it were requested")
+def check_copies(context: Context, n: int) -> None:
+    copies = context.edge.messages_of(CopyRequested)
+    assert len(copies) == n, copies
+
+
 @when('another gateway reports a possible crash of {name} on "{prefix}"')
 def report_possible_crash(context: Context, name: str, prefix: str) -> None:
     context.edge.push(PossibleCrashReport(name, 0.0, prefix.split(",")))
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -149,7 +149,13 @@
             state.directory,
             clock,
         ),
-        Resume(state.inflight, state.endpoints, state.eligibility, resumption),
+        Resume(
+            state.inflight,
+            state.endpoints,
+            state.eligibility,
+            resumption,
+            state.crash_evidence,
+        ),
         Migrate(
             state.inflight,
             state.endpoints,
@@ -158,6 +164,7 @@
             state.directory,
             state.pace,
             resumption,
+            state.crash_evidence,
             clock,
         ),
         Relay(state.inflight, state.endpoints, clock),
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Decision, Handlers, Message, Tick
+from ...policy import CrashEvidence
 from ..directory import Directory
 from ..eligibility import Eligibility
 from ..endpoints import Endpoint, Endpoints
@@ -62,6 +63,7 @@
         directory: Deployment in force, for the capabilities of engines.
         pace: Tells how late a gateway may learn that an endpoint leaves.
         resumption: Starts the attempts that resume from copies.
+        evidence: Parts of prompts that end endpoints.
         clock: Source of time.
     """
 
@@ -71,6 +73,7 @@
         "_directory",
         "_eligibility",
         "_endpoints",
+        "_evidence",
         "_inflight",
         "_pace",
         "_resumption",
@@ -87,6 +90,7 @@
         directory: Directory,
         pace: ReadPace,
         resumption: Resumption,
+        evidence: CrashEvidence,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
@@ -96,6 +100,7 @@
         self._directory = directory
         self._pace = pace
         self._resumption = resumption
+        self._evidence = evidence
         self._clock = clock
         self._departures: dict[str, Departure] = {}
         self.handlers: Handlers = {
@@ -129,7 +134,7 @@
         if departure is None or self._is_copying(departure):
             return
         departure.copying_attempt_id = ""
-        unmirrored = filter(self._has_no_mirror, endpoint.requests.values())
+        unmirrored = filter(self._may_be_copied, endpoint.requests.values())
         candidates = [
             (self._remaining_s(request, endpoint), request.call_id, request)
             for request in departure.not_postponed(unmirrored, self._clock.now())
@@ -272,6 +277,12 @@
         rule = self._directory.service(endpoint.entry.service)
         return rule is not None and rule.engine is not None and rule.engine.can_migrate
 
+    def _may_be_copied(self, request: Request) -> bool:
+        # A prompt with an accused part may end the endpoint that it is copied to.
+        if self._evidence.accused_part(request.shared_parts) is not None:
+            return False
+        return self._has_no_mirror(request)
+
     def _has_no_mirror(self, request: Request) -> bool:
         attempt = request.attempt
         if attempt is None or not request.route.is_stream:
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from ...core import Decision, Handlers, Message
+from ...policy import CrashEvidence
 from ..eligibility import Eligibility
 from ..endpoints import BROKEN_BACKOFF_S, Endpoints
 from ..inflight import InFlight
@@ -18,9 +19,17 @@
         endpoints: Known endpoints.
         eligibility: Tells which endpoints may still receive streams.
         resumption: Starts the attempts that resume from mirrors.
+        evidence: Parts of prompts that end endpoints.
     """
 
-    __slots__ = ("_eligibility", "_endpoints", "_inflight", "_resumption", "handlers")
+    __slots__ = (
+        "_eligibility",
+        "_endpoints",
+        "_evidence",
+        "_inflight",
+        "_resumption",
+        "handlers",
+    )
 
     def __init__(
         self,
@@ -28,7 +37,9 @@
         endpoints: Endpoints,
         eligibility: Eligibility,
         resumption: Resumption,
+        evidence: CrashEvidence,
     ) -> None:
+        self._evidence = evidence
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligibility = eligibility
@@ -48,7 +59,8 @@
         if request.has_begun:
             self._endpoints.back_off(request.attempt.endpoint, BROKEN_BACKOFF_S)
         mirror = self._endpoints.get(request.attempt.mirror)
-        if request.is_suspect:
+        is_accused = self._evidence.accused_part(request.shared_parts) is not None
+        if request.is_suspect or is_accused:
             # It may end the mirror as well.
             mirror = None
         if mirror is None or not self._eligibility.may_resume_at(mirror):
