Let an answer refute only crashes before it began

Cause: an answer that had gone on for a second made its parts sound as of that moment, so that crashes since its beginning no longer counted, and it released an accused part although it had begun before the crashes.

Evidence: the row with two crashes in features/quarantine.feature failed before the change, as the part was released, and passes after it; the row with one crash passes both times. Sound as of its first event is all that an answer shows: endpoints end as they begin to write. Gateways that hear of it count it from a second before, the least time for which it must have gone on, so that the message between them stays as it is.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -150,6 +150,20 @@
     And a caller sends "group,place,own-4"
     Then 1 attempts were sent for it
 
+  @fixture.edge
+  Scenario Outline: An answer that had begun before the crashes acquits no part
+    Given the engines engine-a and engine-b and engine-c
+    When a caller sends "group,place,own-0" and gets events for 0.6 seconds
+    And other gateways report <n> crashes on "place"
+    And 0.6 seconds go by
+    And a caller sends "group,place,own-1"
+    Then the request ends as <outcome>
+
+    Examples:
+      | n | outcome            |
+      | 1 | open               |
+      | 2 | prompt_quarantined |
+
   @fixture.edge
   Scenario: The others are not told of sound parts that nobody suspects
     Given the engines engine-a and engine-b and engine-c
--- a/hawthornyard/edge/fleet/crashes.py
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -218,7 +218,10 @@
         if request.is_noted_sound or not request.shared_parts:
             return
         request.is_noted_sound = True
-        suspected, accused = self._evidence.note_sound(request.shared_parts)
+        now = self._clock.now()
+        suspected, accused = self._evidence.note_sound(
+            request.shared_parts, now - request.writing_s(now)
+        )
         yield from self._clear(accused, "an answer to it went on", request.request_id)
         if suspected:
             for address in self._peers.addresses():
@@ -281,5 +284,6 @@
                 yield self._report(crash, prefix, is_certain=False).with_peer(msg.peer)
 
     def _on_parts_sound(self, msg: PartsSound) -> Iterator[Message]:
-        _, accused = self._evidence.note_sound(msg.parts)
+        began_at = self._clock.now() - SOUND_S
+        _, accused = self._evidence.note_sound(msg.parts, began_at)
         yield from self._clear(accused, "another gateway saw an answer to it go on")
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -73,13 +73,19 @@
 class _Accusation:
     """State of an accused part.
 
+    Args:
+        now: Monotonic time in seconds.
+        last_crash_at: Monotonic time in seconds of the newest crash that it explains.
+
     Attributes:
+        last_crash_at: Monotonic time in seconds of the newest crash that it explains.
         trial_at: Monotonic time in seconds of its next trial.
     """
 
-    __slots__ = ("_hold_s", "_put_off_at", "trial_at")
+    __slots__ = ("_hold_s", "_put_off_at", "last_crash_at", "trial_at")
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, last_crash_at: float) -> None:
+        self.last_crash_at = last_crash_at
         self._hold_s = FIRST_TRIAL_S
         self._put_off_at = now
         self.trial_at = now + FIRST_TRIAL_S
@@ -171,8 +177,10 @@
             crash = Crash(endpoint, at)
             self._crashes.append(crash)
             for part in prefix:
-                if part in self._accusations:
-                    self._accusations[part].put_off_trial(at)
+                accusation = self._accusations.get(part)
+                if accusation is not None:
+                    accusation.put_off_trial(at)
+                    accusation.last_crash_at = max(accusation.last_crash_at, at)
         crash.add(prefix, is_certain=is_certain)
         self._forget_old()
         return crash
@@ -188,25 +196,37 @@
             part, crashes = found
             if len(self._accusations) >= MAX_ACCUSED_PARTS:
                 del self._accusations[next(iter(self._accusations))]
-            self._accusations[part] = _Accusation(self._clock.now())
+            last_crash_at = max(crash.at for crash in crashes)
+            self._accusations[part] = _Accusation(self._clock.now(), last_crash_at)
             accused[part] = crashes
         return accused
 
-    def note_sound(self, parts: Iterable[str]) -> tuple[list[str], list[str]]:
+    def note_sound(
+        self, parts: Iterable[str], began_at: float
+    ) -> tuple[list[str], list[str]]:
         """Record that an answer to a prompt with these parts went on.
 
+        It refutes the crashes before it began. It tells nothing of later ones, since a
+        part may come to end endpoints at any time.
+
+        Args:
+            parts: The parts.
+            began_at: Monotonic time in seconds of the first event of the answer.
+
         Returns:
             The parts that were suspected until now, and those that were accused.
         """
-        now = self._clock.now()
         suspected = []
         accused = []
         for part in parts:
             if self._is_suspected(part):
                 suspected.append(part)
-            if self._accusations.pop(part, None) is not None:
+            accusation = self._accusations.get(part)
+            if accusation is not None and began_at > accusation.last_crash_at:
+                del self._accusations[part]
                 accused.append(part)
-            self._sound_at[part] = now
+            known_at = self._sound_at.get(part, began_at)
+            self._sound_at[part] = max(known_at, began_at)
             self._sound_at.move_to_end(part)
         while len(self._sound_at) > MAX_SOUND_PARTS:
             self._sound_at.popitem(last=False)
