--- a/soak/soak.py
+++ b/soak/soak.py
@@ -6,6 +6,8 @@
 
 import eventlet
 
+from hawthornyard.platform.standins.endpoint import DEADLY_ENDS
+
 from .checks import check_all
 from .deployment import RECOVERY_LIMIT_S
 from .faults import FAULT_TYPES
@@ -60,7 +62,11 @@
         is_tainting: Whether some prompts end endpoints meanwhile.
     """
     result = SeedResult()
-    world = World(folder, seed)
+    # From a source of its own: the faults of a seed must not depend on it.
+    deadly_end = random.Random(f"deadly end of {seed}").choice(DEADLY_ENDS)
+    if is_tainting:
+        result.timeline.append(f"the deadly part shows as {deadly_end}")
+    world = World(folder, seed, deadly_end=deadly_end)
     try:
         world.start()
         world.start_callers()
