Place by the pace that engines report in their responses

A prompt that is read at an engine whose machine is slow at that moment makes the events of all streams there later than their allowed gap. Nothing read the pace that endpoints of some services report. NoticeReader now reads it from the load header of each response, FollowNotices records it at the endpoint, and PacePlacement uses it for services whose endpoints have reported one: a request costs its own first event plus the risk for the streams that run there. An endpoint where a prompt would push a stream over its gap has no capacity, so that the request waits for at most the existing quarter of its target. Other services are placed by LeastLoaded as before.

Weighed: two random choices, as elsewhere with many gateways, would often compare two slow engines; six are compared, as dispatched prompts are told to all at once. The gap is predicted from the usual gap, an asymmetric mean that leaves out slow moments.

Tests: features/pace.feature 22 of 22 pass; with LeastLoaded in its place 2 scenarios fail (a slow engine is chosen, a prompt does not wait). edge_requests, edge_streams, named_limits, waiting_requests and settings: 125 of 125 pass.

--- /dev/null
+++ b/features/pace.feature
@@ -0,0 +1,75 @@
+Feature: Prompts are placed by the pace that engines report
+
+  @fixture.edge
+  Scenario Outline: A prompt avoids an engine whose machine is slow and that has streams
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When paces of <a> at engine-a and <b> at engine-b were reported <age> seconds ago
+    And a caller of the gateway sends a summary
+    Then the summary was sent to <chosen>
+
+    # Two steps in one take 80 ms; 2.5 times that is over the allowed 180 ms.
+    Examples:
+      | a    | b    | age  | chosen   |
+      | 1.0  | 2.5  | 0.0  | engine-a |
+      | 2.5  | 1.0  | 0.0  | engine-b |
+      | 2.5  | 1.0  | 0.4  | engine-b |
+      | 1.0  | 2.5  | 0.7  | engine-b |
+
+  @fixture.edge
+  Scenario: A prompt waits a moment while it would make streams late everywhere
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When paces of 2.5 at engine-a and 2.5 at engine-b were reported 0.0 seconds ago
+    And a caller of the gateway sends a summary
+    Then the summary was sent to nobody yet
+    When a pace of 1.0 is reported by engine-b
+    And 0.05 seconds go by
+    Then the summary was sent to engine-b
+
+  @fixture.edge
+  Scenario: A prompt does not wait for longer than a part of its own target
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When paces of 2.5 at engine-a and 2.5 at engine-b were reported 0.0 seconds ago
+    And a caller of the gateway sends a summary
+    And both engines go on to report 2.5 for 0.5 seconds
+    Then the summary was sent to some engine
+
+  @fixture.edge
+  Scenario: A slow engine without streams still gets prompts that are on time there
+    Given the engines engine-a
+    When a pace of 2.5 is reported by engine-a
+    And a caller of the gateway sends a summary
+    Then the summary was sent to engine-a
+
+  @fixture.edge
+  Scenario: A pace of an earlier incarnation is not used
+    Given the engines engine-a
+    When a pace of 2.5 is reported by an earlier incarnation of engine-a
+    Then the gateway takes the pace of engine-a for 1.0
+
+  @fixture.edge
+  Scenario: Without a reported pace the least loaded engine is chosen as before
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    Then both policies give a summary the same cost at each engine
+
+  @fixture.platform_world
+  Scenario Outline: The pace is read from the header of every answer
+    Given an endpoint whose answer has the load <text> and status <status>
+    When a caller of the platform sends a badge
+    Then the gateway knows the pace <pace>
+    And <logged> line tells of an unreadable notice
+
+    Examples:
+      | text             | status | pace | logged |
+      | 3,0,24,250       | 200    | 2.5  | no     |
+      | 3, 0, 24, 130    | 500    | 1.3  | no     |
+      | 3,0,24,100       | 503    | 1.0  | no     |
+      | 3,0,24,250       | 421    | none | no     |
+      | 3,0,24           | 200    | none | no     |
+      | 3,0,24,-250      | 200    | none | one    |
+      | 3,0,24,0         | 200    | none | one    |
+      | 3,0,24,99999     | 200    | none | one    |
+      | 3,0,24,9999999999 | 200   | none | one    |
+      | 3,0,24,1e2       | 200    | none | one    |
+      | 3,0,24,nan       | 200    | none | one    |
+      | 3,0,24,250,1     | 200    | none | one    |
+      | 250              | 200    | none | one    |
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -20,6 +20,7 @@
 from .grace import GracePeriod
 from .inflight import InFlight
 from .mirroring import Mirroring, MirrorOnLeastUsed
+from .pace_placement import PacePlacement
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
@@ -104,10 +105,16 @@
         random_source: Source of randomness.
         metrics_filters: Filters that collect metrics; they see replies before
             `CloseRequests` forgets the requests.
-        placement: Policy that chooses the endpoint of a request, `LeastLoaded` if None.
+        placement: Policy that chooses the endpoint of a request, `PacePlacement` if
+            None.
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
     """
-    placement = placement or LeastLoaded(state.directory, state.endpoints)
+    placement = placement or PacePlacement(
+        state.directory,
+        state.endpoints,
+        clock,
+        LeastLoaded(state.directory, state.endpoints),
+    )
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -26,6 +26,7 @@
         "_clock",
         "_confirmed_at",
         "_deployment",
+        "_gap_targets",
         "_has_teams",
         "_routes",
         "_services",
@@ -45,6 +46,7 @@
         self._routes: dict[str, list[RouteRule]] = {}
         self._services: dict[str, ServiceRule] = {}
         self._teams: dict[str, TeamRule] = {}
+        self._gap_targets: dict[str, float] = {}
         self._has_teams = False
         self.version = 0
         self.limits = INITIAL_LIMITS
@@ -72,6 +74,7 @@
             self._routes.setdefault(route.host, []).append(route)
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._gap_targets = _gap_targets(deployment)
         return True
 
     def confirm(self, as_of: float) -> None:
@@ -123,3 +126,17 @@
     def service(self, name: str) -> ServiceRule | None:
         """Return the rule of a service, None if it is unknown."""
         return self._services.get(name)
+
+    def gap_target_s(self, service: str) -> float:
+        """Return the shortest target gap of the routes to a service, 0 if none has."""
+        return self._gap_targets.get(service, 0.0)
+
+
+def _gap_targets(deployment: Deployment) -> dict[str, float]:
+    targets: dict[str, float] = {}
+    for route in deployment.routes:
+        for share in route.shares:
+            if route.gap_target_s:
+                known = targets.get(share.service, route.gap_target_s)
+                targets[share.service] = min(known, route.gap_target_s)
+    return targets
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -5,6 +5,7 @@
 from ..core import Clock
 from .allowance import Allowance
 from .messages import EndpointEntry, Request
+from .pace import Pace
 from .peers import Peers
 
 # Weights of a new sample in the exponential moving averages of an endpoint: the gap
@@ -13,6 +14,10 @@
 PREFILL_WEIGHT = 0.3
 ANSWER_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.1
+# Weights of a gap in the usual gap, if it is shorter and if it is longer: most gaps
+# are usual ones, and those while a prompt is read or the machine is slow are longer.
+SHORTER_GAP_WEIGHT = 0.08
+LONGER_GAP_WEIGHT = 0.02
 # Backoff from an endpoint that refused for lack of capacity.
 FULL_BACKOFF_S = 0.1
 # Initial backoff from an endpoint that was not found at its address; it doubles each
@@ -39,6 +44,9 @@
             gateway, in tokens per second, 0 before the first measurement.
         mean_gap_s: Moving average of the gap between its events, 0 before the first.
         mean_answer_s: Moving average of the time of whole answers, 0 before the first.
+        pace: How long work takes there at this moment.
+        usual_gap_s: Gap between its events while nothing slows it down, 0 before the
+            first.
     """
 
     __slots__ = (
@@ -53,7 +61,9 @@
         "mirrored",
         "n_absences",
         "own_prefill_rate",
+        "pace",
         "requests",
+        "usual_gap_s",
     )
 
     def __init__(self, entry: EndpointEntry, peers: Peers, clock: Clock) -> None:
@@ -69,6 +79,8 @@
         self.own_prefill_rate = 0.0
         self.mean_gap_s = 0.0
         self.mean_answer_s = 0.0
+        self.pace = Pace(clock)
+        self.usual_gap_s = 0.0
 
     @property
     def name(self) -> str:
@@ -154,6 +166,10 @@
         """Record the gap between two events."""
         weight = GAP_WEIGHT if self.mean_gap_s else 1.0
         self.mean_gap_s += weight * (seconds - self.mean_gap_s)
+        weight = SHORTER_GAP_WEIGHT
+        if seconds > self.usual_gap_s:
+            weight = LONGER_GAP_WEIGHT if self.usual_gap_s else 1.0
+        self.usual_gap_s += weight * (seconds - self.usual_gap_s)
 
     def note_answer(self, seconds: float) -> None:
         """Record the time of a whole answer, and that the endpoint was found."""
@@ -171,15 +187,17 @@
 
     Attributes:
         is_loaded: Whether entries were read at least once.
+        paced_services: Services of which some endpoint has reported a pace.
     """
 
-    __slots__ = ("_by_name", "_clock", "_peers", "is_loaded")
+    __slots__ = ("_by_name", "_clock", "_peers", "is_loaded", "paced_services")
 
     def __init__(self, peers: Peers, clock: Clock) -> None:
         self._peers = peers
         self._clock = clock
         self._by_name: dict[str, Endpoint] = {}
         self.is_loaded = False
+        self.paced_services: set[str] = set()
 
     def __iter__(self) -> Iterator[Endpoint]:
         yield from list(self._by_name.values())
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -8,7 +8,7 @@
 
 
 class FollowNotices:
-    """Filter that records the limits that endpoints name.
+    """Filter that records the limits and the paces that endpoints report.
 
     Args:
         endpoints: Known endpoints.
@@ -27,9 +27,25 @@
         if endpoint is None or endpoint.entry.born != msg.born:
             # A new incarnation starts without the notices of the one before it.
             return
+        if msg.pace_factor is not None:
+            yield from self._learn_pace(endpoint, msg.pace_factor)
         if msg.limit_per_s is not None or msg.is_signed:
             yield from self._learn_limit(endpoint, msg)
 
+    def _learn_pace(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
+        service = endpoint.entry.service
+        if not endpoint.pace.learn(factor, self._clock.now()):
+            return
+        if service not in self._endpoints.paced_services:
+            self._endpoints.paced_services.add(service)
+            yield Decision(
+                "placed_by_pace",
+                reason="an endpoint reports its pace",
+                service=service,
+                endpoint=endpoint.name,
+                factor=factor,
+            )
+
     def _learn_limit(
         self, endpoint: Endpoint, msg: EndpointNotice
     ) -> Iterator[Message]:
--- a/hawthornyard/edge/messages/notice.py
+++ b/hawthornyard/edge/messages/notice.py
@@ -15,9 +15,18 @@
             such an answer lacks no longer holds.
         limit_per_s: Requests a second that it takes from all gateways together, None
             if it names no limit.
+        pace_factor: Time that work takes there at this moment, relative to the usual
+            time, None if it reports none.
     """
 
-    __slots__ = ("endpoint", "born", "asked_at", "is_signed", "limit_per_s")
+    __slots__ = (
+        "endpoint",
+        "born",
+        "asked_at",
+        "is_signed",
+        "limit_per_s",
+        "pace_factor",
+    )
 
     def __init__(
         self,
@@ -27,12 +36,14 @@
         *,
         is_signed: bool,
         limit_per_s: float | None = None,
+        pace_factor: float | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.born = born
         self.asked_at = asked_at
         self.is_signed = is_signed
         self.limit_per_s = limit_per_s
+        self.pace_factor = pace_factor
 
 
 class LimitChanged(Message):
--- /dev/null
+++ b/hawthornyard/edge/pace_placement.py
@@ -0,0 +1,183 @@
+"""Choose the endpoint of a request by the pace that endpoints report."""
+
+from statistics import median
+
+from ..core import Clock
+from .deployment import EngineRule
+from .directory import Directory
+from .endpoints import Endpoint, Endpoints
+from .messages import Request
+from .pace import MAX_PACE_AGE_S
+from .placement import (
+    DEFAULT_PREFILL_RATE,
+    DURATION_COST,
+    FAILURE_COST,
+    LIMIT_COST,
+    MEMORY_COST,
+    PRESSURE_COST,
+    PRESSURE_SHARE,
+    Placement,
+)
+
+# Costs have no unit: 1.0 is the cost of one response that is late.
+
+# Endpoints that are compared when gateways are many. Dispatched prompts are told to
+# all gateways at once, so that few gateways choose on the same news; two choices would
+# often both be slow or both be busy.
+N_PACED_CHOICES = 6
+# A decoding step that also reads a chunk of a prompt takes some 16 ms, one without
+# 7 ms and more.
+MIXED_STEP_FACTOR = 2.0
+# Share of the allowed gap from which on a gap is at risk of being too long: the pace
+# changes many times a second.
+RISKY_GAP_SHARE = 0.8
+# Share of the target latency from which on a first event is at risk of being late.
+RISKY_FIRST_EVENT_SHARE = 0.7
+# Cost of a first event that takes the whole target and is not at risk.
+FIRST_EVENT_COST = 0.5
+
+
+class PacePlacement:
+    """Policy for engines that report how long work takes there at this moment.
+
+    It addresses a load of long prompts among streams with an allowed gap, on machines
+    that are slow for a part of a second at a time: a prompt that is read at an engine
+    whose machine is slow makes the events of all streams there late.
+
+    Args:
+        directory: Deployment in force, for the memory and event size of engines.
+        endpoints: Known endpoints.
+        clock: Source of time.
+        default: Policy for services whose endpoints report no pace, and for plain
+            requests.
+    """
+
+    __slots__ = ("_clock", "_default", "_directory", "_endpoints")
+
+    def __init__(
+        self,
+        directory: Directory,
+        endpoints: Endpoints,
+        clock: Clock,
+        default: Placement,
+    ) -> None:
+        self._directory = directory
+        self._endpoints = endpoints
+        self._clock = clock
+        self._default = default
+
+    def n_choices(self, request: Request) -> int:
+        """Return how many endpoints are compared when gateways are many."""
+        if not self._is_paced(request):
+            return self._default.n_choices(request)
+        return N_PACED_CHOICES
+
+    def has_capacity(self, request: Request, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint can start a request without making others late.
+
+        Slots and memory count as in the default policy, the memory with what each
+        request holds when it is longest. At a paced service, neither the first event
+        of the request nor the gaps of the streams there may become too long.
+        """
+        if not self._default.has_capacity(request, endpoint):
+            return False
+        if not self._is_paced(request):
+            return True
+        return not (self._is_late(request, endpoint) or self._delays_streams(endpoint))
+
+    def cost(self, request: Request, endpoint: Endpoint) -> float:
+        """Return the expected number of late responses, plus memory use and risks."""
+        if not self._is_paced(request):
+            return self._default.cost(request, endpoint)
+        memory = self._memory_share(request, endpoint)
+        return (
+            self._first_event_cost(request, endpoint)
+            + self._gap_risk(endpoint) * endpoint.n_running
+            + MEMORY_COST * memory
+            + PRESSURE_COST * max(0.0, memory - PRESSURE_SHARE)
+            + LIMIT_COST * endpoint.allowance.limit.occupancy
+            + DURATION_COST * self._duration_s(request, endpoint)
+            + FAILURE_COST * endpoint.failure_rate
+        )
+
+    def _is_paced(self, request: Request) -> bool:
+        if request.call.size is None:
+            return False
+        if request.service not in self._endpoints.paced_services:
+            return False
+        rule = self._directory.service(request.service)
+        return rule is not None and rule.engine is not None
+
+    def _is_late(self, request: Request, endpoint: Endpoint) -> bool:
+        # A wait helps only while other prompts are ahead.
+        left_s = request.arrived_at + request.route.target_s - self._clock.now()
+        has_others = endpoint.prefill_backlog > 0
+        return has_others and self._first_event_s(request, endpoint) > left_s
+
+    def _delays_streams(self, endpoint: Endpoint) -> bool:
+        if not endpoint.n_running or not endpoint.pace.is_fresh:
+            return False
+        return self._gap_risk(endpoint) >= 1.0
+
+    def _first_event_cost(self, request: Request, endpoint: Endpoint) -> float:
+        waited_s = self._clock.now() - request.arrived_at
+        first_event_s = waited_s + self._first_event_s(request, endpoint)
+        share = first_event_s / request.route.target_s
+        risk = (share - RISKY_FIRST_EVENT_SHARE) / (1.0 - RISKY_FIRST_EVENT_SHARE)
+        return FIRST_EVENT_COST * share + max(0.0, risk)
+
+    def _first_event_s(self, request: Request, endpoint: Endpoint) -> float:
+        size = request.call.size
+        n_tokens = endpoint.prefill_backlog + (size.n_prompt_tokens if size else 0)
+        usual_s = n_tokens / self._prefill_rate(endpoint)
+        return usual_s + self._slow_spell_s(usual_s, endpoint)
+
+    def _slow_spell_s(self, usual_s: float, endpoint: Endpoint) -> float:
+        # Seconds that work takes longer since the machine is slow now; it is not for
+        # longer than a slow spell lasts.
+        pace = endpoint.pace
+        if not pace.is_fresh or pace.factor <= 1.0:
+            return 0.0
+        left_s = MAX_PACE_AGE_S - pace.age_s
+        return min(usual_s * (pace.factor - 1.0), left_s * (1.0 - 1.0 / pace.factor))
+
+    def _gap_risk(self, endpoint: Endpoint) -> float:
+        # Risk that reading a prompt now makes a gap of a stream there too long.
+        gap_target_s = self._directory.gap_target_s(endpoint.entry.service)
+        if not gap_target_s:
+            return 0.0
+        usual_s = self._usual_gap_s(endpoint)
+        gap_s = usual_s * MIXED_STEP_FACTOR * endpoint.pace.factor
+        share = gap_s / gap_target_s
+        return min(1.0, max(0.0, share - RISKY_GAP_SHARE) / (1.0 - RISKY_GAP_SHARE))
+
+    def _memory_share(self, request: Request, endpoint: Endpoint) -> float:
+        engine = self._engine(endpoint)
+        if engine is None or not engine.memory_tokens:
+            return 0.0
+        return (endpoint.used_tokens + request.n_tokens) / engine.memory_tokens
+
+    def _duration_s(self, request: Request, endpoint: Endpoint) -> float:
+        engine = self._engine(endpoint)
+        if engine is None:
+            return 0.0
+        n_events = request.n_output_tokens / engine.tokens_per_event
+        return n_events * self._usual_gap_s(endpoint)
+
+    def _engine(self, endpoint: Endpoint) -> EngineRule | None:
+        rule = self._directory.service(endpoint.entry.service)
+        return rule.engine if rule is not None else None
+
+    def _usual_gap_s(self, endpoint: Endpoint) -> float:
+        if endpoint.usual_gap_s:
+            return endpoint.usual_gap_s
+        others = self._endpoints.of_service(endpoint.entry.service)
+        known = [other.usual_gap_s for other in others if other.usual_gap_s]
+        return median(known) if known else 0.0
+
+    def _prefill_rate(self, endpoint: Endpoint) -> float:
+        if endpoint.prefill_rate:
+            return endpoint.prefill_rate
+        others = self._endpoints.of_service(endpoint.entry.service)
+        known = [other.prefill_rate for other in others if other.prefill_rate]
+        return median(known) if known else DEFAULT_PREFILL_RATE
--- a/hawthornyard/edge/placement.py
+++ b/hawthornyard/edge/placement.py
@@ -6,6 +6,7 @@
 from .directory import Directory
 from .endpoints import Endpoint, Endpoints
 from .messages import Request
+from .sampling import N_CHOICES
 
 # Prefill rate in tokens per second that is assumed until an engine of the service was
 # measured; from then on, engines without a measurement get the service's median.
@@ -43,6 +44,10 @@
         """Return the cost of a request at an endpoint; the lowest is chosen."""
         ...
 
+    def n_choices(self, request: Request) -> int:
+        """Return how many endpoints are compared when gateways are many."""
+        ...
+
 
 class LeastLoaded:
     """Policy that prefers early answers, low memory use and low failure rates.
@@ -101,6 +106,10 @@
             + FAILURE_COST * endpoint.failure_rate
         )
 
+    def n_choices(self, request: Request) -> int:
+        """Return the usual sample size."""
+        return N_CHOICES
+
     def _duration_s(self, request: Request, endpoint: Endpoint) -> float:
         rule = self._directory.service(endpoint.entry.service)
         if rule is None or rule.engine is None:
--- a/hawthornyard/edge/request/route.py
+++ b/hawthornyard/edge/request/route.py
@@ -42,7 +42,9 @@
         with_capacity = [
             end for end in candidates if self._placement.has_capacity(request, end)
         ]
-        drawn = self._sampling.draw(with_capacity or candidates)
+        drawn = self._sampling.draw(
+            with_capacity or candidates, self._placement.n_choices(request)
+        )
         endpoint = cheapest(self._placement, request, drawn)
         if endpoint is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
@@ -56,6 +58,7 @@
             cost=round(self._placement.cost(request, endpoint), 3),
             n_candidates=len(candidates),
             n_running=endpoint.n_running,
+            pace=endpoint.pace.shown,
             team=request.team,
             route=request.route.name,
             service=request.service,
--- a/hawthornyard/edge/sampling.py
+++ b/hawthornyard/edge/sampling.py
@@ -29,8 +29,15 @@
         self._peers = peers
         self._random_source = random_source
 
-    def draw(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
-        """Return the endpoints to compare: a sample, or all if gateways are few."""
-        if not self._peers.are_many or len(endpoints) <= N_CHOICES:
+    def draw(
+        self, endpoints: Sequence[Endpoint], n_choices: int = N_CHOICES
+    ) -> list[Endpoint]:
+        """Return the endpoints to compare: a sample, or all if gateways are few.
+
+        Args:
+            endpoints: Endpoints to draw from.
+            n_choices: Size of the sample.
+        """
+        if not self._peers.are_many or len(endpoints) <= n_choices:
             return list(endpoints)
-        return self._random_source.sample(endpoints, N_CHOICES)
+        return self._random_source.sample(endpoints, n_choices)
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -17,6 +17,8 @@
 PRIORITY_HEADER = "X-Hawthornyard-Request-Priority"
 # Requests a second that the endpoint takes from all gateways together.
 LIMIT_HEADER = "Server-Limit"
+# "running,waiting,slots,pace"; the pace is 100 if work takes as long as usual.
+SERVER_LOAD_HEADER = "X-Hawthornyard-Server-Load"
 BACKUP_HEADER = "X-Hawthornyard-Kv-Backup"
 COPY_SOURCE_HEADER = "Kv-From"
 LAST_EVENT_ID_HEADER = "Last-Event-Id"
--- a/hawthornyard/platform/notices.py
+++ b/hawthornyard/platform/notices.py
@@ -7,9 +7,14 @@
 
 from ..core import Clock, Inbox
 from ..edge.messages import EndpointNotice
-from .names import LIMIT_HEADER, SIGNATURE_HEADER
+from ..edge.pace import MAX_FACTOR, MIN_FACTOR
+from ..errors import RecordError
+from .fields import shorten
+from .names import LIMIT_HEADER, SERVER_LOAD_HEADER, SIGNATURE_HEADER
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+_FIGURE = re.compile(r"[0-9]{1,9}")
+_USUAL_PACE = 100
 _MISDIRECTED = 421
 
 
@@ -68,10 +73,52 @@
                 is_signed=SIGNATURE_HEADER in headers
                 and (limit_text is None or limit_per_s is not None),
                 limit_per_s=limit_per_s,
+                pace_factor=_read_pace(headers, endpoint),
             )
         )
 
 
+def _read_pace(headers: Mapping[str, str], endpoint: str) -> float | None:
+    text = headers.get(SERVER_LOAD_HEADER)
+    if text is None:
+        return None
+    try:
+        return decode_pace(text)
+    except RecordError as exc:
+        logger.bind(
+            endpoint=endpoint, header=SERVER_LOAD_HEADER, detail=str(exc)
+        ).warning("notice_unreadable")
+        return None
+
+
+def decode_pace(text: str) -> float | None:
+    """Return the pace in a load header, None if it has no such figure.
+
+    Args:
+        text: Running, waiting and slots, and on some deployments the pace in percent.
+
+    Returns:
+        Time that work takes, relative to the usual time.
+
+    Raises:
+        RecordError: If the figures are malformed or out of bounds.
+    """
+    figures = [figure.strip() for figure in text.split(",")]
+    if len(figures) not in (3, 4) or not all(map(_FIGURE.fullmatch, figures)):
+        raise RecordError(
+            f"the load is {shorten(text)}, expected 3 or 4 integers of up to 9 digits"
+        )
+    if len(figures) == 3:
+        return None
+    factor = int(figures[3]) / _USUAL_PACE
+    if not MIN_FACTOR <= factor <= MAX_FACTOR:
+        raise RecordError(
+            f"the pace is {figures[3]}, expected {MIN_FACTOR * _USUAL_PACE:g} to "
+            f"{MAX_FACTOR * _USUAL_PACE:g}"
+        )
+    return factor
+
+
 def decode_decimal(text: str) -> float | None:
     """Return a number from 0 up with up to 9 digits before and after the point.
 
