Place by the pace with prompts that are read since the last report

With 45 gateways each reports its whole load every 1.1 s, and at once only what it sends, while an engine reads a prompt in less than half a second. Prompts of other gateways thus counted as waiting long after they were read, which made free engines look busy and measured prefill rates too high. Endpoints that report a pace now keep a queue of the prompts reported (PrefillQueue, fed by FollowPrefills, which only listens to the load reports); it shrinks at the engine's prefill rate between reports, and a later report that confirms a prompt keeps it. Other endpoints count as before.

Weighed: reporting each first event at once as well, which would add a datagram to each gateway for each request.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -73,3 +73,25 @@
       | 3,0,24,nan       | 200    | none | one    |
       | 3,0,24,250,1     | 200    | none | one    |
       | 250              | 200    | none | one    |
+
+  @fixture.edge
+  Scenario Outline: Prompts of other gateways count until the engine has read them
+    Given the engines engine-a
+    And engine-a has read 10000 prompt tokens a second
+    When a pace of 1.0 is reported by engine-a
+    And other gateways report the prompt tokens <reports> at engine-a
+    Then <n> tokens await prefill there <after> seconds after the first report
+
+    # A report is gateway:seconds:tokens; "!" marks one that arrives late.
+    Examples:
+      | reports                 | after | n    |
+      | 2:0.0:3000              | 0.1   | 2000 |
+      | 2:0.0:3000              | 0.5   | 0    |
+      | 2:0.0:3000 2:0.1:6000   | 0.4   | 2000 |
+      | 2:0.0:3000 3:0.0:3000   | 0.4   | 2000 |
+      | 2:0.0:6000 2:0.2:3000   | 0.2   | 1000 |
+      | 2:0.0:3000 2:0.1:0      | 0.1   | 0    |
+      | 2:0.0:3000 2:0.1:0 2!0.1:3000 | 0.1 | 0 |
+      | 2:0.0:90000             | 1.9   | 71000 |
+      | 2:0.0:90000             | 2.1   | 0    |
+      | 9:0.0:3000              | 0.1   | 0    |
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -9,9 +9,10 @@
 
 from features.support.edge import TICK_S, EdgeDriver
 from features.support.platform_bytes import SIGNATURE_HEADERS
-from hawthornyard.edge.messages import Dispatch, EndpointNotice
+from hawthornyard.edge.messages import Dispatch, EndpointNotice, GatewaysRead
 from hawthornyard.edge.pace_placement import PacePlacement
 from hawthornyard.edge.placement import LeastLoaded
+from hawthornyard.frames import EndpointLoad, GatewayLoads
 
 N_EVENTS = 20
 
@@ -133,3 +134,31 @@
     messages = [json.loads(line)["record"]["message"] for line in context.lines]
     n = messages.count("notice_unreadable")
     assert n == (1 if count == "one" else 0), (n, messages)
+
+
+@given("{name} has read {rate:g} prompt tokens a second")
+def set_prefill_rate(context: Context, name: str, rate: float) -> None:
+    edge = context.edge
+    edge.state.endpoints.get(name).own_prefill_rate = rate
+    edge.push(GatewaysRead({f"gateway-{n}": f"peer-{n}" for n in (1, 2, 3)}))
+
+
+@when("other gateways report the prompt tokens {reports} at {name}")
+def report_prompts(context: Context, reports: str, name: str) -> None:
+    edge = context.edge
+    context.first_at = edge.clock.now()
+    for sequence, report in enumerate(reports.split()):
+        is_late = "!" in report
+        gateway, at, n_tokens = report.replace("!", ":").split(":")
+        edge.clock.advance(context.first_at + float(at) - edge.clock.now())
+        load = EndpointLoad(name, 1, 0, int(n_tokens))
+        sequence = 0 if is_late else sequence
+        edge.push(GatewayLoads(f"gateway-{gateway}", sequence, [load]))
+
+
+@then("{n:d} tokens await prefill there {after:g} seconds after the first report")
+def check_waiting(context: Context, n: int, after: float) -> None:
+    edge = context.edge
+    edge.clock.advance(context.first_at + after - edge.clock.now())
+    (endpoint,) = edge.state.endpoints
+    assert endpoint.prefill_backlog == n, endpoint.prefill_backlog
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -11,6 +11,7 @@
     FollowDeployment,
     FollowEndpoints,
     FollowNotices,
+    FollowPrefills,
     FollowStore,
     ShareLimits,
     ShareLoads,
@@ -125,6 +126,7 @@
         FollowDeployment(state.directory, clock),
         FollowEndpoints(state.endpoints, clock),
         FollowNotices(state.endpoints, clock),
+        FollowPrefills(state.endpoints, state.peers, clock),
         WatchEngines(
             state.endpoints,
             state.directory,
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -7,6 +7,7 @@
 from .messages import EndpointEntry, Request
 from .pace import Pace
 from .peers import Peers
+from .prefill_queue import PrefillQueue
 
 # Weights of a new sample in the exponential moving averages of an endpoint: the gap
 # between events, the prefill rate, the answer time and the failure rate.
@@ -45,11 +46,13 @@
         mean_gap_s: Moving average of the gap between its events, 0 before the first.
         mean_answer_s: Moving average of the time of whole answers, 0 before the first.
         pace: How long work takes there at this moment.
+        prefills: Prompts of other gateways that wait there.
         usual_gap_s: Gap between its events while nothing slows it down, 0 before the
             first.
     """
 
     __slots__ = (
+        "_clock",
         "_peers",
         "allowance",
         "entry",
@@ -62,12 +65,14 @@
         "n_absences",
         "own_prefill_rate",
         "pace",
+        "prefills",
         "requests",
         "usual_gap_s",
     )
 
     def __init__(self, entry: EndpointEntry, peers: Peers, clock: Clock) -> None:
         self.entry = entry
+        self._clock = clock
         self._peers = peers
         self.requests: dict[str, Request] = {}
         self.mirrored: dict[str, Request] = {}
@@ -80,6 +85,7 @@
         self.mean_gap_s = 0.0
         self.mean_answer_s = 0.0
         self.pace = Pace(clock)
+        self.prefills = PrefillQueue()
         self.usual_gap_s = 0.0
 
     @property
@@ -115,8 +121,16 @@
 
     @property
     def prefill_backlog(self) -> int:
-        """Return the prompt tokens of all gateways that await prefill."""
-        return self.own_prefill_backlog + self._peers.prefill_backlog(self.name)
+        """Return the prompt tokens of all gateways that await prefill.
+
+        Of an endpoint that reports a pace, those that it has probably read since the
+        other gateways' reports do not count.
+        """
+        rate = self.prefill_rate
+        if not self.pace.is_reported or not rate:
+            return self.own_prefill_backlog + self._peers.prefill_backlog(self.name)
+        n_others = self.prefills.n_waiting(rate, self._clock.now())
+        return self.own_prefill_backlog + n_others
 
     @property
     def prefill_rate(self) -> float:
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,8 +1,8 @@
 """Keep the gateway's view of the deployment, endpoints and other gateways.
 
 The chain begins with FollowStore, FollowDeployment, FollowEndpoints, FollowNotices,
-WatchEngines and TrackCrashes; ShareLimits and ShareLoads are its last filters, so
-that they see each dispatch.
+FollowPrefills, WatchEngines and TrackCrashes; ShareLimits and ShareLoads are its last
+filters, so that they see each dispatch.
 """
 
 from .crashes import TrackCrashes
@@ -10,6 +10,7 @@
 from .endpoints import FollowEndpoints
 from .limits import ShareLimits
 from .notices import FollowNotices
+from .prefills import FollowPrefills
 from .share import ShareLoads
 from .store import FollowStore
 from .watch import WatchEngines
@@ -18,6 +19,7 @@
     "FollowDeployment",
     "FollowEndpoints",
     "FollowNotices",
+    "FollowPrefills",
     "FollowStore",
     "ShareLimits",
     "ShareLoads",
--- a/hawthornyard/edge/pace.py
+++ b/hawthornyard/edge/pace.py
@@ -44,6 +44,11 @@
         """Return the newest figure, the mean if it is too old; 1.0 is usual."""
         return self._factor if self.is_fresh else self.mean_factor
 
+    @property
+    def is_reported(self) -> bool:
+        """Return whether a figure of the endpoint has arrived at least once."""
+        return self._read_at > float("-inf")
+
     @property
     def shown(self) -> float | None:
         """Return the newest figure for logs, None if it is too old."""
