Probe the pace of running engines and tell other gateways of slow ones

A gateway of 45 sees only a few responses of each engine, so that most slow spells of 0.6 s passed unseen. One gateway per endpoint, chosen by rendezvous hashing, now reads the health path when it has known no figure for 0.25 s and the endpoint runs something; at most 8 probes a second. Each gateway tells the others by a datagram (EndpointPace) when an endpoint has become slower than they know, with the age of the figure, within 1,000 bytes a second. Ownership is rated a few endpoints a tick, since 600 endpoints of 340 gateways would cost too much at once; there a lost owner is replaced within half a minute, at 45 gateways within some 2 s. ServiceRule has the health path.

Weighed: telling each figure, which is 44 datagrams a figure; paces in load reports, which are 1.1 s old at 45 gateways.

Tests: features/pace.feature 47 of 47, named_limits 35 of 35, fuzz 7 of 7 pass. The new scenarios use messages that did not exist before.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -95,3 +95,71 @@
       | 2:0.0:90000             | 1.9   | 71000 |
       | 2:0.0:90000             | 2.1   | 0    |
       | 9:0.0:3000              | 0.1   | 0    |
+
+  @fixture.edge
+  Scenario: Slowness is told to the other gateways once in its lifetime
+    Given the engines engine-a
+    And 3 other gateways
+    When a pace of 1.0 is reported by engine-a
+    Then 0 datagrams tell of a pace
+    When a pace of 2.5 is reported by engine-a
+    And a pace of 2.5 is reported by engine-a
+    Then 3 datagrams tell of a pace
+    When 0.7 seconds go by
+    And a pace of 2.5 is reported by engine-a
+    Then 6 datagrams tell of a pace
+
+  @fixture.edge
+  Scenario Outline: Datagrams on the pace stay within the bytes of a gateway
+    Given the engines engine-a
+    And <n> other gateways
+    When engine-a reports paces of 2.5 and 1.0 in turn for 60 seconds
+    Then the datagrams on the pace took at most 1100 bytes a second
+
+    Examples:
+      | n   |
+      | 44  |
+      | 339 |
+
+  @fixture.edge
+  Scenario Outline: A pace that another gateway tells counts from when it was read
+    Given the engines engine-a
+    And 2 other gateways
+    When <gateway> tells a pace of <factor> of incarnation <born>, <age> seconds old
+    Then the gateway takes the pace of engine-a for <taken>
+
+    Examples:
+      | gateway   | factor | born | age  | taken |
+      | gateway-2 | 2.5    | 0    | 0.2  | 2.5   |
+      | gateway-2 | 2.5    | 0    | 0.7  | 1.075 |
+      | gateway-2 | 2.5    | 1    | 0.2  | 1.0   |
+      | gateway-2 | 2.5    | 0    | -3.0 | 1.0   |
+      | gateway-2 | -2.5   | 0    | 0.2  | 1.0   |
+      | gateway-2 | 1e9    | 0    | 0.2  | 1.0   |
+      | gateway-9 | 2.5    | 0    | 0.2  | 1.0   |
+
+  Scenario Outline: One gateway probes an endpoint that runs something
+    Given 5 gateways that know engine-a, on which gateway 0 runs a stream
+    And engine-a has reported a pace once
+    When 3 seconds go by for all gateways, <fault>
+    Then between <least> and <most> probes were requested in the last second
+    And they were requested by one gateway
+
+    # Probes are due after 0.25 s, at ticks of 0.05 s.
+    Examples:
+      | fault                                       | least | most |
+      | and nothing fails                           | 3     | 4    |
+      | and then 4 without the gateway that probes  | 3     | 4    |
+
+  @fixture.edge
+  Scenario Outline: Endpoints that need no probe get none
+    Given the engines engine-a
+    When a pace of 1.0 is reported by engine-a
+    And for 2 seconds <state>
+    Then no probe was requested
+
+    Examples:
+      | state                                        |
+      | it runs nothing                              |
+      | it runs a stream and reports with responses  |
+      | it drains while it runs a stream                  |
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -8,13 +8,21 @@
 from loguru import logger
 
 from features.support.edge import TICK_S, EdgeDriver
+from features.support.edge_fleet import EdgeFleet
 from features.support.platform_bytes import SIGNATURE_HEADERS
-from hawthornyard.edge.messages import Dispatch, EndpointNotice, GatewaysRead
+from hawthornyard.codec import MsgpackCodec
+from hawthornyard.edge.messages import (
+    Dispatch,
+    EndpointNotice,
+    GatewaysRead,
+    ProbeRequested,
+)
 from hawthornyard.edge.pace_placement import PacePlacement
 from hawthornyard.edge.placement import LeastLoaded
-from hawthornyard.frames import EndpointLoad, GatewayLoads
+from hawthornyard.frames import EndpointLoad, EndpointPace, GatewayLoads
 
 N_EVENTS = 20
+IP_UDP_BYTES = 28
 
 
 def report_pace(edge: EdgeDriver, name: str, factor: float, born: int = 0) -> None:
@@ -162,3 +170,119 @@
     edge.clock.advance(context.first_at + after - edge.clock.now())
     (endpoint,) = edge.state.endpoints
     assert endpoint.prefill_backlog == n, endpoint.prefill_backlog
+
+
+@when("{name} reports paces of {a:g} and {b:g} in turn for {seconds:g} seconds")
+def report_in_turn(
+    context: Context, name: str, a: float, b: float, seconds: float
+) -> None:
+    context.seconds = seconds
+    for index in range(round(seconds / TICK_S)):
+        report_pace(context.edge, name, a if index % 8 < 4 else b)
+        context.edge.advance(TICK_S)
+
+
+@then("{n:d} datagrams tell of a pace")
+def check_told(context: Context, n: int) -> None:
+    frames = context.edge.messages_of(EndpointPace)
+    assert len(frames) == n, frames
+    assert len({frame.peer for frame in frames}) == min(n, 3), frames
+
+
+@then("the datagrams on the pace took at most {most:g} bytes a second")
+def check_bytes(context: Context, most: float) -> None:
+    codec = MsgpackCodec()
+    frames = context.edge.messages_of(EndpointPace)
+    n_bytes = sum(len(codec.encode(frame)) + IP_UDP_BYTES for frame in frames)
+    assert 0 < n_bytes <= most * context.seconds, n_bytes
+    peers = {frame.peer for frame in frames}
+    assert len(peers) == context.edge.state.peers.n_gateways - 1, len(peers)
+
+
+@when(
+    "{gateway} tells a pace of {factor:g} of incarnation {born:d}, {age:g} seconds old"
+)
+def tell_pace(
+    context: Context, gateway: str, factor: float, born: int, age: float
+) -> None:
+    context.edge.push(EndpointPace(gateway, "engine-a", born, factor, age))
+
+
+@given("{n:d} gateways that know {name}, on which gateway 0 runs a stream")
+def start_probing(context: Context, n: int, name: str) -> None:
+    context.fleet = EdgeFleet(n, [name])
+    context.fleet.run(1.0, "summary", 0.0, [0])
+    context.fleet.gateways[0].call("summary")
+
+
+@given("{name} has reported a pace once")
+def report_to_all(context: Context, name: str) -> None:
+    for gateway in context.fleet.gateways:
+        report_pace(gateway, name, 1.0)
+
+
+@when("3 seconds go by for all gateways, and nothing fails")
+def run_fleet(context: Context) -> None:
+    context.fleet.run(2.0, "summary", 0.0, [0])
+    context.n_probes = _count_probes(context)
+    context.fleet.run(1.0, "summary", 0.0, [0])
+
+
+@when("3 seconds go by for all gateways, and then 4 without the gateway that probes")
+def run_fleet_and_cut(context: Context) -> None:
+    run_fleet(context)
+    (prober,) = _probers(context)
+    context.fleet.cut_off = {prober}
+    context.fleet.run(4.0, "summary", 0.0, [0])
+    context.n_probes = _count_probes(context)
+    # What is cut off probes for itself, within its own bound.
+    context.n_probes[prober] = None
+    context.fleet.run(1.0, "summary", 0.0, [0])
+
+
+def _count_probes(context: Context) -> list[int | None]:
+    return [len(gw.messages_of(ProbeRequested)) for gw in context.fleet.gateways]
+
+
+def _probers(context: Context) -> dict[int, int]:
+    """Return the number of new probes of each gateway that requested some."""
+    counts = zip(context.n_probes, _count_probes(context), strict=True)
+    new = {i: n - before for i, (before, n) in enumerate(counts) if before is not None}
+    return {index: n for index, n in new.items() if n}
+
+
+@then("between {least:d} and {most:d} probes were requested in the last second")
+def check_probe_rate(context: Context, least: int, most: int) -> None:
+    probers = _probers(context)
+    assert least <= sum(probers.values()) <= most, probers
+
+
+@then("they were requested by one gateway")
+def check_one_prober(context: Context) -> None:
+    assert len(_probers(context)) == 1, _probers(context)
+
+
+@when("for 2 seconds it runs nothing")
+def run_nothing(context: Context) -> None:
+    context.edge.advance(2.0)
+
+
+@when("for 2 seconds it runs a stream and reports with responses")
+def run_with_responses(context: Context) -> None:
+    context.edge.call("summary")
+    for _ in range(20):
+        report_pace(context.edge, "engine-a", 1.0)
+        context.edge.advance(0.1)
+
+
+@when("for 2 seconds it drains while it runs a stream")
+def run_while_draining(context: Context) -> None:
+    context.edge.call("summary")
+    report_pace(context.edge, "engine-a", 1.0)
+    context.edge.add_endpoint("engine-a", is_draining=True)
+    context.edge.advance(2.0)
+
+
+@then("no probe was requested")
+def check_no_probe(context: Context) -> None:
+    assert not context.edge.messages_of(ProbeRequested)
--- a/features/support/edge_fleet.py
+++ b/features/support/edge_fleet.py
@@ -5,11 +5,11 @@
 from features.support.edge import TICK_S, EdgeDriver
 from hawthornyard.core import Message
 from hawthornyard.edge.messages import Dispatch, EndpointNotice, GatewaysRead
-from hawthornyard.frames import EndpointLimit, GatewayLoads
+from hawthornyard.frames import EndpointLimit, EndpointPace, GatewayLoads
 from hawthornyard.gateway.messages import ReplyFailed
 
 ANSWER_S = 0.05
-FRAMES = (EndpointLimit, GatewayLoads)
+FRAMES = (EndpointLimit, EndpointPace, GatewayLoads)
 
 
 class Arrival:
@@ -115,7 +115,8 @@
                 if isinstance(msg, Dispatch):
                     now = gateway.clock.now()
                     self.arrivals.append(Arrival(now, msg.endpoint, index))
-                    self._answers.append((now + ANSWER_S, index, msg))
+                    if not msg.is_stream:
+                        self._answers.append((now + ANSWER_S, index, msg))
                 elif isinstance(msg, FRAMES):
                     self._deliver(index, msg)
 
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -21,6 +21,7 @@
     Ended,
     EndpointLimit,
     EndpointLoad,
+    EndpointPace,
     Failed,
     Frame,
     GatewayHeartbeat,
@@ -82,6 +83,7 @@
     31: CrashReportsRequested,
     32: PartsSound,
     33: EndpointLimit,
+    34: EndpointPace,
 }
 _TAG_BY_TYPE = {cls: tag for tag, cls in _TYPE_BY_TAG.items()}
 _CHECKER_BY_TAG = {tag: FieldChecker(cls) for tag, cls in _TYPE_BY_TAG.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -13,8 +13,10 @@
     FollowNotices,
     FollowPrefills,
     FollowStore,
+    ProbePaces,
     ShareLimits,
     ShareLoads,
+    SharePaces,
     TrackCrashes,
     WatchEngines,
 )
@@ -172,6 +174,8 @@
         *metrics_filters,
         CloseRequests(state.inflight, clock),
         ShareLimits(state.name, state.peers, state.endpoints, clock),
+        SharePaces(state.name, state.peers, state.endpoints, clock),
+        ProbePaces(state.endpoints, state.directory, state.peers, clock),
         ShareLoads(
             state.name,
             state.peers,
--- a/hawthornyard/edge/deployment.py
+++ b/hawthornyard/edge/deployment.py
@@ -90,9 +90,16 @@
         max_connections: Connections that one endpoint accepts from all gateways.
         cold_requests_per_s: Largest request rate of a cold endpoint, 0 for no limit.
         engine: Rule of its engines, None for a plain service.
+        health_path: Path on which its endpoints respond at once, empty if unknown.
     """
 
-    __slots__ = ("name", "max_connections", "cold_requests_per_s", "engine")
+    __slots__ = (
+        "name",
+        "max_connections",
+        "cold_requests_per_s",
+        "engine",
+        "health_path",
+    )
 
     def __init__(
         self,
@@ -101,11 +108,13 @@
         max_connections: int = 0,
         cold_requests_per_s: float = 0.0,
         engine: EngineRule | None = None,
+        health_path: str = "",
     ) -> None:
         self.name = name
         self.max_connections = max_connections
         self.cold_requests_per_s = cold_requests_per_s
         self.engine = engine
+        self.health_path = health_path
 
 
 class ServiceShare(Message):
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,8 +1,8 @@
 """Keep the gateway's view of the deployment, endpoints and other gateways.
 
 The chain begins with FollowStore, FollowDeployment, FollowEndpoints, FollowNotices,
-FollowPrefills, WatchEngines and TrackCrashes; ShareLimits and ShareLoads are its last
-filters, so that they see each dispatch.
+FollowPrefills, WatchEngines and TrackCrashes; ShareLimits, SharePaces, ProbePaces and
+ShareLoads are its last filters, so that they see each dispatch and each pace.
 """
 
 from .crashes import TrackCrashes
@@ -10,7 +10,9 @@
 from .endpoints import FollowEndpoints
 from .limits import ShareLimits
 from .notices import FollowNotices
+from .paces import SharePaces
 from .prefills import FollowPrefills
+from .probe import ProbePaces
 from .share import ShareLoads
 from .store import FollowStore
 from .watch import WatchEngines
@@ -21,8 +23,10 @@
     "FollowNotices",
     "FollowPrefills",
     "FollowStore",
+    "ProbePaces",
     "ShareLimits",
     "ShareLoads",
+    "SharePaces",
     "TrackCrashes",
     "WatchEngines",
 ]
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -4,7 +4,7 @@
 
 from ...core import Clock, Decision, Handlers, Message
 from ..endpoints import Endpoint, Endpoints
-from ..messages import EndpointNotice, LimitChanged
+from ..messages import EndpointNotice, LimitChanged, PaceRead
 
 
 class FollowNotices:
@@ -34,8 +34,17 @@
 
     def _learn_pace(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
         service = endpoint.entry.service
+        was_slow = endpoint.pace.is_slow
         if not endpoint.pace.learn(factor, self._clock.now()):
             return
+        yield PaceRead(endpoint.name)
+        if endpoint.pace.is_slow != was_slow:
+            yield Decision(
+                "pace",
+                reason="slow" if not was_slow else "no longer slow",
+                endpoint=endpoint.name,
+                factor=factor,
+            )
         if service not in self._endpoints.paced_services:
             self._endpoints.paced_services.add(service)
             yield Decision(
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -13,6 +13,7 @@
 from .copy import CopyAnswered, CopyDropped, CopyRequested, CopySource
 from .dispatch import Cancel, Dispatch
 from .notice import EndpointNotice, LimitChanged
+from .pace import PaceRead, ProbeRequested
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
@@ -61,7 +62,9 @@
     "Matched",
     "Migration",
     "Origin",
+    "PaceRead",
     "PartAccused",
+    "ProbeRequested",
     "ReplyBegan",
     "ReplyEvents",
     "ReportRead",
--- a/hawthornyard/edge/pace.py
+++ b/hawthornyard/edge/pace.py
@@ -9,6 +9,8 @@
 # to take up to 2.5 times as long as usual.
 MIN_FACTOR = 0.2
 MAX_FACTOR = 10.0
+# From this factor on an endpoint counts as slow in logs and metrics.
+SLOW_FACTOR = 1.5
 # Weight of a new figure in the mean, which covers the last minute at a figure a second.
 MEAN_WEIGHT = 0.05
 
@@ -44,6 +46,11 @@
         """Return the newest figure, the mean if it is too old; 1.0 is usual."""
         return self._factor if self.is_fresh else self.mean_factor
 
+    @property
+    def is_slow(self) -> bool:
+        """Return whether work takes much longer than usual."""
+        return self.is_fresh and self.factor >= SLOW_FACTOR
+
     @property
     def is_reported(self) -> bool:
         """Return whether a figure of the endpoint has arrived at least once."""
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -22,6 +22,7 @@
     SIDECAR_TO_GATEWAY,
 )
 from .endpoint_limit import EndpointLimit
+from .endpoint_pace import EndpointPace
 from .frame import Frame
 from .greeting import Hello, Proof
 from .heartbeat import GatewayHeartbeat, Heartbeat, Subscribe
@@ -49,6 +50,7 @@
     "Ended",
     "EndpointLimit",
     "EndpointLoad",
+    "EndpointPace",
     "Failed",
     "Frame",
     "GatewayHeartbeat",
--- a/hawthornyard/platform/deployment.py
+++ b/hawthornyard/platform/deployment.py
@@ -1,5 +1,6 @@
 """Decode the operators' configuration into a deployment."""
 
+import re
 from typing import Any
 
 from ..edge.deployment import (
@@ -22,6 +23,7 @@
 )
 
 _SECONDS_PER_MS = 0.001
+_PATH = re.compile(r"/[!-~]{0,1023}")
 _BITS_PER_BYTE = 8
 _BITS_PER_MEGABIT = 1e6
 
@@ -72,9 +74,16 @@
         max_connections=int(get_number(item, "max_connections", 0.0)),
         cold_requests_per_s=get_number(item, "cold_per_s", 0.0),
         engine=_decode_engine(engine) if isinstance(engine, dict) else None,
+        health_path=_decode_health_path(item.get("health_check_path")),
     )
 
 
+def _decode_health_path(path: Any) -> str:
+    # Without it endpoints are only not probed, so a wrong one refuses no deployment.
+    is_path = isinstance(path, str) and _PATH.fullmatch(path)
+    return path if is_path else ""
+
+
 def _decode_engine(item: dict[str, Any]) -> EngineRule:
     return EngineRule(
         int(get_number(item, "slots", 1.0)),
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -36,6 +36,7 @@
     CrashReport,
     CrashReportsRequested,
     EndpointLimit,
+    EndpointPace,
     GatewayLoads,
     LeavingNotice,
     PartsSound,
@@ -181,6 +182,7 @@
             CrashReport,
             CrashReportsRequested,
             EndpointLimit,
+            EndpointPace,
             GatewayLoads,
             LeavingNotice,
             PartsSound,
@@ -321,6 +323,16 @@
                 for endpoint in state.endpoints
             ),
         )
+        add_gauge(
+            "endpoints_with_pace",
+            "Endpoints whose reported pace is recent enough to be used.",
+            lambda: sum(endpoint.pace.is_fresh for endpoint in state.endpoints),
+        )
+        add_gauge(
+            "endpoints_slow",
+            "Endpoints on which work takes much longer than usual at this moment.",
+            lambda: sum(endpoint.pace.is_slow for endpoint in state.endpoints),
+        )
         add_gauge(
             "parts_quarantined",
             "Parts of prompts that are kept from endpoints.",
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -1,10 +1,10 @@
-"""Fetch the reports of engines."""
+"""Fetch the reports of engines and probe the pace of endpoints."""
 
 import eventlet
 from loguru import logger
 
 from ..core import Consumers, Inbox
-from ..edge.messages import ReportRequested
+from ..edge.messages import ProbeRequested, ReportRequested
 from ..errors import RecordError
 from .connections import CALL_ERRORS, call_once
 from .endpoint import decode_report
@@ -14,6 +14,9 @@
 REPORT_TIMEOUT_S = 0.5
 """Timeout for a report; most take some milliseconds, and a later one is out of date."""
 
+PROBE_TIMEOUT_S = 0.25
+"""Timeout for a probe; endpoints respond at once, and a later figure is out of date."""
+
 _OK = 200
 
 
@@ -30,7 +33,26 @@
     def __init__(self, inbox: Inbox, notices: NoticeReader) -> None:
         self._inbox = inbox
         self._notices = notices
-        self.consumers: Consumers = {ReportRequested: self._on_report_requested}
+        self.consumers: Consumers = {
+            ProbeRequested: self._on_probe_requested,
+            ReportRequested: self._on_report_requested,
+        }
+
+    def _on_probe_requested(self, msg: ProbeRequested) -> None:
+        eventlet.spawn_n(self._probe, msg)
+
+    def _probe(self, msg: ProbeRequested) -> None:
+        asked_at = self._notices.now()
+        try:
+            answer = call_once("GET", msg.address, msg.path, "", PROBE_TIMEOUT_S)
+        except CALL_ERRORS as exc:
+            logger.bind(
+                endpoint=msg.endpoint, address=msg.address, detail=str(exc)
+            ).info("probe_failed")
+            return
+        self._notices.read(
+            answer.status, answer.headers, msg.endpoint, msg.born, asked_at
+        )
 
     def _on_report_requested(self, msg: ReportRequested) -> None:
         eventlet.spawn_n(self._fetch, msg)
