Ignore reported paces that measured gaps contradict

An endpoint that reports a wrong pace would drive prompts away or attract them. Each measured gap is now compared with a figure that is no older than 0.1 s: under a figure of 1.5 and more gaps must be longer, under a usual one not over three times the usual gap. Above a share of 0.8 contradictions the figures are not used and only the measured gaps and prefill rates count; agreeing ones bring them back. The usual gap is not learned while a machine is slow, so that a long slow spell does not become usual, and a figure below the usual one attracts no prompts. Log event pace_trust.

Weighed: scaling figures by the measured ratio, which lets a wrong report still steer; a shorter run of contradictions, which gaps that began before a slow spell would reach.

Tests: features/pace.feature 53 of 53 pass. With the check off one row fails, with probes off three scenarios fail. edge_requests 33, edge_streams 27, edge_watch 23, named_limits 35, platform 22 and metrics 2 pass.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -163,3 +163,31 @@
       | it runs nothing                              |
       | it runs a stream and reports with responses  |
       | it drains while it runs a stream                  |
+
+  @fixture.edge
+  Scenario Outline: Figures that measured gaps contradict are not used
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When engine-a reports <reported> for <n> events, one every <ms> ms
+    Then the gateway takes the pace of engine-a for <taken>
+    And its figures are <trust>
+
+    Examples:
+      | reported | n   | ms  | taken | trust       |
+      | 2.5      | 100 | 40  | 1.0   | distrusted  |
+      | 2.5      | 100 | 100 | 2.5   | trusted     |
+      | 1.0      | 100 | 80  | 1.0   | trusted     |
+      | 2.5      | 10  | 40  | 2.5   | trusted     |
+
+  @fixture.edge
+  Scenario: An engine that is always slow and reports a usual pace gets no prompt
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When engine-b reports 1.0 for 100 events, one every 140 ms
+    And a caller of the gateway sends a summary
+    Then the summary was sent to engine-a
+
+  @fixture.platform_world
+  Scenario: An endpoint that runs something is probed on its health path
+    Given an endpoint whose answer has the load 3,0,24,250 and status 200
+    When a caller of the platform sends a badge
+    And another gateway runs something at the endpoint
+    Then the endpoint is asked for its health path within 2 seconds
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -11,6 +11,7 @@
 from features.support.edge_fleet import EdgeFleet
 from features.support.platform_bytes import SIGNATURE_HEADERS
 from hawthornyard.codec import MsgpackCodec
+from hawthornyard.core import Decision
 from hawthornyard.edge.messages import (
     Dispatch,
     EndpointNotice,
@@ -20,6 +21,7 @@
 from hawthornyard.edge.pace_placement import PacePlacement
 from hawthornyard.edge.placement import LeastLoaded
 from hawthornyard.frames import EndpointLoad, EndpointPace, GatewayLoads
+from hawthornyard.policy import rank_owners
 
 N_EVENTS = 20
 IP_UDP_BYTES = 28
@@ -286,3 +288,44 @@
 @then("no probe was requested")
 def check_no_probe(context: Context) -> None:
     assert not context.edge.messages_of(ProbeRequested)
+
+
+@when("{name} reports {factor:g} for {n:d} events, one every {ms:g} ms")
+def report_with_events(
+    context: Context, name: str, factor: float, n: int, ms: float
+) -> None:
+    edge = context.edge
+    (attempt_id,) = edge.state.endpoints.get(name).requests
+    for number in range(N_EVENTS + 1, N_EVENTS + 1 + n):
+        edge.clock.advance(ms / 1000)
+        report_pace(edge, name, factor)
+        edge.push_events(attempt_id, number, number)
+    report_pace(edge, name, factor)
+
+
+@then("its figures are {trust}")
+def check_trust(context: Context, trust: str) -> None:
+    decisions = [
+        msg for msg in context.edge.messages_of(Decision) if msg.name == "pace_trust"
+    ]
+    assert len(decisions) == (trust == "distrusted"), decisions
+
+
+@when("another gateway runs something at the endpoint")
+def run_elsewhere(context: Context) -> None:
+    peers = context.world.gateway.state.peers
+    others = (f"gateway-{n}" for n in range(2, 50))
+    # One after which this gateway still owns the endpoint.
+    name = next(n for n in others if rank_owners("pace/i-1", ["gateway-1", n])[1] == n)
+    peers.set_addresses({name: "127.0.0.1:9"})
+    peers.merge(GatewayLoads(name, 1, [EndpointLoad("i-1", 1, 0)]))
+
+
+@then("the endpoint is asked for its health path within {seconds:g} seconds")
+def check_probed(context: Context, seconds: float) -> None:
+    (endpoint,) = context.world.endpoints
+    probe = b"GET /h HTTP"
+    with eventlet.Timeout(seconds, False):
+        while not any(req.startswith(probe) for req in endpoint.requests):
+            eventlet.sleep(0.02)
+    assert any(req.startswith(probe) for req in endpoint.requests), endpoint.requests
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -180,9 +180,17 @@
         """Record the gap between two events."""
         weight = GAP_WEIGHT if self.mean_gap_s else 1.0
         self.mean_gap_s += weight * (seconds - self.mean_gap_s)
-        weight = SHORTER_GAP_WEIGHT
-        if seconds > self.usual_gap_s:
-            weight = LONGER_GAP_WEIGHT if self.usual_gap_s else 1.0
+        self._note_usual_gap(seconds)
+
+    def _note_usual_gap(self, seconds: float) -> None:
+        if not self.usual_gap_s:
+            self.usual_gap_s = seconds / max(1.0, self.pace.factor)
+            return
+        self.pace.check(seconds / self.usual_gap_s)
+        if self.pace.is_slow:
+            return
+        is_shorter = seconds < self.usual_gap_s
+        weight = SHORTER_GAP_WEIGHT if is_shorter else LONGER_GAP_WEIGHT
         self.usual_gap_s += weight * (seconds - self.usual_gap_s)
 
     def note_answer(self, seconds: float) -> None:
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -15,10 +15,11 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_endpoints", "handlers")
+    __slots__ = ("_clock", "_distrusted", "_endpoints", "handlers")
 
     def __init__(self, endpoints: Endpoints, clock: Clock) -> None:
         self._endpoints = endpoints
+        self._distrusted: set[str] = set()
         self._clock = clock
         self.handlers: Handlers = {EndpointNotice: self._on_endpoint_notice}
 
@@ -38,6 +39,7 @@
         if not endpoint.pace.learn(factor, self._clock.now()):
             return
         yield PaceRead(endpoint.name)
+        yield from self._note_trust(endpoint, factor)
         if endpoint.pace.is_slow != was_slow:
             yield Decision(
                 "pace",
@@ -55,6 +57,22 @@
                 factor=factor,
             )
 
+    def _note_trust(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
+        if endpoint.pace.is_trusted == (endpoint.name not in self._distrusted):
+            return
+        is_trusted = endpoint.pace.is_trusted
+        if is_trusted:
+            self._distrusted.discard(endpoint.name)
+        else:
+            self._distrusted.add(endpoint.name)
+        yield Decision(
+            "pace_trust",
+            reason="as measured" if is_trusted else "contradicted by measured gaps",
+            endpoint=endpoint.name,
+            factor=factor,
+            usual_gap_s=round(endpoint.usual_gap_s, 3),
+        )
+
     def _learn_limit(
         self, endpoint: Endpoint, msg: EndpointNotice
     ) -> Iterator[Message]:
--- a/hawthornyard/edge/pace.py
+++ b/hawthornyard/edge/pace.py
@@ -11,6 +11,17 @@
 MAX_FACTOR = 10.0
 # From this factor on an endpoint counts as slow in logs and metrics.
 SLOW_FACTOR = 1.5
+# Age up to which a figure is compared with the gaps that are measured.
+MAX_CHECK_AGE_S = 0.1
+# Measured gaps contradict a figure if they are shorter than this part of what a slow
+# machine causes, or longer than this multiple of what a usual one does. While a prompt
+# is read, gaps are twice as long as usual.
+SHORT_GAP_RATIO = 0.6
+LONG_GAP_RATIO = 3.0
+# Weight of a gap in the share of contradictions, and the share from which on the
+# figures are not used: some 30 contradictions in a row, and few agreeing ones after.
+CHECK_WEIGHT = 0.05
+MAX_CONTRADICTED = 0.8
 # Weight of a new figure in the mean, which covers the last minute at a figure a second.
 MEAN_WEIGHT = 0.05
 
@@ -30,6 +41,7 @@
         self._factor = 1.0
         self._read_at = float("-inf")
         self.mean_factor = 1.0
+        self._contradicted = 0.0
 
     @property
     def age_s(self) -> float:
@@ -39,11 +51,22 @@
     @property
     def is_fresh(self) -> bool:
         """Return whether the newest figure still tells something of the present."""
-        return self.age_s <= MAX_PACE_AGE_S
+        return self.is_trusted and self.age_s <= MAX_PACE_AGE_S
+
+    @property
+    def is_trusted(self) -> bool:
+        """Return whether the measured gaps do not contradict the figures."""
+        return self._contradicted < MAX_CONTRADICTED
 
     @property
     def factor(self) -> float:
-        """Return the newest figure, the mean if it is too old; 1.0 is usual."""
+        """Return the newest figure, the mean if it is too old; 1.0 is usual.
+
+        If the figures are not trusted, it is 1.0, so that only what gateways measure
+        counts.
+        """
+        if not self.is_trusted:
+            return 1.0
         return self._factor if self.is_fresh else self.mean_factor
 
     @property
@@ -61,6 +84,20 @@
         """Return the newest figure for logs, None if it is too old."""
         return round(self._factor, 2) if self.is_fresh else None
 
+    def check(self, gap_ratio: float) -> None:
+        """Compare the newest figure with a measured gap.
+
+        Args:
+            gap_ratio: Gap between two events, relative to the usual gap there.
+        """
+        if self.age_s > MAX_CHECK_AGE_S:
+            return
+        if self._factor >= SLOW_FACTOR:
+            is_contradicted = gap_ratio < SHORT_GAP_RATIO * self._factor
+        else:
+            is_contradicted = gap_ratio > LONG_GAP_RATIO * max(1.0, self._factor)
+        self._contradicted += CHECK_WEIGHT * (is_contradicted - self._contradicted)
+
     def learn(self, factor: float, read_at: float) -> bool:
         """Record a figure of the endpoint.
 
--- a/hawthornyard/edge/pace_placement.py
+++ b/hawthornyard/edge/pace_placement.py
@@ -147,7 +147,8 @@
         if not gap_target_s:
             return 0.0
         usual_s = self._usual_gap_s(endpoint)
-        gap_s = usual_s * MIXED_STEP_FACTOR * endpoint.pace.factor
+        # A figure below the usual one attracts no prompts, whether true or false.
+        gap_s = usual_s * MIXED_STEP_FACTOR * max(1.0, endpoint.pace.factor)
         share = gap_s / gap_target_s
         return min(1.0, max(0.0, share - RISKY_GAP_SHARE) / (1.0 - RISKY_GAP_SHARE))
 
