Place by the pace with the share of slow moments in mind

A machine that is usual now may become slow while it reads a prompt, and then all streams there are late. PacePlacement now counts, over the endpoints of a service, which share of the figures told of a slow machine and how slow it was, and charges each endpoint the streams that a prompt is expected to make late, so that prompts go where few streams run. Only figures that a gateway read itself count: others tell only of slowness, which would raise the mean until all endpoints looked slow. A prompt that others ahead make late no longer waits in the gateway, since its own time runs out as fast as the others are read.

Weighed: engines kept for short prompts, which takes memory that long ones need.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -131,7 +131,7 @@
     Examples:
       | gateway   | factor | born | age  | taken |
       | gateway-2 | 2.5    | 0    | 0.2  | 2.5   |
-      | gateway-2 | 2.5    | 0    | 0.7  | 1.075 |
+      | gateway-2 | 2.5    | 0    | 0.7  | 1.0   |
       | gateway-2 | 2.5    | 1    | 0.2  | 1.0   |
       | gateway-2 | 2.5    | 0    | -3.0 | 1.0   |
       | gateway-2 | -2.5   | 0    | 0.2  | 1.0   |
@@ -191,3 +191,25 @@
     When a caller of the platform sends a badge
     And another gateway runs something at the endpoint
     Then the endpoint is asked for its health path within 2 seconds
+
+  @fixture.edge
+  Scenario Outline: Where machines are often slow, prompts go where few streams run
+    Given a stream with events every 40 ms at each of engine-a and engine-b
+    When engine-a and engine-b report 2.5 in <n_slow> of 40 figures and 1.0 at last
+    And another gateway runs 6 streams at engine-a and 2 longer ones at engine-b
+    And a caller of the gateway sends a summary
+    Then the summary was sent to <chosen>
+
+    Examples:
+      | n_slow | chosen   |
+      | 0      | engine-a |
+      | 12     | engine-b |
+
+  @fixture.edge
+  Scenario: A prompt that others ahead make late does not wait in vain
+    Given the engines engine-a
+    And engine-a has read 3000 prompt tokens a second
+    When a pace of 1.0 is reported by engine-a
+    And other gateways report the prompt tokens 2:0.0:3000 at engine-a
+    And a caller of the gateway sends a summary
+    Then the summary was sent to engine-a
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -329,3 +329,19 @@
         while not any(req.startswith(probe) for req in endpoint.requests):
             eventlet.sleep(0.02)
     assert any(req.startswith(probe) for req in endpoint.requests), endpoint.requests
+
+
+@when("{first} and {second} report 2.5 in {n_slow:d} of 40 figures and 1.0 at last")
+def report_slow_share(context: Context, first: str, second: str, n_slow: int) -> None:
+    for index in range(40):
+        context.edge.clock.advance(0.1)
+        for name in (first, second):
+            report_pace(context.edge, name, 2.5 if index < n_slow else 1.0)
+
+
+@when("another gateway runs 6 streams at {first} and 2 longer ones at {second}")
+def run_others(context: Context, first: str, second: str) -> None:
+    edge = context.edge
+    edge.push(GatewaysRead({f"gateway-{n}": f"peer-{n}" for n in (1, 2)}))
+    loads = [EndpointLoad(first, 6, 3000), EndpointLoad(second, 2, 12000)]
+    edge.push(GatewayLoads("gateway-2", 1, loads))
--- a/hawthornyard/edge/fleet/paces.py
+++ b/hawthornyard/edge/fleet/paces.py
@@ -87,7 +87,8 @@
             return
         if not self._peers.is_known(msg.gateway) or msg.age_s < 0:
             return
-        if endpoint.pace.learn(msg.factor, self._clock.now() - msg.age_s):
+        read_at = self._clock.now() - msg.age_s
+        if endpoint.pace.learn(msg.factor, read_at, is_own=False):
             self._endpoints.paced_services.add(endpoint.entry.service)
             self._note_told(endpoint)
         yield from ()
--- a/hawthornyard/edge/pace.py
+++ b/hawthornyard/edge/pace.py
@@ -22,10 +22,40 @@
 # figures are not used: some 30 contradictions in a row, and few agreeing ones after.
 CHECK_WEIGHT = 0.05
 MAX_CONTRADICTED = 0.8
+# Figures after which the counts are halved, a minute of probes.
+MAX_FIGURES = 240
 # Weight of a new figure in the mean, which covers the last minute at a figure a second.
 MEAN_WEIGHT = 0.05
 
 
+class PaceCounts:
+    """Counts of the figures of an endpoint.
+
+    Attributes:
+        n_figures: Number of figures.
+        n_slow: Number of those that told of a slow machine.
+        sum_slow: Sum of those.
+    """
+
+    __slots__ = ("n_figures", "n_slow", "sum_slow")
+
+    def __init__(self) -> None:
+        self.n_figures = 0.0
+        self.n_slow = 0.0
+        self.sum_slow = 0.0
+
+    def note(self, factor: float) -> None:
+        """Count a figure; from `MAX_FIGURES` on older ones lose weight."""
+        if self.n_figures >= MAX_FIGURES:
+            self.n_figures /= 2
+            self.n_slow /= 2
+            self.sum_slow /= 2
+        self.n_figures += 1
+        if factor >= SLOW_FACTOR:
+            self.n_slow += 1
+            self.sum_slow += factor
+
+
 class Pace:
     """Time that work takes at one endpoint, relative to the usual time there.
 
@@ -33,15 +63,27 @@
         clock: Source of time.
 
     Attributes:
-        mean_factor: Moving average of the figures, 1.0 before the first.
+        mean_factor: Moving average of the figures that this gateway read itself, 1.0
+            before the first.
+        counts: How often those told of a slow machine.
     """
 
+    __slots__ = (
+        "_clock",
+        "_contradicted",
+        "_factor",
+        "_read_at",
+        "counts",
+        "mean_factor",
+    )
+
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._factor = 1.0
         self._read_at = float("-inf")
         self.mean_factor = 1.0
         self._contradicted = 0.0
+        self.counts = PaceCounts()
 
     @property
     def age_s(self) -> float:
@@ -98,12 +140,14 @@
             is_contradicted = gap_ratio > LONG_GAP_RATIO * max(1.0, self._factor)
         self._contradicted += CHECK_WEIGHT * (is_contradicted - self._contradicted)
 
-    def learn(self, factor: float, read_at: float) -> bool:
+    def learn(self, factor: float, read_at: float, *, is_own: bool = True) -> bool:
         """Record a figure of the endpoint.
 
         Args:
             factor: Time that work takes there, relative to the usual time.
             read_at: Monotonic time in seconds at which the figure held.
+            is_own: Whether this gateway read it. Others tell only of slowness, which
+                would make the mean too high.
 
         Returns:
             Whether it was taken: it is not older than the newest, nor out of bounds.
@@ -112,5 +156,7 @@
             return False
         self._factor = factor
         self._read_at = read_at
-        self.mean_factor += MEAN_WEIGHT * (factor - self.mean_factor)
+        if is_own:
+            self.mean_factor += MEAN_WEIGHT * (factor - self.mean_factor)
+            self.counts.note(factor)
         return True
--- a/hawthornyard/edge/pace_placement.py
+++ b/hawthornyard/edge/pace_placement.py
@@ -34,9 +34,13 @@
 RISKY_GAP_SHARE = 0.8
 # Share of the target latency from which on a first event is at risk of being late.
 RISKY_FIRST_EVENT_SHARE = 0.7
-# Age up to which medians of a service are used: over 600 endpoints they take
+# Time for which a machine is slow at a time.
+SLOW_SPELL_S = 0.6
+# Usual figures that are assumed, so that few slow ones decide little.
+N_ASSUMED_FIGURES = 10
+# Age up to which measures over a service are used: over 600 endpoints they take
 # milliseconds.
-MEDIAN_LIFETIME_S = 1.0
+TYPICAL_LIFETIME_S = 1.0
 # Cost of a first event that takes the whole target and is not at risk.
 FIRST_EVENT_COST = 0.5
 
@@ -56,7 +60,7 @@
             requests.
     """
 
-    __slots__ = ("_clock", "_default", "_directory", "_endpoints", "_medians")
+    __slots__ = ("_clock", "_default", "_directory", "_endpoints", "_typicals")
 
     def __init__(
         self,
@@ -69,7 +73,7 @@
         self._endpoints = endpoints
         self._clock = clock
         self._default = default
-        self._medians: dict[str, _Median] = {}
+        self._typicals: dict[str, _Typical] = {}
 
     def n_choices(self, request: Request) -> int:
         """Return how many endpoints are compared when gateways are many."""
@@ -81,14 +85,15 @@
         """Return whether an endpoint can start a request without making others late.
 
         Slots and memory count as in the default policy, the memory with what each
-        request holds when it is longest. At a paced service, neither the first event
-        of the request nor the gaps of the streams there may become too long.
+        request holds when it is longest. A prompt that would make the gaps of streams
+        there too long waits. One that would be late there behind others does not: its
+        own time runs out as fast as the others are read.
         """
         if not self._default.has_capacity(request, endpoint):
             return False
         if not self._is_paced(request):
             return True
-        return not (self._is_late(request, endpoint) or self._delays_streams(endpoint))
+        return not self._delays_streams(endpoint)
 
     def cost(self, request: Request, endpoint: Endpoint) -> float:
         """Return the expected number of late responses, plus memory use and risks."""
@@ -97,7 +102,7 @@
         memory = self._memory_share(request, endpoint)
         return (
             self._first_event_cost(request, endpoint)
-            + self._gap_risk(endpoint) * endpoint.n_running
+            + self._gap_cost(request, endpoint)
             + MEMORY_COST * memory
             + PRESSURE_COST * max(0.0, memory - PRESSURE_SHARE)
             + LIMIT_COST * endpoint.allowance.limit.occupancy
@@ -113,32 +118,22 @@
         rule = self._directory.service(request.service)
         return rule is not None and rule.engine is not None
 
-    def _is_late(self, request: Request, endpoint: Endpoint) -> bool:
-        # A wait helps only while other prompts are ahead.
-        n_ahead = endpoint.prefill_backlog
-        if not n_ahead:
-            return False
-        left_s = request.arrived_at + request.route.target_s - self._clock.now()
-        return self._first_event_s(request, endpoint, n_ahead) > left_s
-
     def _delays_streams(self, endpoint: Endpoint) -> bool:
-        if not endpoint.pace.is_fresh or self._gap_risk(endpoint) < 1.0:
+        pace = endpoint.pace
+        if not pace.is_fresh or self._gap_risk(endpoint, pace.factor) < 1.0:
             return False
         return endpoint.n_running > 0
 
     def _first_event_cost(self, request: Request, endpoint: Endpoint) -> float:
         waited_s = self._clock.now() - request.arrived_at
-        n_ahead = endpoint.prefill_backlog
-        first_event_s = waited_s + self._first_event_s(request, endpoint, n_ahead)
+        first_event_s = waited_s + self._first_event_s(request, endpoint)
         share = first_event_s / request.route.target_s
         risk = (share - RISKY_FIRST_EVENT_SHARE) / (1.0 - RISKY_FIRST_EVENT_SHARE)
         return FIRST_EVENT_COST * share + max(0.0, risk)
 
-    def _first_event_s(
-        self, request: Request, endpoint: Endpoint, n_ahead: int
-    ) -> float:
+    def _first_event_s(self, request: Request, endpoint: Endpoint) -> float:
         size = request.call.size
-        n_tokens = n_ahead + (size.n_prompt_tokens if size else 0)
+        n_tokens = endpoint.prefill_backlog + (size.n_prompt_tokens if size else 0)
         usual_s = n_tokens / self._prefill_rate(endpoint)
         return usual_s + self._slow_spell_s(usual_s, endpoint)
 
@@ -151,14 +146,30 @@
         left_s = MAX_PACE_AGE_S - pace.age_s
         return min(usual_s * (pace.factor - 1.0), left_s * (1.0 - 1.0 / pace.factor))
 
-    def _gap_risk(self, endpoint: Endpoint) -> float:
-        # Risk that reading a prompt now makes a gap of a stream there too long.
+    def _gap_cost(self, request: Request, endpoint: Endpoint) -> float:
+        # Streams that the prompt is expected to make late: the machine is slow now, or
+        # becomes so while it reads the prompt.
+        pace = endpoint.pace
+        size = request.call.size
+        service = self._typical(endpoint.entry.service)
+        prefill_s = size.n_prompt_tokens / self._prefill_rate(endpoint) if size else 0.0
+        begins = min(1.0, prefill_s / SLOW_SPELL_S)
+        share = begins if pace.is_fresh else 1.0 + begins
+        slow_risk = self._gap_risk(endpoint, service.slow_factor)
+        risk = max(
+            service.slow_share * share * slow_risk,
+            self._gap_risk(endpoint, pace.factor),
+        )
+        return min(1.0, risk) * endpoint.n_running
+
+    def _gap_risk(self, endpoint: Endpoint, factor: float) -> float:
+        # Risk that reading a prompt at a pace makes a gap of a stream there too long.
         gap_target_s = self._directory.gap_target_s(endpoint.entry.service)
         if not gap_target_s:
             return 0.0
         usual_s = self._usual_gap_s(endpoint)
         # A figure below the usual one attracts no prompts, whether true or false.
-        gap_s = usual_s * MIXED_STEP_FACTOR * max(1.0, endpoint.pace.factor)
+        gap_s = usual_s * MIXED_STEP_FACTOR * max(1.0, factor)
         share = gap_s / gap_target_s
         return min(1.0, max(0.0, share - RISKY_GAP_SHARE) / (1.0 - RISKY_GAP_SHARE))
 
@@ -180,35 +191,44 @@
         return rule.engine if rule is not None else None
 
     def _usual_gap_s(self, endpoint: Endpoint) -> float:
-        return endpoint.usual_gap_s or self._median(endpoint.entry.service).gap_s
+        return endpoint.usual_gap_s or self._typical(endpoint.entry.service).gap_s
 
     def _prefill_rate(self, endpoint: Endpoint) -> float:
         rate = endpoint.prefill_rate
-        return rate or self._median(endpoint.entry.service).prefill_rate
+        return rate or self._typical(endpoint.entry.service).prefill_rate
 
-    def _median(self, service: str) -> "_Median":
+    def _typical(self, service: str) -> "_Typical":
         now = self._clock.now()
-        known = self._medians.get(service)
-        if known is None or now - known.taken_at >= MEDIAN_LIFETIME_S:
-            known = _Median(self._endpoints.of_service(service), now)
-            self._medians[service] = known
+        known = self._typicals.get(service)
+        if known is None or now - known.taken_at >= TYPICAL_LIFETIME_S:
+            known = _Typical(self._endpoints.of_service(service), now)
+            self._typicals[service] = known
         return known
 
 
-class _Median:
-    """Medians over the endpoints of a service that were measured.
+class _Typical:
+    """What was measured over the endpoints of a service.
 
     Attributes:
-        gap_s: Usual gap in seconds, 0 if none was measured.
-        prefill_rate: Prefill rate in tokens per second.
+        gap_s: Median of the usual gaps in seconds, 0 if none was measured.
+        prefill_rate: Median prefill rate in tokens per second.
+        slow_share: Share of the figures that told of a slow machine.
+        slow_factor: Mean of those figures, 1.0 if there were none.
         taken_at: Monotonic time in seconds at which they were taken.
     """
 
-    __slots__ = ("gap_s", "prefill_rate", "taken_at")
+    __slots__ = ("gap_s", "prefill_rate", "slow_factor", "slow_share", "taken_at")
 
     def __init__(self, endpoints: Sequence[Endpoint], now: float) -> None:
         gaps = [end.usual_gap_s for end in endpoints if end.usual_gap_s]
         rates = [rate for end in endpoints if (rate := end.prefill_rate)]
         self.gap_s = median(gaps) if gaps else 0.0
         self.prefill_rate = median(rates) if rates else DEFAULT_PREFILL_RATE
+        counts = [end.pace.counts for end in endpoints]
+        n_figures = sum(count.n_figures for count in counts)
+        n_slow = sum(count.n_slow for count in counts)
+        self.slow_share = n_slow / (n_figures + N_ASSUMED_FIGURES)
+        self.slow_factor = 1.0
+        if n_slow:
+            self.slow_factor = sum(count.sum_slow for count in counts) / n_slow
         self.taken_at = now
