Probe endpoints that answer no probe less and less often

An endpoint whose health path fails, or answers without a pace, was probed four times a second for as long as it ran something; each probe has a price and a log line. The interval now doubles up to 5 s while probes bring no figure, and is 0.25 s again with the first one.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -141,7 +141,7 @@
   Scenario Outline: One gateway probes an endpoint that runs something
     Given 5 gateways that know engine-a, on which gateway 0 runs a stream
     And engine-a has reported a pace once
-    When 3 seconds go by for all gateways, <fault>
+    When 3 seconds go by for all gateways with answered probes, <fault>
     Then between <least> and <most> probes were requested in the last second
     And they were requested by one gateway
 
@@ -150,6 +150,14 @@
       | fault                                       | least | most |
       | and nothing fails                           | 3     | 4    |
       | and then 4 without the gateway that probes  | 3     | 4    |
+      | and it returns after 4 without              | 3     | 4    |
+
+  @fixture.edge
+  Scenario: An endpoint that answers no probe is probed less and less often
+    Given the engines engine-a
+    When a pace of 1.0 is reported by engine-a
+    And its stream runs for 20 seconds without answered probes
+    Then between 5 and 10 probes were sent to it
 
   @fixture.edge
   Scenario Outline: Endpoints that need no probe get none
--- a/features/steps/pace.py
+++ b/features/steps/pace.py
@@ -223,26 +223,51 @@
         report_pace(gateway, name, 1.0)
 
 
-@when("3 seconds go by for all gateways, and nothing fails")
-def run_fleet(context: Context) -> None:
-    context.fleet.run(2.0, "summary", 0.0, [0])
-    context.n_probes = _count_probes(context)
-    context.fleet.run(1.0, "summary", 0.0, [0])
+def run_probed(context: Context, seconds: float) -> None:
+    """Let time go by for all gateways, and answer each probe."""
+    fleet = context.fleet
+    for _ in range(round(seconds / TICK_S)):
+        before = _count_probes(context)
+        fleet.run(TICK_S, "summary", 0.0, [0])
+        for index, n in enumerate(_count_probes(context)):
+            if n > before[index]:
+                report_pace(fleet.gateways[index], "engine-a", 1.0)
 
 
-@when("3 seconds go by for all gateways, and then 4 without the gateway that probes")
-def run_fleet_and_cut(context: Context) -> None:
-    run_fleet(context)
+@when("3 seconds go by for all gateways with answered probes, {fault}")
+def run_fleet(context: Context, fault: str) -> None:
+    fleet = context.fleet
+    run_probed(context, 2.0)
+    context.n_probes = _count_probes(context)
+    run_probed(context, 1.0)
+    if fault == "and nothing fails":
+        return
     (prober,) = _probers(context)
-    context.fleet.cut_off = {prober}
-    context.fleet.run(4.0, "summary", 0.0, [0])
+    fleet.cut_off = {prober}
+    run_probed(context, 4.0)
+    if fault == "and it returns after 4 without":
+        fleet.cut_off = set()
+        run_probed(context, 4.0)
     context.n_probes = _count_probes(context)
-    # What is cut off probes for itself, within its own bound.
-    context.n_probes[prober] = None
-    context.fleet.run(1.0, "summary", 0.0, [0])
+    if fleet.cut_off:
+        # What is cut off probes for itself, within its own bound.
+        context.n_probes[prober] = None
+    run_probed(context, 1.0)
+
+
+@when("its stream runs for {seconds:g} seconds without answered probes")
+def run_unanswered(context: Context, seconds: float) -> None:
+    context.edge.call("summary")
+    context.edge.advance(seconds)
+
+
+@then("between {least:d} and {most:d} probes were sent to it")
+def check_probes(context: Context, least: int, most: int) -> None:
+    n = len(context.edge.messages_of(ProbeRequested))
+    assert least <= n <= most, n
 
 
-def _count_probes(context: Context) -> list[int | None]:
+def _count_probes(context: Context) -> list[int]:
     return [len(gw.messages_of(ProbeRequested)) for gw in context.fleet.gateways]
 
 
--- a/hawthornyard/edge/fleet/probe.py
+++ b/hawthornyard/edge/fleet/probe.py
@@ -12,6 +12,8 @@
 # Age of a figure from which on the endpoint is probed: less than half a slow spell of
 # 0.6 s, so that most of it is known.
 PROBE_AFTER_S = 0.25
+# Longest interval between probes of an endpoint that answers none.
+MAX_PROBE_INTERVAL_S = 5.0
 # Probes of one gateway; each takes some 2 ms of a core, so that they stay under 2% of
 # one core.
 PROBES_PER_S = 8.0
@@ -21,6 +23,21 @@
 RATINGS_PER_TICK = 400
 
 
+class _Probe:
+    """The newest probe of an endpoint.
+
+    Attributes:
+        at: Monotonic time in seconds.
+        interval_s: Seconds until the next one if it brings no figure.
+    """
+
+    __slots__ = ("at", "interval_s")
+
+    def __init__(self, at: float, interval_s: float) -> None:
+        self.at = at
+        self.interval_s = interval_s
+
+
 class ProbePaces:
     """Filter that requests probes of the endpoints that this gateway owns.
 
@@ -39,9 +56,9 @@
         "_bucket",
         "_directory",
         "_endpoints",
+        "_last",
         "_owned",
         "_peers",
-        "_probed_at",
         "_rated_at",
         "handlers",
     )
@@ -55,7 +72,7 @@
         self._bucket = TokenBucket(PROBES_PER_S, clock, burst_s=PROBE_BURST_S)
         self._owned: set[str] = set()
         self._rated_at: dict[str, float] = {}
-        self._probed_at: dict[str, float] = {}
+        self._last: dict[str, _Probe] = {}
         self.handlers: Handlers = {Tick: self._on_tick}
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
@@ -63,14 +80,18 @@
         if not self._endpoints.paced_services:
             return
         self._rate_owners(msg.now)
-        for name in sorted(self._owned, key=lambda end: self._probed_at.get(end, 0.0)):
+        for name in sorted(self._owned, key=self._probed_at):
             endpoint = self._endpoints.get(name)
             if endpoint is None:
                 self._owned.discard(name)
-                self._probed_at.pop(name, None)
+                self._last.pop(name, None)
             elif self._is_due(endpoint, msg.now):
                 yield from self._probe(endpoint, msg.now)
 
+    def _probed_at(self, name: str) -> float:
+        last = self._last.get(name)
+        return last.at if last is not None else 0.0
+
     def _rate_owners(self, now: float) -> None:
         for name in [name for name in self._rated_at if not self._endpoints.get(name)]:
             del self._rated_at[name]
@@ -89,15 +110,24 @@
                 self._owned.discard(name)
 
     def _is_due(self, endpoint: Endpoint, now: float) -> bool:
-        if endpoint.leaving_since is not None or not endpoint.n_running:
+        if endpoint.leaving_since is not None or endpoint.pace.age_s < PROBE_AFTER_S:
             return False
-        probed_at = self._probed_at.get(endpoint.name, float("-inf"))
-        return min(endpoint.pace.age_s, now - probed_at) >= PROBE_AFTER_S
+        last = self._last.get(endpoint.name)
+        if last is not None and now < last.at + self._interval_s(endpoint, last, now):
+            return False
+        return endpoint.n_running > 0
+
+    def _interval_s(self, endpoint: Endpoint, last: "_Probe", now: float) -> float:
+        # Ask less and less often where probes bring no figure.
+        is_answered = endpoint.pace.age_s <= now - last.at
+        return PROBE_AFTER_S if is_answered else last.interval_s
 
     def _probe(self, endpoint: Endpoint, now: float) -> Iterator[Message]:
         rule = self._directory.service(endpoint.entry.service)
         if rule is None or not rule.health_path or not self._bucket.take():
             return
-        self._probed_at[endpoint.name] = now
+        last = self._last.get(endpoint.name)
+        before_s = self._interval_s(endpoint, last, now) if last else PROBE_AFTER_S
+        self._last[endpoint.name] = _Probe(now, min(2 * before_s, MAX_PROBE_INTERVAL_S))
         entry = endpoint.entry
         yield ProbeRequested(entry.name, entry.address, rule.health_path, entry.born)
