Charge datagrams on the pace by their names, and memory from 0.85 on

Each datagram was charged as 130 bytes, although one with the longest names seen takes 92: a round to 44 gateways used six seconds of the bytes allowed. They are charged by the lengths of the two names now; encoded frames took 33 to 35 bytes beside the names and the 28 bytes of headers. With the whole memory in use as bound, the extra cost from 0.7 on kept prompts from engines with five long responses, where nothing is at risk; it begins at 0.85, where one more unreported response would not fit.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -128,13 +128,13 @@
     Given the engines engine-a
     And <n> other gateways
     When engine-a reports <first> for 0.3 seconds
-    Then <told> datagrams of at most 130 bytes tell of a pace
+    Then <told> datagrams of at most 83 bytes tell of a pace
 
     Examples:
       | n   | first | told |
       | 3   | 1.0   | 0    |
       | 3   | 2.5   | 3    |
-      | 339 | 2.5   | 46   |
+      | 339 | 2.5   | 72   |
 
   @fixture.edge
   Scenario Outline: A pace that another gateway tells counts from when it was read
--- a/hawthornyard/edge/fleet/paces.py
+++ b/hawthornyard/edge/fleet/paces.py
@@ -10,9 +10,9 @@
 from ..pace import MAX_PACE_AGE_S
 from ..peers import Peers
 
-# Largest size of such a datagram with its IP and UDP headers, for names of up to 32
-# characters.
-DATAGRAM_BYTES = 130
+# Largest size of such a datagram, without its two names: 38 bytes of the frame, with
+# names of up to 255 characters, and 28 of the IP and UDP headers.
+DATAGRAM_BYTES = 66
 # Share of the 2 KB a second that a gateway may use for control: the rest is for loads.
 BYTES_PER_S = 1000.0
 # News may reach 45 gateways at once.
@@ -68,8 +68,9 @@
             return
         self._note_told(endpoint)
         addresses = list(self._peers.addresses())
+        n_bytes = DATAGRAM_BYTES + len(self._name) + len(endpoint.name)
         for _ in addresses:
-            if not self._bucket.take(DATAGRAM_BYTES):
+            if not self._bucket.take(n_bytes):
                 return
             address = addresses[self._n_told % len(addresses)]
             self._n_told += 1
--- a/hawthornyard/edge/pace_placement.py
+++ b/hawthornyard/edge/pace_placement.py
@@ -16,7 +16,6 @@
     LIMIT_COST,
     MEMORY_COST,
     PRESSURE_COST,
-    PRESSURE_SHARE,
     Placement,
 )
 
@@ -30,6 +29,9 @@
 # longest at the same time, so that no further reserve is needed: seven long responses
 # of 3,752 tokens that began one after another hold some 24,000 tokens, not 26,264.
 MAX_PACED_MEMORY_SHARE = 1.0
+# Memory use beyond this share costs extra: beyond it, one more long response that this
+# gateway has not heard of would not fit, and the engine would preempt the newest.
+PACED_PRESSURE_SHARE = 0.85
 # A decoding step that also reads a chunk of a prompt takes some 16 ms, one without
 # 7 ms and more.
 MIXED_STEP_FACTOR = 2.0
@@ -109,7 +111,7 @@
             self._first_event_cost(request, endpoint)
             + self._gap_cost(request, endpoint)
             + MEMORY_COST * memory
-            + PRESSURE_COST * max(0.0, memory - PRESSURE_SHARE)
+            + PRESSURE_COST * max(0.0, memory - PACED_PRESSURE_SHARE)
             + LIMIT_COST * endpoint.allowance.limit.occupancy
             + DURATION_COST * self._duration_s(request, endpoint)
             + FAILURE_COST * endpoint.failure_rate
