Follow prefill queues only once an endpoint has reported a pace

FollowPrefills kept queues of prompts for all deployments, although only endpoints that report a pace use them; it now ignores load reports until one has. A queue is empty for at most 2 s then, in which backlogs of other gateways count only from their next report.

--- a/hawthornyard/edge/fleet/prefills.py
+++ b/hawthornyard/edge/fleet/prefills.py
@@ -16,6 +16,8 @@
 class FollowPrefills:
     """Filter that keeps the queue of prompts at each endpoint; it only listens.
 
+    It does nothing until an endpoint has reported a pace.
+
     Args:
         endpoints: Known endpoints.
         peers: The other gateways.
@@ -43,7 +45,8 @@
         yield msg
 
     def _on_gateway_loads(self, msg: GatewayLoads) -> Iterator[Message]:
-        if self._peers.is_known(msg.name) and self._is_newest(msg):
+        is_used = bool(self._endpoints.paced_services)
+        if is_used and self._peers.is_known(msg.name) and self._is_newest(msg):
             self._note(msg)
         yield msg
 
