Admit requests of load-aware services by forecast capacity

Under load, a request that had waited a quarter of its target was sent on to a full engine, and all callers were told the same Retry-After. One whose first event is not forecast before its deadline is refused at once, with the time at which capacity is forecast for it; a client that comes back then keeps its turn.

Weighed: a fluid estimate from the throughput, which knows neither sizes nor running work; a simulation that walks the ends at each engine anew for each waiting request.

--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -25,6 +25,7 @@
     TeamRule,
 )
 from hawthornyard.edge.directory import INITIAL_LIMITS
+from hawthornyard.edge.load_aware import LoadAwareServices
 from hawthornyard.edge.messages import (
     AttemptAnswered,
     AttemptBegan,
@@ -69,6 +70,7 @@
 START_TIME_S = 1000.0
 TICK_S = 0.05
 KEY = "key-of-kiosk"
+OTHER_KEY = "key-of-ferry"
 ENGINE = EngineRule(
     24,
     34_000,
@@ -174,7 +176,11 @@
     )
 
     def __init__(
-        self, name: str = "gateway-1", *, random_source: RandomSource | None = None
+        self,
+        name: str = "gateway-1",
+        *,
+        random_source: RandomSource | None = None,
+        load_aware: LoadAwareServices | None = None,
     ) -> None:
         self.clock = SteppingClock(START_TIME_S)
         self.state = EdgeState(name, self.clock)
@@ -184,7 +190,11 @@
         self.requests: dict[str, str] = {}
         self.drain = Drain(self.state.inflight, self.clock, readiness_lag_s=3.0)
         chain = edge_chain(
-            self.state, self.drain, self.clock, random_source or FirstChoiceRandom()
+            self.state,
+            self.drain,
+            self.clock,
+            random_source or FirstChoiceRandom(),
+            load_aware=load_aware,
         )
         self.pipeline = Pipeline(chain, [self])
 
@@ -264,7 +274,7 @@
                 ServiceRule("scribe", cold_requests_per_s=10.0, engine=ENGINE),
                 ServiceRule("frontdesk"),
             ],
-            [TeamRule("kiosk", [key])],
+            [TeamRule("kiosk", [key]), TeamRule("ferry", [OTHER_KEY])],
             INITIAL_LIMITS,
         )
         self.push(DeploymentRead(deployment, revision))
@@ -293,6 +303,8 @@
         n_output_tokens: int = 900,
         max_tokens: int | None = None,
         prefix: Sequence[str] = (),
+        key: str = KEY,
+        timeout_s: float | None = None,
     ) -> str:
         """Push a call of a route and return its identifier."""
         self.n_calls += 1
@@ -312,8 +324,8 @@
                 f"request-{self.n_calls}",
                 "kiosk.example",
                 f"/{kind}/1",
-                key=KEY,
-                timeout_s=39.0 if kind in PROMPTED_KINDS else 1.0,
+                key=key,
+                timeout_s=timeout_s or (39.0 if kind in PROMPTED_KINDS else 1.0),
                 size=size,
             )
         )
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -17,14 +17,17 @@
     TrackCrashes,
     WatchEngines,
 )
+from .forecast import ServiceForecast
 from .grace import GracePeriod
 from .inflight import InFlight
+from .load_aware import LoadAwareServices, NoLoadAwareServices
 from .mirroring import Mirroring, MirrorOnLeastUsed
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
 from .reply import CloseRequests, Expire, Relay
 from .request import (
+    Admission,
     Match,
     Quarantine,
     RefuseUnfinishable,
@@ -94,6 +97,7 @@
     metrics_filters: Sequence[Filter] = (),
     placement: Placement | None = None,
     mirroring: Mirroring | None = None,
+    load_aware: LoadAwareServices | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway that calls endpoints itself, head first.
 
@@ -106,12 +110,19 @@
             `CloseRequests` forgets the requests.
         placement: Policy that chooses the endpoint of a request, `LeastLoaded` if None.
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
+        load_aware: Tells which services are admitted by forecast, none if None.
     """
     placement = placement or LeastLoaded(state.directory, state.endpoints)
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
     )
+    forecast = ServiceForecast(
+        state.directory, state.endpoints, state.eligibility, clock
+    )
+    admission = Admission(
+        load_aware or NoLoadAwareServices(), forecast, state.eligibility, clock
+    )
     resumption = Resumption(state.inflight, mirroring, clock)
     return [
         FollowStore(clock),
@@ -138,7 +149,7 @@
         Retry(state.inflight, state.retry_budget, clock),
         Quarantine(state.crash_evidence, state.inflight, state.peers),
         RefuseUnfinishable(state.grace),
-        WaitForCapacity(state.eligibility, placement, state.grace, clock),
+        WaitForCapacity(state.eligibility, placement, state.grace, clock, admission),
         Route(state.eligibility, sampling, placement, state.directory),
         Send(
             state.inflight,
--- a/hawthornyard/edge/request/__init__.py
+++ b/hawthornyard/edge/request/__init__.py
@@ -4,6 +4,7 @@
 `core.Drain` precedes it.
 """
 
+from .admission import Admission
 from .match import Match
 from .quarantine import Quarantine
 from .queue import WaitForCapacity
@@ -13,6 +14,7 @@
 from .stop import RefuseUnfinishable
 
 __all__ = [
+    "Admission",
     "Match",
     "Quarantine",
     "RefuseUnfinishable",
--- /dev/null
+++ b/hawthornyard/edge/request/admission.py
@@ -0,0 +1,272 @@
+"""Admit requests of load-aware services by the capacity that is forecast."""
+
+from collections.abc import Callable, Iterator
+
+from ...core import Clock, Decision, Message
+from ...errors import ErrorKind
+from ...gateway.messages import ReplyFailed
+from ...policy import (
+    ForecastError,
+    RecentRate,
+    ReturnTimes,
+    UrgencyQueue,
+    Waiting,
+)
+from ..eligibility import Eligibility
+from ..forecast import ServiceForecast
+from ..load_aware import LoadAwareServices
+from ..messages import Dequeued, Request
+
+# Interval at which waiting requests are forecast anew: capacity that is lost must not
+# hold up a caller for much longer than a load report takes.
+RECHECK_INTERVAL_S = 0.25
+# Longest wait while a service has no endpoint: a replacement often appears soon.
+NO_ENDPOINT_WAIT_S = 0.25
+# Window over which arrivals are counted. It is longer than a burst, so that a burst is
+# not taken for lasting overload.
+ARRIVALS_WINDOW_S = 10.0
+
+HasCapacity = Callable[[Request], bool]
+
+
+class Admission:
+    """Requests that wait for capacity of load-aware services.
+
+    Addresses demand over capacity. A request waits here, not in a full engine, as long
+    as its first event, or whole plain answer, is forecast before its deadline; beyond
+    that it is refused at once. So the capacity goes to requests that it can serve in
+    time, and callers learn early when to come back.
+
+    Args:
+        services: Tells which services are load-aware.
+        forecast: Forecasts the starts of waiting requests.
+        eligibility: Tells which endpoints may get new work.
+        clock: Source of time.
+    """
+
+    __slots__ = (
+        "_arrivals",
+        "_clock",
+        "_eligibility",
+        "_errors",
+        "_forecast",
+        "_queue",
+        "_recheck_at",
+        "_returns",
+        "_services",
+    )
+
+    def __init__(
+        self,
+        services: LoadAwareServices,
+        forecast: ServiceForecast,
+        eligibility: Eligibility,
+        clock: Clock,
+    ) -> None:
+        self._services = services
+        self._forecast = forecast
+        self._eligibility = eligibility
+        self._clock = clock
+        self._queue: UrgencyQueue[Request] = UrgencyQueue()
+        self._returns = ReturnTimes()
+        self._arrivals: dict[str, RecentRate] = {}
+        self._errors: dict[str, ForecastError] = {}
+        self._recheck_at = 0.0
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def is_for(self, request: Request) -> bool:
+        """Return whether a request is admitted here.
+
+        Limits that endpoints name bound the rate and not the load, which no forecast
+        tells; requests for such endpoints are queued as for other services.
+        """
+        if not self._services.is_load_aware(request.service):
+            return False
+        return not self._eligibility.is_limited(request.service)
+
+    def add(self, request: Request, has_capacity: HasCapacity) -> Iterator[Message]:
+        """Queue a request; start it, or refuse it if it can't be served in time."""
+        now = self._clock.now()
+        self._service_arrivals(request.service).note()
+        turn_s = 0.0
+        if not request.n_attempts:
+            turn_s = self._returns.claim((request.team, request.route.name), now)
+        waiting = Waiting(
+            request,
+            request.team,
+            lane=request.service,
+            priority=request.priority,
+            size=request.n_tokens,
+            queued_at=now,
+            target_start=self._forecast.target_start(request),
+            latest_start=request.deadline - self._forecast.duration_s(request),
+            turn_s=turn_s,
+        )
+        self._queue.push(waiting)
+        yield from self.start_ready(has_capacity)
+        if waiting in self._queue:
+            yield from self._refuse_if_unservable(waiting)
+
+    def start_ready(self, has_capacity: HasCapacity) -> Iterator[Message]:
+        """Start the waiting requests, in order, for which there is capacity."""
+        while True:
+            waiting = self._next_ready(has_capacity)
+            if waiting is None:
+                return
+            yield from self._start(waiting)
+
+    def refuse_unservable(self) -> Iterator[Message]:
+        """Refuse what can no longer be served in time; for each tick."""
+        now = self._clock.now()
+        if not len(self._queue) or now < self._recheck_at:
+            return
+        self._recheck_at = now + RECHECK_INTERVAL_S
+        for service in sorted({waiting.lane for waiting in self._queue}):
+            yield from self._refuse_unservable(service)
+
+    def discard(self, predicate: Callable[[Request], bool]) -> list[Request]:
+        """Remove and return the waiting requests for which `predicate` holds."""
+        removed = [waiting for waiting in self._queue if predicate(waiting.item)]
+        for waiting in removed:
+            self._queue.discard(waiting)
+        return [waiting.item for waiting in removed]
+
+    def note_end(self, request: Request) -> None:
+        """Forget a request that has ended, and learn from it."""
+        self.discard(lambda item: item is request)
+        if self._services.is_load_aware(request.service):
+            self._forecast.note_end(request)
+
+    def _next_ready(self, has_capacity: HasCapacity) -> Waiting[Request] | None:
+        # Per service, sizes from which on there was no capacity: what is as large
+        # as a request that can't start is not tried.
+        too_large: dict[str, int] = {}
+        for waiting in self._queue.in_order(self._clock.now()):
+            limit = too_large.get(waiting.lane)
+            if limit is not None and waiting.size >= limit:
+                continue
+            request = waiting.item
+            if has_capacity(request) or self._forecast.idle_endpoints(request):
+                return waiting
+            too_large[waiting.lane] = waiting.size
+        return None
+
+    def _refuse_unservable(self, service: str) -> Iterator[Message]:
+        order = self._order(service)
+        if not self._forecast.has_endpoints(service):
+            yield from self._refuse_without_endpoint(order)
+            return
+        starts_s = self._starts_s(order)
+        reachable = [start_s for start_s in starts_s if start_s < float("inf")]
+        # What can't start in time comes behind all that can.
+        last_s = max(reachable, default=0.0)
+        for waiting, start_s in zip(order, starts_s, strict=True):
+            if start_s == float("inf"):
+                yield from self._refuse(waiting, last_s, len(reachable))
+            elif self._is_held_back(waiting, start_s):
+                yield from self._start(waiting)
+
+    def _refuse_if_unservable(self, waiting: Waiting[Request]) -> Iterator[Message]:
+        if not self._forecast.has_endpoints(waiting.lane):
+            return
+        order = self._order(waiting.lane)
+        n_ahead = order.index(waiting)
+        start_s = self._starts_s(order[: n_ahead + 1], open_ended=waiting.item)[-1]
+        waiting.forecast_start = self._clock.now() + start_s
+        if start_s > self._forecast.latest_s(waiting.item):
+            yield from self._refuse(waiting, start_s, n_ahead)
+
+    def _start(self, waiting: Waiting[Request]) -> Iterator[Message]:
+        request = waiting.item
+        self._queue.take(waiting)
+        now = self._clock.now()
+        if now > waiting.queued_at:
+            error = self._errors.setdefault(waiting.lane, ForecastError())
+            error_s = error.observe(waiting.forecast_start, now)
+            yield Decision(
+                "admitted",
+                request_id=request.request_id,
+                reason="waited",
+                waited_s=round(now - waiting.queued_at, 3),
+                error_s=round(error_s, 3),
+                median_error_s=round(error.median_s, 3),
+                is_late=now > waiting.target_start,
+                team=request.team,
+                route=request.route.name,
+                service=request.service,
+            )
+        yield Dequeued(request)
+
+    def _refuse(
+        self, waiting: Waiting[Request], forecast_s: float, n_ahead: int
+    ) -> Iterator[Message]:
+        request = waiting.item
+        now = self._clock.now()
+        self._queue.discard(waiting)
+        left_s = max(0.0, request.deadline - now)
+        retry_after_s = self._returns.promise(
+            waiting.lane,
+            (request.team, request.route.name),
+            now,
+            forecast_s=forecast_s,
+            spacing_s=forecast_s / (n_ahead + 1),
+            left_s=left_s,
+            turn_s=waiting.turn_s,
+        )
+        yield Decision(
+            "admission_refused",
+            request_id=request.request_id,
+            reason="no capacity is forecast before the deadline",
+            forecast_s=round(forecast_s, 3),
+            left_s=round(left_s, 3),
+            n_ahead=n_ahead,
+            retry_after_s=round(retry_after_s, 2),
+            team=request.team,
+            route=request.route.name,
+            service=request.service,
+        )
+        yield ReplyFailed(
+            request.call_id,
+            ErrorKind.OVERLOADED,
+            f"{request.service} has no capacity before the deadline",
+            retry_after_s=round(retry_after_s, 2),
+        )
+
+    def _refuse_without_endpoint(
+        self, order: list[Waiting[Request]]
+    ) -> Iterator[Message]:
+        now = self._clock.now()
+        for waiting in order:
+            if now - waiting.queued_at >= NO_ENDPOINT_WAIT_S:
+                self._queue.discard(waiting)
+                yield ReplyFailed(waiting.item.call_id, ErrorKind.NO_ENDPOINT)
+
+    def _order(self, service: str) -> list[Waiting[Request]]:
+        now = self._clock.now()
+        return [item for item in self._queue.in_order(now) if item.lane == service]
+
+    def _starts_s(
+        self, order: list[Waiting[Request]], open_ended: Request | None = None
+    ) -> list[float]:
+        arrivals = self._service_arrivals(order[0].lane)
+        return self._forecast.starts(
+            [waiting.item for waiting in order],
+            arrivals_per_s=arrivals.per_s,
+            open_ended=open_ended,
+        )
+
+    def _is_held_back(self, waiting: Waiting[Request], start_s: float) -> bool:
+        # The placement may spare an endpoint that has a slot and memory, to serve the
+        # request better elsewhere; beyond its target there is nothing better.
+        if start_s > 0 or self._clock.now() <= waiting.target_start:
+            return False
+        return bool(self._eligibility.for_request(waiting.item))
+
+    def _service_arrivals(self, service: str) -> RecentRate:
+        arrivals = self._arrivals.get(service)
+        if arrivals is None:
+            arrivals = RecentRate(self._clock, ARRIVALS_WINDOW_S)
+            self._arrivals[service] = arrivals
+        return arrivals
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -1,6 +1,6 @@
 """Queue requests until an endpoint has capacity."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from ...core import Clock, Handlers, Message, Tick
 from ...errors import ErrorKind
@@ -17,6 +17,7 @@
     Request,
 )
 from ..placement import Placement
+from .admission import Admission
 from .stop import refusal
 
 # Longest wait for capacity, as a share of the route's target latency; beyond it a
@@ -44,9 +45,12 @@
         placement: Tells which endpoints have capacity.
         grace: Tells which requests can end before a stopping process is killed.
         clock: Source of time.
+        admission: Holds the waiting requests of load-aware services, None if there are
+            no such services.
     """
 
     __slots__ = (
+        "_admission",
         "_clock",
         "_eligibility",
         "_grace",
@@ -63,7 +67,9 @@
         placement: Placement,
         grace: GracePeriod,
         clock: Clock,
+        admission: Admission | None = None,
     ) -> None:
+        self._admission = admission
         self._eligibility = eligibility
         self._placement = placement
         self._grace = grace
@@ -82,9 +88,12 @@
 
     def _on_matched(self, msg: Matched) -> Iterator[Message]:
         request = msg.request
-        if len(self._queue) >= MAX_QUEUE_LENGTH:
+        if self._n_waiting() >= MAX_QUEUE_LENGTH:
             yield self._refuse(request, ErrorKind.OVERLOADED, "the queue is full")
             return
+        if self._admission is not None and self._admission.is_for(request):
+            yield from self._admission.add(request, self._has_capacity)
+            return
         self._queued_at[request.call_id] = self._clock.now()
         self._queue.push(
             request,
@@ -99,6 +108,8 @@
             yield from self._refuse_if_hopeless(request)
 
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
+        if self._admission is not None:
+            self._admission.note_end(msg.request)
         yield msg
         yield from self._dequeue()
 
@@ -107,22 +118,22 @@
         yield from self._dequeue()
 
     def _on_caller_gone(self, msg: CallerGone) -> Iterator[Message]:
-        for request in self._queue.discard(lambda item: item.call_id == msg.call_id):
+        for request in self._discard(lambda item: item.call_id == msg.call_id):
             yield self._refuse(request, ErrorKind.CANCELLED, "the caller disconnected")
         yield msg
 
     def _on_part_accused(self, msg: PartAccused) -> Iterator[Message]:
         detail = f"part {msg.part} of the prompt ends endpoints"
-        for request in self._queue.discard(lambda item: msg.part in item.shared_parts):
+        for request in self._discard(lambda item: msg.part in item.shared_parts):
             yield self._refuse(request, ErrorKind.PROMPT_QUARANTINED, detail)
 
     def _on_tick(self, msg: Tick) -> Iterator[Message]:
-        for request in self._queue.discard(
-            lambda item: not self._grace.has_time_for(item)
-        ):
+        for request in self._discard(lambda item: not self._grace.has_time_for(item)):
             self._queued_at.pop(request.call_id, None)
             yield refusal(request, self._grace)
         yield from self._dequeue()
+        if self._admission is not None:
+            yield from self._admission.refuse_unservable()
         now = self._clock.now()
         for request in self._queue.discard(lambda item: self._is_wait_over(item, now)):
             if self._eligibility.is_limited(request.service):
@@ -135,7 +146,19 @@
                 yield self._refuse(request, ErrorKind.NO_ENDPOINT)
         yield msg
 
+    def _n_waiting(self) -> int:
+        n_admission = len(self._admission) if self._admission is not None else 0
+        return len(self._queue) + n_admission
+
+    def _discard(self, predicate: Callable[[Request], bool]) -> list[Request]:
+        removed = self._queue.discard(predicate)
+        if self._admission is not None:
+            removed += self._admission.discard(predicate)
+        return removed
+
     def _dequeue(self) -> Iterator[Message]:
+        if self._admission is not None:
+            yield from self._admission.start_ready(self._has_capacity)
         while True:
             request = self._queue.pop(self._has_capacity)
             if request is None:
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -1,11 +1,19 @@
 """Decide on routing, admission, queue order and retries, without I/O."""
 
+from .admission import ReturnTimes, UrgencyQueue, Waiting
 from .affinity import PrefixAffinity
 from .calibration import Calibration
 from .crash_evidence import Crash, CrashEvidence
 from .endpoint_view import EndpointView
 from .fair_division import divide_fairly
 from .fair_queue import FairQueue, Queue
+from .forecast import (
+    EngineLoad,
+    ForecastError,
+    RunningWork,
+    WaitingWork,
+    forecast_starts,
+)
 from .length_ratios import LengthRatios
 from .lengths import (
     BackoffPredictor,
@@ -32,8 +40,10 @@
     "Crash",
     "CrashEvidence",
     "EndpointView",
+    "EngineLoad",
     "ExpectedMemory",
     "FairQueue",
+    "ForecastError",
     "LengthHistogram",
     "LengthPredictor",
     "LengthRatios",
@@ -45,11 +55,17 @@
     "Queue",
     "RecentRate",
     "RetryBudget",
+    "ReturnTimes",
     "RoutingPolicy",
+    "RunningWork",
     "SlowStart",
     "TokenBucket",
     "PowerOfTwoChoices",
+    "UrgencyQueue",
+    "Waiting",
+    "WaitingWork",
     "divide_fairly",
+    "forecast_starts",
     "rank_owners",
     "spread_subset",
     "estimate_prompt_tokens",
