Keep large requests from starving and serve brief ones in time

A replayed burst showed two faults of admission by forecast: small requests took all memory that was freed, so large ones were never served, and long responses near their targets delayed brief ones that take a hundredth of their work. Requests with much less work now go first, brief and large ones that have waited for half of their time may use the memory that others leave free, and an endpoint is kept for a large one, except for what ends before it can start there. A late request is refused once later arrivals have taken all capacity for half of its time between target and deadline.

Weighed: counting future arrivals in the forecast, which refused requests below the capacity; reserving for every request, which left memory unused and had fewer on time.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -92,14 +92,15 @@
     Given <waiting> wait
     Then the order at 10 seconds is <order>
 
-    # Each is name:team:priority:latest start for its target:latest start at all:tokens.
+    # Each is name:team:priority:latest start for its target:latest start at all:work.
     Examples:
       | waiting                                                | order   |
       | a:x:1:11:30:1 b:x:0:19:30:1                            | b a     |
       | a:x:0:14:30:1 b:x:0:11:16:1                            | b a     |
       | a:x:0:9:30:1 b:x:0:14:30:1                             | b a     |
       | a:x:0:9:30:1 b:x:0:8:20:1                              | b a     |
-      | a:x:0:11:30:5000 b:x:0:12:30:5000 c:x:0:13:30:5000 d:y:0:14:30:5000 | a b d c |
+      | a:x:0:11:30:90 b:x:0:12:30:1                           | b a     |
+      | a:x:0:11:30:9 b:x:0:12:30:9 c:x:0:13:30:9 d:x:0:14:30:9 e:y:0:15:30:9 | a b c e d |
 
   Scenario: Refused clients are told different times, in order, that they honour
     When 20 clients with 12 seconds left are refused and 1 place frees each second
@@ -111,3 +112,33 @@
     When a client is refused and told to come back after 2 seconds
     Then a request of its team and route after 1 seconds has no earlier turn
     But one after 2 seconds has its turn of 2 seconds ago, once
+
+  # Guards against requests that are sent to full engines, where most miss their targets,
+  # and against large ones that never fit because small ones take what is freed.
+  Scenario Outline: Most requests meet their targets under load
+    Given <n> gateways before 4 engines whose load is near their capacity
+    When callers <load>
+    Then <long> of 100 long and <short> of 100 short responses or more are on time
+    And no engine had more than 3 requests that waited in it
+    And the largest are served at least half as often as their kind
+
+    Examples:
+      | n | load                                              | long | short |
+      | 1 | send 2.5 times as much for 4 seconds              | 90   | 95    |
+      | 3 | send 2.5 times as much for 4 seconds              | 85   | 95    |
+      | 3 | that retry at once send 2.5 times as much for 4 seconds | 85 | 95 |
+      | 1 | send on while half of the engines leave           | 55   | 95    |
+      | 3 | send on while half of the engines leave           | 50   | 85    |
+      | 1 | send 2 times as much for 25 seconds               | 45   | 95    |
+      | 3 | send 2 times as much for 25 seconds               | 45   | 90    |
+
+  Scenario Outline: Nobody is refused while the load is below the capacity
+    Given <n> gateways before 4 engines whose load is near their capacity
+    When callers send 1.1 times as much for 25 seconds
+    Then 99 of 100 long and 99 of 100 short responses or more are on time
+    And nobody was refused
+
+    Examples:
+      | n |
+      | 1 |
+      | 3 |
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -3,6 +3,7 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.admission_replay import Replay
 from features.support.edge import EdgeDriver
 from hawthornyard.edge.messages import AttemptEnded, GatewaysRead
 from hawthornyard.frames import EndpointLoad, GatewayLoads
@@ -18,6 +19,10 @@
 )
 
 CLIENT = ("kiosk", "summary")
+# Requests a second of each kind: some nine tenths of the capacity of 4 engines.
+RATES = {"long": 2.5, "short": 4.5}
+NOTICE_S = 1.5
+LONGEST_ANSWER_S = 40.0
 
 
 class PacedServices:
@@ -122,13 +127,13 @@
 def fill_queue(context: Context, waiting: str) -> None:
     context.queue = UrgencyQueue[str]()
     for text in waiting.split():
-        name, team, priority, target, latest, size = text.split(":")
+        name, team, priority, target, latest, work = text.split(":")
         context.queue.push(
             Waiting(
                 name,
                 team,
                 priority=int(priority),
-                size=int(size),
+                work=float(work),
                 target_start=float(target),
                 latest_start=float(latest),
             )
@@ -191,3 +196,64 @@
     assert context.returns.claim(("ferry", "summary"), now) == 0.0
     assert context.returns.claim(CLIENT, now) == turn_s
     assert context.returns.claim(CLIENT, now) == 0.0
+
+
+@given("{n:d} gateways before 4 engines whose load is near their capacity")
+def start_replay(context: Context, n: int) -> None:
+    context.replay = Replay(n, 4, PacedServices("scribe"))
+    context.replay.run(10.0, RATES)
+
+
+@when(
+    "callers that retry at once send {factor:g} times as much for {seconds:g} seconds"
+)
+def replay_retries(context: Context, factor: float, seconds: float) -> None:
+    context.replay.does_retry_at_once = True
+    replay_burst(context, factor, seconds)
+
+
+@when("callers send {factor:g} times as much for {seconds:g} seconds")
+def replay_burst(context: Context, factor: float, seconds: float) -> None:
+    more = {kind: factor * rate for kind, rate in RATES.items()}
+    context.replay.run(seconds, more)
+    context.replay.run(15.0, RATES)
+    context.replay.run(LONGEST_ANSWER_S, {})
+
+
+@when("callers send on while half of the engines leave")
+def replay_loss(context: Context) -> None:
+    context.replay.leave(2, NOTICE_S, RATES)
+    context.replay.run(15.0, RATES)
+    context.replay.run(LONGEST_ANSWER_S, {})
+
+
+@then(
+    "{n_long:d} of 100 long and {n_short:d} of 100 short responses or more are on time"
+)
+def check_on_time(context: Context, n_long: int, n_short: int) -> None:
+    for kind, least in (("long", n_long), ("short", n_short)):
+        callers = context.replay.of_kind(kind)
+        n_on_time = sum(caller.is_on_time for caller in callers)
+        assert 100 * n_on_time >= least * len(callers), (kind, n_on_time, len(callers))
+
+
+@then("no engine had more than {n:d} requests that waited in it")
+def check_engine_queues(context: Context, n: int) -> None:
+    most = max(engine.most_queued for engine in context.replay.engines.values())
+    assert most <= n, most
+
+
+@then("the largest are served at least half as often as their kind")
+def check_largest(context: Context) -> None:
+    for kind in RATES:
+        callers = context.replay.of_kind(kind)
+        large = [caller for caller in callers if caller.is_large]
+        share = sum(caller.is_done for caller in callers) / len(callers)
+        large_share = sum(caller.is_done for caller in large) / len(large)
+        assert large_share >= share / 2, (kind, share, large_share)
+
+
+@then("nobody was refused")
+def check_no_refusals(context: Context) -> None:
+    told = [caller.told for caller in context.replay.callers if caller.told]
+    assert not told, told
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -266,12 +266,13 @@
         *,
         key: str = KEY,
         revision: int = 0,
+        engine: EngineRule = ENGINE,
     ) -> None:
         deployment = Deployment(
             version,
             list(ROUTES.values()) if routes is None else routes,
             [
-                ServiceRule("scribe", cold_requests_per_s=10.0, engine=ENGINE),
+                ServiceRule("scribe", cold_requests_per_s=10.0, engine=engine),
                 ServiceRule("frontdesk"),
             ],
             [TeamRule("kiosk", [key]), TeamRule("ferry", [OTHER_KEY])],
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -36,6 +36,7 @@
     Send,
     WaitForCapacity,
 )
+from .reservations import Reservations
 from .retry_budget import SharedRetryBudget
 from .sampling import Sampling
 from .streams import Migrate, Resume
@@ -112,7 +113,6 @@
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
         load_aware: Tells which services are admitted by forecast, none if None.
     """
-    placement = placement or LeastLoaded(state.directory, state.endpoints)
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
@@ -120,8 +120,15 @@
     forecast = ServiceForecast(
         state.directory, state.endpoints, state.eligibility, clock
     )
+    reservations = Reservations(
+        placement or LeastLoaded(state.directory, state.endpoints), forecast, clock
+    )
     admission = Admission(
-        load_aware or NoLoadAwareServices(), forecast, state.eligibility, clock
+        load_aware or NoLoadAwareServices(),
+        forecast,
+        state.eligibility,
+        reservations,
+        clock,
     )
     resumption = Resumption(state.inflight, mirroring, clock)
     return [
@@ -149,8 +156,8 @@
         Retry(state.inflight, state.retry_budget, clock),
         Quarantine(state.crash_evidence, state.inflight, state.peers),
         RefuseUnfinishable(state.grace),
-        WaitForCapacity(state.eligibility, placement, state.grace, clock, admission),
-        Route(state.eligibility, sampling, placement, state.directory),
+        WaitForCapacity(state.eligibility, reservations, state.grace, clock, admission),
+        Route(state.eligibility, sampling, reservations, state.directory),
         Send(
             state.inflight,
             state.endpoints,
--- a/hawthornyard/edge/forecast.py
+++ b/hawthornyard/edge/forecast.py
@@ -1,6 +1,6 @@
 """Forecast when a service has capacity, from what its endpoints are known to run."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from statistics import median
 
 from ..core import Clock
@@ -22,6 +22,28 @@
 # Gap between events in seconds that is assumed until one of the service was measured
 # and if the route has no target: a usual decoding step of several tokens.
 DEFAULT_GAP_S = 0.05
+# Time for which the median speed of a service is used again: it is made of averages
+# over many events, and asking all endpoints for each waiting request is slow.
+SPEED_TTL_S = 0.1
+
+
+class _Speed:
+    """Median speed of the endpoints of a service.
+
+    Attributes:
+        measured_at: Monotonic time in seconds of the measurement.
+        prefill_rate: Prefill rate in tokens per second, 0 if unknown.
+        gap_s: Gap between events in seconds, 0 if unknown.
+        answer_s: Time of a whole answer in seconds, 0 if unknown.
+    """
+
+    __slots__ = ("answer_s", "gap_s", "measured_at", "prefill_rate")
+
+    def __init__(self, endpoints: Sequence[Endpoint], now: float) -> None:
+        self.measured_at = now
+        self.prefill_rate = _known_median(end.prefill_rate for end in endpoints)
+        self.gap_s = _known_median(end.mean_gap_s for end in endpoints)
+        self.answer_s = _known_median(end.mean_answer_s for end in endpoints)
 
 
 class ServiceForecast:
@@ -34,7 +56,14 @@
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_directory", "_eligibility", "_endpoints", "_lengths")
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_eligibility",
+        "_endpoints",
+        "_lengths",
+        "_speeds",
+    )
 
     def __init__(
         self,
@@ -47,6 +76,7 @@
         self._endpoints = endpoints
         self._eligibility = eligibility
         self._clock = clock
+        self._speeds: dict[str, _Speed] = {}
         self._lengths = BackoffPredictor()
 
     def note_end(self, request: Request) -> None:
@@ -60,14 +90,12 @@
         self,
         requests: Sequence[Request],
         *,
-        arrivals_per_s: float = 0.0,
         open_ended: Request | None = None,
     ) -> list[float]:
         """Return when each waiting request of one service can start.
 
         Args:
             requests: Waiting requests of the service in their order.
-            arrivals_per_s: Rate of further requests for the service.
             open_ended: Request whose start is of interest also beyond its deadline.
 
         Returns:
@@ -83,7 +111,6 @@
             [self._engine_load(endpoint, mean_s) for endpoint in endpoints],
             waiting,
             share=self._share(endpoints),
-            arrivals_per_s=arrivals_per_s,
         )
 
     def target_start(self, request: Request) -> float:
@@ -110,20 +137,62 @@
             return self._plain_answer_s(request.service)
         return self._prefill_s(request) + self._writing_s(request, 0)
 
+    def first_endpoint(self, request: Request) -> tuple[Endpoint, float] | None:
+        """Return the endpoint that has capacity for a request first, and in how long.
+
+        Returns:
+            The endpoint and the seconds, None if the service has no endpoint.
+        """
+        waiting = [self._waiting_work(request)]
+        waiting[0].latest_s = float("inf")
+        starts = [
+            (
+                forecast_starts(
+                    [self._engine_load(end, waiting[0].duration_s)], waiting
+                ),
+                end,
+            )
+            for end in self._usable(request.service)
+        ]
+        if not starts:
+            return None
+        (start_s,), endpoint = min(starts, key=lambda item: item[0])
+        return endpoint, start_s
+
     def has_endpoints(self, service: str) -> bool:
         """Return whether a service has an endpoint that may get new work some time."""
         return bool(self._usable(service))
 
-    def idle_endpoints(self, request: Request) -> list[Endpoint]:
-        """Return the endpoints for a request that is larger than an engine's memory.
+    def is_oversized(self, request: Request) -> bool:
+        """Return whether no engine has capacity for a request, even if it is idle."""
+        limit = self._memory_tokens(request.service)
+        return limit is not None and request.n_tokens > limit
+
+    def roomy_endpoint(self, request: Request) -> Endpoint | None:
+        """Return the endpoint with most room for a request, if only there it fits.
+
+        The memory beyond the share that the placement fills counts as room. One that is
+        larger than the whole memory needs an engine that runs nothing.
 
-        No engine ever has capacity for it by its size; one that runs nothing serves it.
+        Returns:
+            The endpoint, None if it has no room, or so much that the placement must
+            have another reason not to use it.
         """
+        rule = self._directory.service(request.service)
         limit = self._memory_tokens(request.service)
-        if limit is None or request.n_tokens <= limit:
-            return []
-        endpoints = self._eligibility.for_request(request)
-        return [end for end in endpoints if not end.n_running and not end.used_tokens]
+        if rule is None or rule.engine is None or limit is None:
+            return None
+        endpoints = [
+            endpoint
+            for endpoint in self._eligibility.for_request(request)
+            if endpoint.n_running < endpoint.entry.n_slots
+        ]
+        roomiest = min(endpoints, key=lambda end: end.used_tokens, default=None)
+        if roomiest is None:
+            return None
+        memory_tokens = rule.engine.memory_tokens
+        need = roomiest.used_tokens + min(request.n_tokens, memory_tokens)
+        return roomiest if limit < need <= memory_tokens else None
 
     def _waiting_work(self, request: Request) -> WaitingWork:
         return WaitingWork(
@@ -209,22 +278,23 @@
         return request.call.size.n_prompt_tokens / self._prefill_rate(request.service)
 
     def _prefill_rate(self, service: str) -> float:
-        endpoints = self._endpoints.of_service(service)
-        rates = [end.prefill_rate for end in endpoints if end.prefill_rate]
-        return median(rates) if rates else DEFAULT_PREFILL_RATE
+        return self._speed(service).prefill_rate or DEFAULT_PREFILL_RATE
 
     def _gap_s(self, request: Request) -> float:
-        endpoints = self._endpoints.of_service(request.service)
-        gaps_s = [end.mean_gap_s for end in endpoints if end.mean_gap_s]
-        if gaps_s:
-            return median(gaps_s)
-        return request.route.gap_target_s or DEFAULT_GAP_S
+        gap_s = self._speed(request.service).gap_s
+        return gap_s or request.route.gap_target_s or DEFAULT_GAP_S
 
     def _plain_answer_s(self, service: str) -> float:
         # Until an answer was measured, none is refused for its duration.
-        endpoints = self._endpoints.of_service(service)
-        answers_s = [end.mean_answer_s for end in endpoints if end.mean_answer_s]
-        return median(answers_s) if answers_s else 0.0
+        return self._speed(service).answer_s
+
+    def _speed(self, service: str) -> "_Speed":
+        now = self._clock.now()
+        speed = self._speeds.get(service)
+        if speed is None or now - speed.measured_at > SPEED_TTL_S:
+            speed = _Speed(self._endpoints.of_service(service), now)
+            self._speeds[service] = speed
+        return speed
 
     def _memory_tokens(self, service: str) -> float | None:
         rule = self._directory.service(service)
@@ -239,6 +309,11 @@
         )
 
 
+def _known_median(values: Iterable[float]) -> float:
+    known = [value for value in values if value]
+    return median(known) if known else 0.0
+
+
 def _length_source(request: Request) -> LengthSource | None:
     size = request.call.size
     if size is None:
--- a/hawthornyard/edge/request/admission.py
+++ b/hawthornyard/edge/request/admission.py
@@ -7,7 +7,6 @@
 from ...gateway.messages import ReplyFailed
 from ...policy import (
     ForecastError,
-    RecentRate,
     ReturnTimes,
     UrgencyQueue,
     Waiting,
@@ -16,17 +15,20 @@
 from ..forecast import ServiceForecast
 from ..load_aware import LoadAwareServices
 from ..messages import Dequeued, Request
+from ..reservations import Reservations
+from .start_rules import HasCapacity, StartRules
 
 # Interval at which waiting requests are forecast anew: capacity that is lost must not
 # hold up a caller for much longer than a load report takes.
 RECHECK_INTERVAL_S = 0.25
 # Longest wait while a service has no endpoint: a replacement often appears soon.
 NO_ENDPOINT_WAIT_S = 0.25
-# Window over which arrivals are counted. It is longer than a burst, so that a burst is
-# not taken for lasting overload.
-ARRIVALS_WINDOW_S = 10.0
-
-HasCapacity = Callable[[Request], bool]
+# Longest Retry-After while a service has no endpoint, as nothing tells when it has one.
+MAX_NO_ENDPOINT_RETRY_S = 1.0
+# Share of its time between target and deadline after which a late request is refused,
+# if no late one of the service has started meanwhile: requests that can meet their
+# targets go first and then take all capacity, as in lasting overload.
+MAX_LATE_SHARE = 0.5
 
 
 class Admission:
@@ -41,18 +43,21 @@
         services: Tells which services are load-aware.
         forecast: Forecasts the starts of waiting requests.
         eligibility: Tells which endpoints may get new work.
+        reservations: Keeps an endpoint of each service for a large request.
         clock: Source of time.
     """
 
     __slots__ = (
-        "_arrivals",
         "_clock",
         "_eligibility",
         "_errors",
         "_forecast",
+        "_late_start_at",
         "_queue",
         "_recheck_at",
+        "_reservations",
         "_returns",
+        "_rules",
         "_services",
     )
 
@@ -61,15 +66,19 @@
         services: LoadAwareServices,
         forecast: ServiceForecast,
         eligibility: Eligibility,
+        reservations: Reservations,
         clock: Clock,
     ) -> None:
         self._services = services
         self._forecast = forecast
         self._eligibility = eligibility
+        self._reservations = reservations
         self._clock = clock
+        self._rules = StartRules(forecast, reservations, clock)
         self._queue: UrgencyQueue[Request] = UrgencyQueue()
         self._returns = ReturnTimes()
-        self._arrivals: dict[str, RecentRate] = {}
+        # Newest start of a request that was late, by service.
+        self._late_start_at: dict[str, float] = {}
         self._errors: dict[str, ForecastError] = {}
         self._recheck_at = 0.0
 
@@ -89,19 +98,21 @@
     def add(self, request: Request, has_capacity: HasCapacity) -> Iterator[Message]:
         """Queue a request; start it, or refuse it if it can't be served in time."""
         now = self._clock.now()
-        self._service_arrivals(request.service).note()
+        self._rules.note_arrival(request)
         turn_s = 0.0
         if not request.n_attempts:
             turn_s = self._returns.claim((request.team, request.route.name), now)
+        duration_s = self._forecast.duration_s(request)
         waiting = Waiting(
             request,
             request.team,
             lane=request.service,
             priority=request.priority,
             size=request.n_tokens,
+            work=max(1, request.n_tokens) * duration_s,
             queued_at=now,
             target_start=self._forecast.target_start(request),
-            latest_start=request.deadline - self._forecast.duration_s(request),
+            latest_start=request.deadline - duration_s,
             turn_s=turn_s,
         )
         self._queue.push(waiting)
@@ -112,7 +123,7 @@
     def start_ready(self, has_capacity: HasCapacity) -> Iterator[Message]:
         """Start the waiting requests, in order, for which there is capacity."""
         while True:
-            waiting = self._next_ready(has_capacity)
+            waiting = self._rules.next_ready(self._queue, has_capacity)
             if waiting is None:
                 return
             yield from self._start(waiting)
@@ -124,34 +135,26 @@
             return
         self._recheck_at = now + RECHECK_INTERVAL_S
         for service in sorted({waiting.lane for waiting in self._queue}):
+            self._rules.renew_reservation(service)
             yield from self._refuse_unservable(service)
 
     def discard(self, predicate: Callable[[Request], bool]) -> list[Request]:
         """Remove and return the waiting requests for which `predicate` holds."""
         removed = [waiting for waiting in self._queue if predicate(waiting.item)]
         for waiting in removed:
-            self._queue.discard(waiting)
+            self._remove(waiting)
         return [waiting.item for waiting in removed]
 
     def note_end(self, request: Request) -> None:
         """Forget a request that has ended, and learn from it."""
         self.discard(lambda item: item is request)
+        self._reservations.forget(request)
         if self._services.is_load_aware(request.service):
             self._forecast.note_end(request)
 
-    def _next_ready(self, has_capacity: HasCapacity) -> Waiting[Request] | None:
-        # Per service, sizes from which on there was no capacity: what is as large
-        # as a request that can't start is not tried.
-        too_large: dict[str, int] = {}
-        for waiting in self._queue.in_order(self._clock.now()):
-            limit = too_large.get(waiting.lane)
-            if limit is not None and waiting.size >= limit:
-                continue
-            request = waiting.item
-            if has_capacity(request) or self._forecast.idle_endpoints(request):
-                return waiting
-            too_large[waiting.lane] = waiting.size
-        return None
+    def _remove(self, waiting: Waiting[Request]) -> None:
+        self._queue.discard(waiting)
+        self._reservations.release(waiting.item)
 
     def _refuse_unservable(self, service: str) -> Iterator[Message]:
         order = self._order(service)
@@ -163,11 +166,19 @@
         # What can't start in time comes behind all that can.
         last_s = max(reachable, default=0.0)
         for waiting, start_s in zip(order, starts_s, strict=True):
-            if start_s == float("inf"):
+            if waiting not in self._queue:
+                continue
+            if start_s == float("inf") or self._is_crowded_out(waiting):
                 yield from self._refuse(waiting, last_s, len(reachable))
             elif self._is_held_back(waiting, start_s):
                 yield from self._start(waiting)
 
+    def _is_crowded_out(self, waiting: Waiting[Request]) -> bool:
+        late_since = max(waiting.target_start, waiting.queued_at)
+        allowed_s = MAX_LATE_SHARE * (waiting.item.deadline - late_since)
+        last_start = self._late_start_at.get(waiting.lane, 0.0)
+        return self._clock.now() > max(late_since, last_start) + allowed_s
+
     def _refuse_if_unservable(self, waiting: Waiting[Request]) -> Iterator[Message]:
         if not self._forecast.has_endpoints(waiting.lane):
             return
@@ -181,7 +192,10 @@
     def _start(self, waiting: Waiting[Request]) -> Iterator[Message]:
         request = waiting.item
         self._queue.take(waiting)
+        self._reservations.release(request)
         now = self._clock.now()
+        if now > waiting.target_start:
+            self._late_start_at[waiting.lane] = now
         if now > waiting.queued_at:
             error = self._errors.setdefault(waiting.lane, ForecastError())
             error_s = error.observe(waiting.forecast_start, now)
@@ -204,7 +218,7 @@
     ) -> Iterator[Message]:
         request = waiting.item
         now = self._clock.now()
-        self._queue.discard(waiting)
+        self._remove(waiting)
         left_s = max(0.0, request.deadline - now)
         retry_after_s = self._returns.promise(
             waiting.lane,
@@ -240,8 +254,14 @@
         now = self._clock.now()
         for waiting in order:
             if now - waiting.queued_at >= NO_ENDPOINT_WAIT_S:
-                self._queue.discard(waiting)
-                yield ReplyFailed(waiting.item.call_id, ErrorKind.NO_ENDPOINT)
+                self._remove(waiting)
+                left_s = max(0.0, waiting.item.deadline - now)
+                retry_after_s = min(MAX_NO_ENDPOINT_RETRY_S, left_s / 3)
+                yield ReplyFailed(
+                    waiting.item.call_id,
+                    ErrorKind.NO_ENDPOINT,
+                    retry_after_s=round(retry_after_s, 2),
+                )
 
     def _order(self, service: str) -> list[Waiting[Request]]:
         now = self._clock.now()
@@ -250,12 +270,8 @@
     def _starts_s(
         self, order: list[Waiting[Request]], open_ended: Request | None = None
     ) -> list[float]:
-        arrivals = self._service_arrivals(order[0].lane)
-        return self._forecast.starts(
-            [waiting.item for waiting in order],
-            arrivals_per_s=arrivals.per_s,
-            open_ended=open_ended,
-        )
+        requests = [waiting.item for waiting in order]
+        return self._forecast.starts(requests, open_ended=open_ended)
 
     def _is_held_back(self, waiting: Waiting[Request], start_s: float) -> bool:
         # The placement may spare an endpoint that has a slot and memory, to serve the
@@ -263,10 +279,3 @@
         if start_s > 0 or self._clock.now() <= waiting.target_start:
             return False
         return bool(self._eligibility.for_request(waiting.item))
-
-    def _service_arrivals(self, service: str) -> RecentRate:
-        arrivals = self._arrivals.get(service)
-        if arrivals is None:
-            arrivals = RecentRate(self._clock, ARRIVALS_WINDOW_S)
-            self._arrivals[service] = arrivals
-        return arrivals
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -26,6 +26,7 @@
 from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .pause import PauseDetector
 from .recent_rate import RecentRate
+from .recent_sizes import RecentSizes
 from .rendezvous import rank_owners, spread_subset
 from .retry import RetryBudget
 from .routing import Choice, PowerOfTwoChoices, RoutingPolicy
@@ -54,6 +55,7 @@
     "PrefixAffinity",
     "Queue",
     "RecentRate",
+    "RecentSizes",
     "RetryBudget",
     "ReturnTimes",
     "RoutingPolicy",
--- a/hawthornyard/policy/admission.py
+++ b/hawthornyard/policy/admission.py
@@ -2,13 +2,17 @@
 
 from collections import deque
 from collections.abc import Iterator
+from math import log
 from typing import Generic, TypeVar
 
 T = TypeVar("T")
 
-# Work in tokens by which a team may be ahead of the team with the least work: some two
-# long responses, so that a team with one request at a time never waits for its turn.
-FAIRNESS_SLACK = 8000.0
+# Work by which a team may be ahead of the waiting team with the least, as a multiple of
+# the largest that waits: a team with one request at a time never waits for its turn.
+FAIRNESS_SLACK = 2.0
+# Ratio of two requests' work from which the smaller goes first. It is more than the
+# sizes of one kind differ, so that the largest of a kind don't go last.
+WORK_STEP = 8.0
 # Clients honour Retry-After up to this share of their remaining time.
 MAX_RETRY_AFTER_SHARE = 1 / 3
 MIN_RETRY_AFTER_S = 0.05
@@ -29,6 +33,7 @@
         team: Team that the work is charged to.
         priority: Scheduling priority; 0 goes first.
         size: Memory that it needs, in tokens.
+        work: Capacity that it takes: its size, at least 1, times its seconds.
         queued_at: Monotonic time in seconds at which it was queued.
         target_start: Latest start in monotonic seconds with which it meets its target.
         latest_start: Latest start in monotonic seconds with which it is served.
@@ -48,6 +53,7 @@
         "target_start",
         "team",
         "turn_s",
+        "work",
     )
 
     def __init__(
@@ -58,6 +64,7 @@
         lane: str = "",
         priority: int = 0,
         size: int = 0,
+        work: float = 1.0,
         queued_at: float = 0.0,
         target_start: float = 0.0,
         latest_start: float = 0.0,
@@ -68,21 +75,25 @@
         self.lane = lane
         self.priority = priority
         self.size = size
+        self.work = work
         self.queued_at = queued_at
         self.target_start = target_start
         self.latest_start = latest_start
         self.turn_s = turn_s
         self.forecast_start = queued_at
 
-    def rank(self, now: float) -> tuple[int, bool, float]:
+    def rank(self, now: float) -> tuple[int, bool, int, float]:
         """Return its place among all that wait; the lowest goes first.
 
         A late response is worth little, so one that can meet its target goes before
-        one that can't. Among either, the one that loses first goes first.
+        one that can't. Of those that can, much less work goes first, since the same
+        capacity then serves more of them in time. Among equals, the one that loses
+        first goes first.
         """
         is_late = now > self.target_start
         due = self.latest_start if is_late else self.target_start
-        return self.priority, is_late, due - self.turn_s
+        step = 0 if is_late else round(log(max(1.0, self.work), WORK_STEP))
+        return self.priority, is_late, step, due - self.turn_s
 
 
 class UrgencyQueue(Generic[T]):
@@ -90,18 +101,15 @@
 
     Addresses bursts of several kinds: with first in, first out, all requests of a burst
     wait equally and most miss their targets; here those that can meet them do. A team
-    whose work is more than `fairness_slack` ahead of the least among the waiting teams
-    of its priority has to wait for them, so a flood of one team delays only that team.
-
-    Args:
-        fairness_slack: Work, in the unit of `Waiting.size`.
+    that is ahead of the waiting teams of its priority by more than `FAIRNESS_SLACK` has
+    to wait for them, so a flood of one team delays only that team.
     """
 
-    __slots__ = ("_fairness_slack", "_items", "_virtual_time", "_work")
+    __slots__ = ("_items", "_virtual_time", "_work")
 
-    def __init__(self, *, fairness_slack: float = FAIRNESS_SLACK) -> None:
-        self._fairness_slack = fairness_slack
-        self._items: list[Waiting[T]] = []
+    def __init__(self) -> None:
+        # The values are not used: a dictionary keeps the order and removes at once.
+        self._items: dict[Waiting[T], None] = {}
         # Work of the teams, kept for those that wait or are ahead of the virtual time.
         self._work: dict[str, float] = {}
         self._virtual_time = 0.0
@@ -112,23 +120,26 @@
     def __iter__(self) -> Iterator[Waiting[T]]:
         yield from list(self._items)
 
+    def __contains__(self, waiting: Waiting[T]) -> bool:
+        return waiting in self._items
+
     def push(self, waiting: Waiting[T]) -> None:
         """Append an item; idle time earned its team no credit."""
         if all(other.team != waiting.team for other in self._items):
             work = self._work.get(waiting.team, 0.0)
             self._work[waiting.team] = max(work, self._virtual_time)
-        self._items.append(waiting)
+        self._items[waiting] = None
 
     def take(self, waiting: Waiting[T]) -> None:
         """Remove an item that starts, and charge its team."""
         self._virtual_time = max(self._virtual_time, self._least_work())
-        self._items.remove(waiting)
-        self._work[waiting.team] += max(1.0, waiting.size)
+        del self._items[waiting]
+        self._work[waiting.team] += waiting.work
         self._forget_idle()
 
     def discard(self, waiting: Waiting[T]) -> None:
         """Remove an item that does not start."""
-        self._items.remove(waiting)
+        del self._items[waiting]
 
     def in_order(self, now: float) -> Iterator[Waiting[T]]:
         """Yield the items in the order in which they would start.
@@ -147,14 +158,15 @@
         for waiting in sorted(items, key=lambda item: item.rank(now)):
             by_team.setdefault(waiting.team, deque()).append(waiting)
         work = {team: self._work[team] for team in by_team}
+        slack = FAIRNESS_SLACK * max(waiting.work for waiting in items)
         while by_team:
-            limit = min(work.values()) + self._fairness_slack
+            limit = min(work.values()) + slack
             team = min(
                 (name for name in by_team if work[name] <= limit),
                 key=lambda name: by_team[name][0].rank(now),
             )
             waiting = by_team[team].popleft()
-            work[team] += max(1.0, waiting.size)
+            work[team] += waiting.work
             if not by_team[team]:
                 del by_team[team], work[team]
             yield waiting
--- a/hawthornyard/policy/forecast.py
+++ b/hawthornyard/policy/forecast.py
@@ -98,7 +98,6 @@
     waiting: Sequence[WaitingWork],
     *,
     share: float = 1.0,
-    arrivals_per_s: float = 0.0,
 ) -> list[float]:
     """Return when each waiting request can start, in seconds from now.
 
@@ -112,13 +111,12 @@
         engines: Engines that may run the requests.
         waiting: Waiting requests in their order.
         share: Share of the freed capacity that other gateways leave, above 0 to 1.
-        arrivals_per_s: Rate of further requests at this gateway.
 
     Returns:
         Seconds for each waiting request, infinite if it can't start in time.
     """
     simulated = waiting[:MAX_SIMULATED]
-    starts = _Timeline(engines, simulated, share, arrivals_per_s).run()
+    starts = _Timeline(engines, simulated, share).run()
     finite = [at for at in starts if at < float("inf")]
     slowest = max(finite, default=float("inf"))
     for index in range(len(simulated), len(waiting)):
@@ -191,12 +189,10 @@
     """Simulation of the ends of running requests and the starts that they allow."""
 
     __slots__ = (
-        "_arrivals_per_s",
         "_credit",
         "_engines",
         "_events",
         "_mean_s",
-        "_n_arrived",
         "_n_events",
         "_pending",
         "_share",
@@ -208,7 +204,6 @@
         engines: Sequence[EngineLoad],
         waiting: Sequence[WaitingWork],
         share: float,
-        arrivals_per_s: float,
     ) -> None:
         self._engines = [_Engine(load) for load in engines]
         self._pending = list(enumerate(waiting))
@@ -216,9 +211,6 @@
         self._mean_s = max(MIN_DURATION_S, total_s / max(1, len(waiting)))
         self._starts = [float("inf")] * len(waiting)
         self._share = share
-        self._arrivals_per_s = arrivals_per_s
-        # Further requests that have taken capacity so far.
-        self._n_arrived = 0
         # Half a turn, since this gateway's place among the others is not known.
         self._credit = 0.5
         self._events: list[tuple[float, int, _Release]] = []
@@ -276,9 +268,6 @@
         for position, work in order:
             if at > work.latest_s:
                 continue
-            while at > work.target_s and self._has_arrivals(at) and engine.fits(work):
-                self._n_arrived += 1
-                self._take(index, at, work)
             if engine.fits(work):
                 self._starts[position] = at
                 self._take(index, at, work)
@@ -291,9 +280,6 @@
             if at <= work.latest_s:
                 self._starts[position] = at
 
-    def _has_arrivals(self, at: float) -> bool:
-        return at * self._arrivals_per_s >= self._n_arrived + 1
-
     def _take(self, index: int, at: float, work: WaitingWork) -> None:
         self._engines[index].free_slots -= 1
         self._engines[index].free_tokens -= work.n_tokens
