Measure waits, refusals, forecast errors and late answers by team and route

Operators could see how long requests took, but not who waits for capacity, who is refused for lack of it, what was late and how far the forecast is off. The edge's metrics filter now counts these from the decisions on admission and from the answers. Weighed: a message type of its own, which each program and test would have to discard; one series a team, which at 24,000 teams takes more memory than a small gateway has: beyond 100 teams all others share one.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -29,6 +29,7 @@
     Then 0 attempts were sent for it
     When the first stream ends
     Then 1 attempts were sent for it
+    And the metrics count 1 waits of kiosk on summary
 
   @fixture.edge
   Scenario: Without a pace, a request is sent on to a full engine after a part of its target
@@ -45,6 +46,7 @@
     Then the request ends as overloaded
     And 0 attempts were sent for it
     And its Retry-After is at most 1 seconds
+    And the metrics count 1 refusals of kiosk on summary
 
   @fixture.edge
   Scenario: What waits is refused once its capacity is lost
@@ -88,6 +90,11 @@
     And the first stream ends
     Then 0 attempts were sent for it
 
+  Scenario: The metrics name no more than 100 teams
+    When requests of 102 teams are refused
+    Then the metrics count 1 refusals of team-99 on summary
+    And the metrics count 2 refusals of other on summary
+
   Scenario Outline: The order is by priority, then by what waiting loses, fair to teams
     Given <waiting> wait
     Then the order at 10 seconds is <order>
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -5,9 +5,12 @@
 
 from features.support.admission_replay import Replay
 from features.support.edge import EdgeDriver
+from hawthornyard.core import Decision, ManualClock
 from hawthornyard.edge.messages import AttemptEnded, GatewaysRead
 from hawthornyard.frames import EndpointLoad, GatewayLoads
 from hawthornyard.gateway.messages import ReplyFailed
+from hawthornyard.io.admission_metrics import AdmissionMetrics
+from hawthornyard.io.metrics import ProgramMetrics
 from hawthornyard.policy import (
     EngineLoad,
     ReturnTimes,
@@ -123,6 +126,27 @@
     assert 0 < reply.retry_after_s <= seconds, reply
 
 
+@when("requests of {n:d} teams are refused")
+def refuse_teams(context: Context, n: int) -> None:
+    context.decisions = [
+        Decision("admission_refused", team=f"team-{index}", route="summary")
+        for index in range(n)
+    ]
+
+
+@then("the metrics count {n:d} {what} of {team} on {route}")
+def check_metrics(context: Context, n: int, what: str, team: str, route: str) -> None:
+    metrics = ProgramMetrics(ManualClock())
+    admission = AdmissionMetrics(metrics)
+    if "edge" in context:
+        context.decisions = context.edge.messages_of(Decision)
+    for decision in context.decisions:
+        admission.note_decision(decision)
+    labels = f'{{route="{route}",team="{team}"}}'
+    sample = f"hawthornyard_admission_{what}_total{labels} {n}.0"
+    assert sample in metrics.render().decode().splitlines(), metrics.render()
+
+
 @given("{waiting} wait")
 def fill_queue(context: Context, waiting: str) -> None:
     context.queue = UrgencyQueue[str]()
--- a/hawthornyard/io/edge_metrics.py
+++ b/hawthornyard/io/edge_metrics.py
@@ -6,6 +6,7 @@
 from ..edge.inflight import InFlight
 from ..edge.messages import AttemptFailed, CopyAnswered, ReplyEvents
 from ..gateway.messages import ReplyEnded, ReplyFailed, ReplyResponse
+from .admission_metrics import AdmissionMetrics
 from .gateway_metrics import DURATION_BUCKETS_S
 from .metrics import FIRST_TOKEN_BUCKETS_S, KIND_OK, ProgramMetrics
 
@@ -26,6 +27,7 @@
     """
 
     __slots__ = (
+        "_admission",
         "_clock",
         "_copy_duration",
         "_duration",
@@ -44,6 +46,7 @@
         self._metrics = metrics
         self._inflight = inflight
         self._clock = clock
+        self._admission = AdmissionMetrics(metrics)
         self._requests = metrics.add_counter(
             "requests", "Answered requests.", ["service", "kind"]
         )
@@ -81,10 +84,14 @@
             ReplyFailed: self._on_reply_failed,
             AttemptFailed: self._on_attempt_failed,
             CopyAnswered: self._on_copy_answered,
-            Decision: metrics.on_decision,
+            Decision: self._on_decision,
             Tick: metrics.on_tick,
         }
 
+    def _on_decision(self, msg: Decision) -> Iterator[Message]:
+        self._admission.note_decision(msg)
+        yield from self._metrics.on_decision(msg)
+
     def _on_reply_events(self, msg: ReplyEvents) -> Iterator[Message]:
         request = self._inflight.by_call(msg.call_id)
         if request is not None and request.last_gap_s is not None:
@@ -116,3 +123,5 @@
         if request is not None:
             seconds = self._clock.now() - request.arrived_at
             self._duration.labels(service).observe(seconds)
+            if kind == KIND_OK:
+                self._admission.note_answer(request, seconds)
