Forecast the turns of other gateways at the starts, not at the ends

The forecast dropped what other gateways were taken to get of each end, so that a large request that needs the memory of several ends at one engine never fitted: with 20 engines full of small requests of 21 gateways, the first long request was refused. Each end now frees its capacity, and other gateways' requests, much like the waiting one, have their turns where it fits.

The scenario on lost capacity set the expected length above the largest and passed only by the fault; it now sets both. Weighed: freeing a share of each end, which spreads over all engines and has the same fault.

--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -109,7 +109,7 @@
     edge: EdgeDriver = context.edge
     edge.push(GatewaysRead({"gateway-1": "peer-1", "gateway-2": "peer-2"}))
     request = edge.state.inflight.by_call(context.first_call)
-    request.call.size.expected_tokens = n
+    request.call.size.max_tokens = request.call.size.expected_tokens = n
     edge.push(GatewayLoads("gateway-2", 1, [EndpointLoad("engine-a", 1, n)]))
 
 
--- a/hawthornyard/policy/forecast.py
+++ b/hawthornyard/policy/forecast.py
@@ -171,18 +171,14 @@
         engine: Index of the engine.
         n_slots: Slots that become free.
         n_tokens: Memory that becomes free, in tokens.
-        is_contested: Whether other gateways may take it first.
     """
 
-    __slots__ = ("engine", "is_contested", "n_slots", "n_tokens")
+    __slots__ = ("engine", "n_slots", "n_tokens")
 
-    def __init__(
-        self, engine: int, n_slots: int, n_tokens: int, *, is_contested: bool
-    ) -> None:
+    def __init__(self, engine: int, n_slots: int, n_tokens: int) -> None:
         self.engine = engine
         self.n_slots = n_slots
         self.n_tokens = n_tokens
-        self.is_contested = is_contested
 
 
 class _Timeline:
@@ -207,6 +203,7 @@
     ) -> None:
         self._engines = [_Engine(load) for load in engines]
         self._pending = list(enumerate(waiting))
+        # What takes capacity is taken to last as long as what waits here.
         total_s = sum(work.duration_s for work in waiting)
         self._mean_s = max(MIN_DURATION_S, total_s / max(1, len(waiting)))
         self._starts = [float("inf")] * len(waiting)
@@ -232,9 +229,6 @@
             if n_done > MAX_EVENTS:
                 self._start_rest(at)
                 break
-            if release.is_contested and not self._takes_turn():
-                self._occupy(release.engine, at, release.n_tokens)
-                continue
             engine = self._engines[release.engine]
             engine.free_slots += release.n_slots
             engine.free_tokens += release.n_tokens
@@ -244,17 +238,20 @@
     def _add_engine(self, index: int, load: EngineLoad) -> None:
         if load.available_s > 0:
             self._engines[index].free_slots -= load.n_slots
-            opening = _Release(index, load.n_slots, 0, is_contested=False)
+            opening = _Release(index, load.n_slots, 0)
             self._push(load.available_s, opening)
         for work in load.running:
-            release = _Release(index, 1, work.n_tokens, is_contested=True)
+            release = _Release(index, 1, work.n_tokens)
             self._push(work.left_s, release)
 
     def _push(self, at: float, release: _Release) -> None:
         self._n_events += 1
         heapq.heappush(self._events, (at, self._n_events, release))
 
-    def _takes_turn(self) -> bool:
+    def _takes_turn(self, at: float) -> bool:
+        # Capacity that is free now is not seen by others before this gateway.
+        if not at:
+            return True
         self._credit += self._share
         if self._credit < 1.0:
             return False
@@ -268,6 +265,9 @@
         for position, work in order:
             if at > work.latest_s:
                 continue
+            # Other gateways' requests, much like this one, have their turns.
+            while engine.fits(work) and not self._takes_turn(at):
+                self._take(index, at, work)
             if engine.fits(work):
                 self._starts[position] = at
                 self._take(index, at, work)
@@ -283,9 +283,4 @@
     def _take(self, index: int, at: float, work: WaitingWork) -> None:
         self._engines[index].free_slots -= 1
         self._engines[index].free_tokens -= work.n_tokens
-        self._occupy(index, at, work.n_tokens)
-
-    def _occupy(self, index: int, at: float, n_tokens: int) -> None:
-        # What takes capacity lasts about as long as what waits for it here.
-        release = _Release(index, 1, n_tokens, is_contested=True)
-        self._push(at + self._mean_s, release)
+        self._push(at + self._mean_s, _Release(index, 1, work.n_tokens))
