--- a/features/admission.feature
+++ b/features/admission.feature
@@ -99,7 +99,8 @@
     Given <waiting> wait
     Then the order at 10 seconds is <order>
 
-    # Each is name:team:priority:latest start for its target:latest start at all:work.
+    # Each is name:team:priority:latest start for its target:latest start at all:work,
+    # and for a client that has come back the seconds since its refusal.
     Examples:
       | waiting                                                | order   |
       | a:x:1:11:30:1 b:x:0:19:30:1                            | b a     |
@@ -107,6 +108,7 @@
       | a:x:0:9:30:1 b:x:0:14:30:1                             | b a     |
       | a:x:0:9:30:1 b:x:0:8:20:1                              | b a     |
       | a:x:0:11:30:90 b:x:0:12:30:1                           | b a     |
+      | a:x:0:12:30:1 b:x:0:13:30:1:3                          | b a     |
       | a:x:0:11:30:9 b:x:0:12:30:9 c:x:0:13:30:9 d:x:0:14:30:9 e:y:0:15:30:9 | a b c e d |
 
   Scenario: Refused clients are told different times, in order, that they honour
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -151,13 +151,14 @@
 def fill_queue(context: Context, waiting: str) -> None:
     context.queue = UrgencyQueue[str]()
     for text in waiting.split():
-        name, team, priority, target, latest, work = text.split(":")
+        name, team, priority, target, latest, work, *turn = text.split(":")
         context.queue.push(
             Waiting(
                 name,
                 team,
                 priority=int(priority),
                 work=float(work),
+                turn_s=float(turn[0]) if turn else 0.0,
                 target_start=float(target),
                 latest_start=float(latest),
             )
