Expect durations of other gateways' work from what runs, in a module of its own

The forecast took what other gateways run to last as long as what waits here. When only brief requests waited, long ones were expected to end at once. It now takes the mean of what runs and waits at this gateway. The expected durations move from the forecast to edge/durations.py, since each has one job.

--- a/hawthornyard/edge/forecast.py
+++ b/hawthornyard/edge/forecast.py
@@ -1,49 +1,16 @@
 """Forecast when a service has capacity, from what its endpoints are known to run."""
 
-from collections.abc import Iterable, Sequence
-from statistics import median
+from collections.abc import Sequence
+from statistics import fmean
 
 from ..core import Clock
-from ..policy import (
-    BackoffPredictor,
-    EngineLoad,
-    LengthSource,
-    RunningWork,
-    WaitingWork,
-    forecast_starts,
-    length_quantile,
-)
+from ..policy import EngineLoad, RunningWork, WaitingWork, forecast_starts
 from .directory import Directory
+from .durations import Durations
 from .eligibility import Eligibility
 from .endpoints import Endpoint, Endpoints
 from .messages import Request
-from .placement import DEFAULT_PREFILL_RATE, MAX_MEMORY_SHARE
-
-# Gap between events in seconds that is assumed until one of the service was measured
-# and if the route has no target: a usual decoding step of several tokens.
-DEFAULT_GAP_S = 0.05
-# Time for which the median speed of a service is used again: it is made of averages
-# over many events, and asking all endpoints for each waiting request is slow.
-SPEED_TTL_S = 0.1
-
-
-class _Speed:
-    """Median speed of the endpoints of a service.
-
-    Attributes:
-        measured_at: Monotonic time in seconds of the measurement.
-        prefill_rate: Prefill rate in tokens per second, 0 if unknown.
-        gap_s: Gap between events in seconds, 0 if unknown.
-        answer_s: Time of a whole answer in seconds, 0 if unknown.
-    """
-
-    __slots__ = ("answer_s", "gap_s", "measured_at", "prefill_rate")
-
-    def __init__(self, endpoints: Sequence[Endpoint], now: float) -> None:
-        self.measured_at = now
-        self.prefill_rate = _known_median(end.prefill_rate for end in endpoints)
-        self.gap_s = _known_median(end.mean_gap_s for end in endpoints)
-        self.answer_s = _known_median(end.mean_answer_s for end in endpoints)
+from .placement import MAX_MEMORY_SHARE
 
 
 class ServiceForecast:
@@ -54,6 +21,9 @@
         endpoints: Known endpoints, with what they run and the speed that was seen.
         eligibility: Tells which endpoints may get new work.
         clock: Source of time.
+
+    Attributes:
+        durations: Expected durations of requests.
     """
 
     __slots__ = (
@@ -61,8 +31,7 @@
         "_directory",
         "_eligibility",
         "_endpoints",
-        "_lengths",
-        "_speeds",
+        "durations",
     )
 
     def __init__(
@@ -76,15 +45,7 @@
         self._endpoints = endpoints
         self._eligibility = eligibility
         self._clock = clock
-        self._speeds: dict[str, _Speed] = {}
-        self._lengths = BackoffPredictor()
-
-    def note_end(self, request: Request) -> None:
-        """Learn from the length of a generation that has ended."""
-        source = _length_source(request)
-        if source is not None and request.last_event:
-            n_tokens = request.last_event * self._tokens_per_event(request.service)
-            self._lengths.observe(source, n_tokens)
+        self.durations = Durations(directory, endpoints, clock)
 
     def starts(
         self,
@@ -106,16 +67,20 @@
         for work, request in zip(waiting, requests, strict=True):
             if request is open_ended:
                 work.latest_s = float("inf")
-        mean_s = sum(work.duration_s for work in waiting) / len(waiting)
+        usual_s = self._usual_s(endpoints, waiting)
         return forecast_starts(
-            [self._engine_load(endpoint, mean_s) for endpoint in endpoints],
+            [self._engine_load(endpoint, usual_s) for endpoint in endpoints],
             waiting,
             share=self._share(endpoints),
         )
 
     def target_start(self, request: Request) -> float:
         """Return the latest start to meet the target, in monotonic seconds."""
-        return request.arrived_at + request.route.target_s - self.answer_s(request)
+        return (
+            request.arrived_at
+            + request.route.target_s
+            - self.durations.answer_s(request)
+        )
 
     def latest_s(self, request: Request) -> float:
         """Return the seconds until the latest start to be served.
@@ -123,19 +88,7 @@
         From then on the deadline passes before its first event, or its whole answer if
         it is no stream.
         """
-        return request.deadline - self._clock.now() - self.answer_s(request)
-
-    def answer_s(self, request: Request) -> float:
-        """Return the seconds from a start to the first event, or whole answer."""
-        if request.route.is_stream:
-            return self._prefill_s(request)
-        return self.duration_s(request)
-
-    def duration_s(self, request: Request) -> float:
-        """Return the expected seconds from a start to the end of the answer."""
-        if request.call.size is None:
-            return self._plain_answer_s(request.service)
-        return self._prefill_s(request) + self._writing_s(request, 0)
+        return request.deadline - self._clock.now() - self.durations.answer_s(request)
 
     def first_endpoint(self, request: Request) -> tuple[Endpoint, float] | None:
         """Return the endpoint that has capacity for a request first, and in how long.
@@ -145,19 +98,18 @@
         """
         waiting = [self._waiting_work(request)]
         waiting[0].latest_s = float("inf")
-        starts = [
-            (
-                forecast_starts(
-                    [self._engine_load(end, waiting[0].duration_s)], waiting
-                ),
-                end,
-            )
-            for end in self._usable(request.service)
-        ]
-        if not starts:
+        endpoints = self._usable(request.service)
+        if not endpoints:
             return None
-        (start_s,), endpoint = min(starts, key=lambda item: item[0])
-        return endpoint, start_s
+        usual_s = self._usual_s(endpoints, waiting)
+        starts_s = {
+            endpoint.name: forecast_starts(
+                [self._engine_load(endpoint, usual_s)], waiting
+            )[0]
+            for endpoint in endpoints
+        }
+        first = min(endpoints, key=lambda end: starts_s[end.name])
+        return first, starts_s[first.name]
 
     def has_endpoints(self, service: str) -> bool:
         """Return whether a service has an endpoint that may get new work some time."""
@@ -197,7 +149,7 @@
     def _waiting_work(self, request: Request) -> WaitingWork:
         return WaitingWork(
             request.n_tokens,
-            self.duration_s(request),
+            self.durations.whole_s(request),
             priority=request.priority,
             target_s=self.target_start(request) - self._clock.now(),
             latest_s=self.latest_s(request),
@@ -215,10 +167,22 @@
         equal_part = 1.0 / max(1, self._eligibility.n_gateways)
         return max(equal_part, n_own / n_running) if n_running else 1.0
 
-    def _engine_load(self, endpoint: Endpoint, mean_s: float) -> EngineLoad:
+    def _usual_s(
+        self, endpoints: Sequence[Endpoint], waiting: Sequence[WaitingWork]
+    ) -> float:
+        # Duration of what other gateways run, of which only counts are known. It is of
+        # the kinds that run and wait here: those that wait may all be brief.
+        running_s = [
+            self.durations.whole_s(request)
+            for endpoint in endpoints
+            for request in endpoint.requests.values()
+        ]
+        return fmean([*running_s, *(work.duration_s for work in waiting)])
+
+    def _engine_load(self, endpoint: Endpoint, usual_s: float) -> EngineLoad:
         own = list(endpoint.requests.values())
         running = [
-            RunningWork(request.n_tokens, self._left_s(request, endpoint))
+            RunningWork(request.n_tokens, self.durations.left_s(request, endpoint))
             for request in own
         ]
         n_others = endpoint.n_running - len(own)
@@ -228,7 +192,7 @@
         if n_tokens > 0 or n_others > 0:
             n_parts = max(1, n_others)
             running += [
-                RunningWork(n_tokens // n_parts, mean_s * (index + 1) / n_parts)
+                RunningWork(n_tokens // n_parts, usual_s * (index + 1) / n_parts)
                 for index in range(n_parts)
             ]
         n_slots = endpoint.entry.n_slots + len(running) - endpoint.n_running
@@ -239,85 +203,8 @@
             endpoint.allowance.wait_s(),
         )
 
-    def _left_s(self, request: Request, endpoint: Endpoint) -> float:
-        attempt = request.attempt
-        if attempt is None:
-            return 0.0
-        running_s = self._clock.now() - attempt.sent_at
-        if request.call.size is None:
-            answer_s = endpoint.mean_answer_s or self._plain_answer_s(request.service)
-            # One that takes longer than usual goes on for about as long again.
-            return answer_s - running_s if running_s < answer_s else running_s
-        prefill_s = 0.0
-        if attempt.first_event_at is None and not attempt.is_resumed:
-            rate = endpoint.prefill_rate or self._prefill_rate(request.service)
-            prefill_s = max(0.0, attempt.n_prefill_ahead / rate - running_s)
-        n_done = request.last_event * self._tokens_per_event(request.service)
-        return prefill_s + self._writing_s(request, n_done, endpoint.mean_gap_s)
-
-    def _writing_s(
-        self, request: Request, n_done: int, gap_s: float | None = None
-    ) -> float:
-        n_events = self._output_left(request, n_done) / self._tokens_per_event(
-            request.service
-        )
-        return n_events * (gap_s or self._gap_s(request))
-
-    def _output_left(self, request: Request, n_done: int) -> int:
-        source = _length_source(request)
-        if source is None or request.call.size is None:
-            return 0
-        hint = request.call.size.expected_tokens
-        if hint is not None and n_done < min(hint, source.max_tokens):
-            return min(hint, source.max_tokens) - n_done
-        return max(0, length_quantile(self._lengths, source, n_done, 0.5))
-
-    def _prefill_s(self, request: Request) -> float:
-        if request.call.size is None:
-            return self._plain_answer_s(request.service)
-        return request.call.size.n_prompt_tokens / self._prefill_rate(request.service)
-
-    def _prefill_rate(self, service: str) -> float:
-        return self._speed(service).prefill_rate or DEFAULT_PREFILL_RATE
-
-    def _gap_s(self, request: Request) -> float:
-        gap_s = self._speed(request.service).gap_s
-        return gap_s or request.route.gap_target_s or DEFAULT_GAP_S
-
-    def _plain_answer_s(self, service: str) -> float:
-        # Until an answer was measured, none is refused for its duration.
-        return self._speed(service).answer_s
-
-    def _speed(self, service: str) -> "_Speed":
-        now = self._clock.now()
-        speed = self._speeds.get(service)
-        if speed is None or now - speed.measured_at > SPEED_TTL_S:
-            speed = _Speed(self._endpoints.of_service(service), now)
-            self._speeds[service] = speed
-        return speed
-
     def _memory_tokens(self, service: str) -> float | None:
         rule = self._directory.service(service)
         if rule is None or rule.engine is None or not rule.engine.memory_tokens:
             return None
         return MAX_MEMORY_SHARE * rule.engine.memory_tokens
-
-    def _tokens_per_event(self, service: str) -> int:
-        rule = self._directory.service(service)
-        return (
-            1 if rule is None or rule.engine is None else rule.engine.tokens_per_event
-        )
-
-
-def _known_median(values: Iterable[float]) -> float:
-    known = [value for value in values if value]
-    return median(known) if known else 0.0
-
-
-def _length_source(request: Request) -> LengthSource | None:
-    size = request.call.size
-    if size is None:
-        return None
-    return LengthSource(
-        request.request_id, request.service, request.team, size.model, size.max_tokens
-    )
--- a/hawthornyard/edge/request/admission.py
+++ b/hawthornyard/edge/request/admission.py
@@ -102,7 +102,7 @@
         turn_s = 0.0
         if not request.n_attempts:
             turn_s = self._returns.claim((request.team, request.route.name), now)
-        duration_s = self._forecast.duration_s(request)
+        duration_s = self._forecast.durations.whole_s(request)
         waiting = Waiting(
             request,
             request.team,
@@ -150,7 +150,7 @@
         self.discard(lambda item: item is request)
         self._reservations.forget(request)
         if self._services.is_load_aware(request.service):
-            self._forecast.note_end(request)
+            self._forecast.durations.note_end(request)
 
     def _remove(self, waiting: Waiting[Request]) -> None:
         self._queue.discard(waiting)
--- a/hawthornyard/edge/request/start_rules.py
+++ b/hawthornyard/edge/request/start_rules.py
@@ -93,7 +93,7 @@
             return True
         if not self._has_waited(waiting):
             return False
-        is_brief = self._forecast.duration_s(request) <= request.route.target_s
+        is_brief = self._forecast.durations.whole_s(request) <= request.route.target_s
         return is_brief or self._is_large(waiting)
 
     def _needs_reservation(self, waiting: Waiting[Request]) -> bool:
--- a/hawthornyard/edge/reservations.py
+++ b/hawthornyard/edge/reservations.py
@@ -82,7 +82,7 @@
         held = self._by_service.get(request.service)
         if held is not None and endpoint.n_running:
             if held.endpoint == endpoint.name and held.request is not request:
-                end_at = self._clock.now() + self._forecast.duration_s(request)
+                end_at = self._clock.now() + self._forecast.durations.whole_s(request)
                 if end_at > held.start_at:
                     return False
         return self._placement.has_capacity(request, endpoint)
