Round Retry-After down and test a gateway that was frozen

Retry-After was rounded to the nearest hundredth, so it could exceed the third of the remaining time up to which clients honour it; it is rounded down now, also where a service has no endpoint. A new scenario freezes a gateway past the deadline of what waits and checks that nothing is sent then, as docs/design/admission.md says. Weighed: a margin below the third, which the rounding makes unnecessary.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -81,6 +81,17 @@
     And 0.5 seconds go by
     Then the request ends as no_endpoint
 
+  @fixture.edge
+  Scenario: A gateway that was frozen sends nothing whose deadline has passed
+    Given the service scribe reports a pace
+    And an engine of one slot that runs a summary of 100 tokens
+    When a summary is sent that must end within 8 seconds
+    And the gateway is frozen for 20 seconds
+    And the first stream ends
+    And 0.5 seconds go by
+    Then the request ends as overloaded
+    And 0 attempts were sent for it
+
   @fixture.edge
   Scenario: A caller that is gone does not hold a place in the queue
     Given the service scribe reports a pace
--- a/features/steps/admission.py
+++ b/features/steps/admission.py
@@ -104,6 +104,11 @@
     context.edge.push(AttemptEnded(attempt_id))
 
 
+@when("the gateway is frozen for {seconds:g} seconds")
+def freeze(context: Context, seconds: float) -> None:
+    context.edge.clock.advance(seconds)
+
+
 @when("the engine runs a summary of {n:d} tokens more of another gateway")
 def report_more_load(context: Context, n: int) -> None:
     edge: EdgeDriver = context.edge
--- a/hawthornyard/edge/request/admission.py
+++ b/hawthornyard/edge/request/admission.py
@@ -1,11 +1,13 @@
 """Admit requests of load-aware services by the capacity that is forecast."""
 
 from collections.abc import Callable, Iterator
+from math import floor
 
 from ...core import Clock, Decision, Message
 from ...errors import ErrorKind
 from ...gateway.messages import ReplyFailed
 from ...policy import (
+    MAX_RETRY_AFTER_SHARE,
     ForecastError,
     ReturnTimes,
     UrgencyQueue,
@@ -236,7 +238,7 @@
             forecast_s=round(forecast_s, 3),
             left_s=round(left_s, 3),
             n_ahead=n_ahead,
-            retry_after_s=round(retry_after_s, 2),
+            retry_after_s=retry_after_s,
             team=request.team,
             route=request.route.name,
             service=request.service,
@@ -245,7 +247,7 @@
             request.call_id,
             ErrorKind.OVERLOADED,
             f"{request.service} has no capacity before the deadline",
-            retry_after_s=round(retry_after_s, 2),
+            retry_after_s=retry_after_s,
         )
 
     def _refuse_without_endpoint(
@@ -253,15 +255,15 @@
     ) -> Iterator[Message]:
         now = self._clock.now()
         for waiting in order:
-            if now - waiting.queued_at >= NO_ENDPOINT_WAIT_S:
-                self._remove(waiting)
-                left_s = max(0.0, waiting.item.deadline - now)
-                retry_after_s = min(MAX_NO_ENDPOINT_RETRY_S, left_s / 3)
-                yield ReplyFailed(
-                    waiting.item.call_id,
-                    ErrorKind.NO_ENDPOINT,
-                    retry_after_s=round(retry_after_s, 2),
-                )
+            if now - waiting.queued_at < NO_ENDPOINT_WAIT_S:
+                continue
+            self._remove(waiting)
+            longest_s = MAX_RETRY_AFTER_SHARE * max(0.0, waiting.item.deadline - now)
+            yield ReplyFailed(
+                waiting.item.call_id,
+                ErrorKind.NO_ENDPOINT,
+                retry_after_s=min(MAX_NO_ENDPOINT_RETRY_S, floor(longest_s * 10) / 10),
+            )
 
     def _order(self, service: str) -> list[Waiting[Request]]:
         now = self._clock.now()
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -1,6 +1,6 @@
 """Decide on routing, admission, queue order and retries, without I/O."""
 
-from .admission import ReturnTimes, UrgencyQueue, Waiting
+from .admission import MAX_RETRY_AFTER_SHARE, ReturnTimes, UrgencyQueue, Waiting
 from .affinity import PrefixAffinity
 from .calibration import Calibration
 from .crash_evidence import Crash, CrashEvidence
@@ -34,6 +34,7 @@
 from .token_bucket import TokenBucket
 
 __all__ = [
+    "MAX_RETRY_AFTER_SHARE",
     "BackoffPredictor",
     "Calibration",
     "Choice",
--- a/hawthornyard/policy/admission.py
+++ b/hawthornyard/policy/admission.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterator
-from math import log
+from math import floor, log
 from typing import Generic, TypeVar
 
 from .fair_order import RankedItem, fair_order
@@ -235,6 +235,8 @@
             part = 0.5 + 0.5 * (self._n_promised * GOLDEN_FRACTION % 1.0)
             at = now + part * longest_s
         retry_after_s = min(longest_s, max(MIN_RETRY_AFTER_S, at - now))
+        # Rounded down, since a client does not honour more than its third.
+        retry_after_s = floor(100 * retry_after_s) / 100
         refusal = _Refusal(now - turn_s, now + retry_after_s, now + left_s)
         self._remember(client, refusal)
         return retry_after_s
