Merge placement by pace and admission by forecast

Services whose endpoints report how long work takes at this moment are placed by it and admitted by the forecast capacity of their engines; PacedServices tells both which these are. All others are queued and placed as before.

Both parts met in one place: the placement may spare an endpoint that has capacity, and the admission waited for it until the target. It now waits for a quarter of the target, as the queue without a forecast does (MAX_HELD_SHARE); the row with 0.5 s in features/ pace.feature failed before that.

306 scenarios of the chain, pace, admission, limits, stops and logs pass together.

--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -12,20 +12,27 @@
     FollowDeployment,
     FollowEndpoints,
     FollowNotices,
+    FollowPrefills,
     FollowStore,
+    ProbePaces,
     ShareLimits,
     ShareLoads,
+    SharePaces,
     TrackCrashes,
     WatchEngines,
 )
+from .forecast import ServiceForecast
 from .grace import GracePeriod
 from .inflight import InFlight
+from .load_aware import LoadAwareServices, PacedServices
 from .mirroring import Mirroring, MirrorOnLeastUsed
+from .pace_placement import PacePlacement
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
 from .reply import CloseRequests, Expire, Relay
 from .request import (
+    Admission,
     Match,
     Quarantine,
     RefuseUnfinishable,
@@ -34,6 +41,7 @@
     Send,
     WaitForCapacity,
 )
+from .reservations import Reservations
 from .retry_budget import SharedRetryBudget
 from .sampling import Sampling
 from .streams import Migrate, Resume
@@ -95,6 +103,7 @@
     metrics_filters: Sequence[Filter] = (),
     placement: Placement | None = None,
     mirroring: Mirroring | None = None,
+    load_aware: LoadAwareServices | None = None,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway that calls endpoints itself, head first.
 
@@ -105,20 +114,41 @@
         random_source: Source of randomness.
         metrics_filters: Filters that collect metrics; they see replies before
             `CloseRequests` forgets the requests.
-        placement: Policy that chooses the endpoint of a request, `LeastLoaded` if None.
+        placement: Policy that chooses the endpoint of a request, `PacePlacement` if
+            None.
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
+        load_aware: Tells which services are admitted by forecast, those
+            whose endpoints report a pace if None.
     """
-    placement = placement or LeastLoaded(state.directory, state.endpoints)
+    placement = placement or PacePlacement(
+        state.name,
+        state.directory,
+        state.endpoints,
+        clock,
+        LeastLoaded(state.directory, state.endpoints),
+    )
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
     )
+    forecast = ServiceForecast(
+        state.directory, state.endpoints, state.eligibility, clock
+    )
+    reservations = Reservations(placement, forecast, clock)
+    admission = Admission(
+        load_aware or PacedServices(state.endpoints),
+        forecast,
+        state.eligibility,
+        reservations,
+        clock,
+    )
     resumption = Resumption(state.inflight, mirroring, clock)
     return [
         FollowStore(clock),
         FollowDeployment(state.directory, clock),
         FollowEndpoints(state.endpoints, clock),
         FollowNotices(state.endpoints, clock),
+        FollowPrefills(state.endpoints, state.peers, clock),
         WatchEngines(
             state.endpoints,
             state.directory,
@@ -140,8 +170,8 @@
         Retry(state.inflight, state.retry_budget, clock),
         Quarantine(state.crash_evidence, state.inflight, state.peers),
         RefuseUnfinishable(state.grace),
-        WaitForCapacity(state.eligibility, placement, state.grace, clock),
-        Route(state.eligibility, sampling, placement, state.directory),
+        WaitForCapacity(state.eligibility, reservations, state.grace, clock, admission),
+        Route(state.eligibility, sampling, reservations, state.directory),
         Send(
             state.inflight,
             state.endpoints,
@@ -172,6 +202,8 @@
         *metrics_filters,
         CloseRequests(state.inflight, clock),
         ShareLimits(state.name, state.peers, state.endpoints, clock),
+        SharePaces(state.name, state.peers, state.endpoints, clock),
+        ProbePaces(state.endpoints, state.directory, state.peers, clock),
         ShareLoads(
             state.name,
             state.peers,
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -5,7 +5,9 @@
 from ..core import Clock
 from .allowance import Allowance
 from .messages import EndpointEntry, Request
+from .pace import Pace
 from .peers import Peers
+from .prefill_queue import PrefillQueue
 
 # Weights of a new sample in the exponential moving averages of an endpoint: the gap
 # between events, the prefill rate, the answer time and the failure rate.
@@ -13,6 +15,10 @@
 PREFILL_WEIGHT = 0.3
 ANSWER_WEIGHT = 0.2
 FAILURE_WEIGHT = 0.1
+# Weights of a gap in the usual gap, if it is shorter and if it is longer: most gaps
+# are usual ones, and those while a prompt is read or the machine is slow are longer.
+SHORTER_GAP_WEIGHT = 0.08
+LONGER_GAP_WEIGHT = 0.02
 # Backoff from an endpoint that refused for lack of capacity.
 FULL_BACKOFF_S = 0.1
 # Initial backoff from an endpoint that was not found at its address; it doubles each
@@ -39,9 +45,14 @@
             gateway, in tokens per second, 0 before the first measurement.
         mean_gap_s: Moving average of the gap between its events, 0 before the first.
         mean_answer_s: Moving average of the time of whole answers, 0 before the first.
+        pace: How long work takes there at this moment.
+        prefills: Prompts of other gateways that wait there.
+        usual_gap_s: Gap between its events while nothing slows it down, 0 before the
+            first.
     """
 
     __slots__ = (
+        "_clock",
         "_peers",
         "allowance",
         "entry",
@@ -53,11 +64,15 @@
         "mirrored",
         "n_absences",
         "own_prefill_rate",
+        "pace",
+        "prefills",
         "requests",
+        "usual_gap_s",
     )
 
     def __init__(self, entry: EndpointEntry, peers: Peers, clock: Clock) -> None:
         self.entry = entry
+        self._clock = clock
         self._peers = peers
         self.requests: dict[str, Request] = {}
         self.mirrored: dict[str, Request] = {}
@@ -69,6 +84,9 @@
         self.own_prefill_rate = 0.0
         self.mean_gap_s = 0.0
         self.mean_answer_s = 0.0
+        self.pace = Pace(clock)
+        self.prefills = PrefillQueue()
+        self.usual_gap_s = 0.0
 
     @property
     def name(self) -> str:
@@ -103,8 +121,20 @@
 
     @property
     def prefill_backlog(self) -> int:
-        """Return the prompt tokens of all gateways that await prefill."""
-        return self.own_prefill_backlog + self._peers.prefill_backlog(self.name)
+        """Return the prompt tokens of all gateways that await prefill.
+
+        Of an endpoint that reports a pace, those that it has probably read since the
+        other gateways' reports do not count.
+        """
+        n_own = self.own_prefill_backlog
+        is_paced = self.pace.is_reported
+        if is_paced and self.prefills.is_empty:
+            return n_own
+        # The rate may be a mean over hundreds of gateways: not taken without need.
+        rate = self.prefill_rate if is_paced else 0.0
+        if not rate:
+            return n_own + self._peers.prefill_backlog(self.name)
+        return n_own + self.prefills.n_waiting(rate, self._clock.now())
 
     @property
     def prefill_rate(self) -> float:
@@ -154,6 +184,18 @@
         """Record the gap between two events."""
         weight = GAP_WEIGHT if self.mean_gap_s else 1.0
         self.mean_gap_s += weight * (seconds - self.mean_gap_s)
+        self._note_usual_gap(seconds)
+
+    def _note_usual_gap(self, seconds: float) -> None:
+        if not self.usual_gap_s:
+            self.usual_gap_s = seconds / max(1.0, self.pace.factor)
+            return
+        self.pace.check(seconds / self.usual_gap_s)
+        if self.pace.is_slow:
+            return
+        is_shorter = seconds < self.usual_gap_s
+        weight = SHORTER_GAP_WEIGHT if is_shorter else LONGER_GAP_WEIGHT
+        self.usual_gap_s += weight * (seconds - self.usual_gap_s)
 
     def note_answer(self, seconds: float) -> None:
         """Record the time of a whole answer, and that the endpoint was found."""
@@ -171,15 +213,17 @@
 
     Attributes:
         is_loaded: Whether entries were read at least once.
+        paced_services: Services of which some endpoint has reported a pace.
     """
 
-    __slots__ = ("_by_name", "_clock", "_peers", "is_loaded")
+    __slots__ = ("_by_name", "_clock", "_peers", "is_loaded", "paced_services")
 
     def __init__(self, peers: Peers, clock: Clock) -> None:
         self._peers = peers
         self._clock = clock
         self._by_name: dict[str, Endpoint] = {}
         self.is_loaded = False
+        self.paced_services: set[str] = set()
 
     def __iter__(self) -> Iterator[Endpoint]:
         yield from list(self._by_name.values())
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -1,8 +1,9 @@
 """Keep the gateway's view of the deployment, endpoints and other gateways.
 
 The chain begins with FollowStore, FollowDeployment, FollowEndpoints, FollowNotices,
-WatchEngines, ConfirmCrashes and TrackCrashes; ShareLimits and ShareLoads are its last
-filters, so that they see each dispatch.
+FollowPrefills, WatchEngines, ConfirmCrashes and TrackCrashes; ShareLimits, SharePaces,
+ProbePaces and ShareLoads are its last filters, so that they see each dispatch and each
+pace.
 """
 
 from .confirm import ConfirmCrashes
@@ -11,6 +12,9 @@
 from .endpoints import FollowEndpoints
 from .limits import ShareLimits
 from .notices import FollowNotices
+from .paces import SharePaces
+from .prefills import FollowPrefills
+from .probe import ProbePaces
 from .share import ShareLoads
 from .store import FollowStore
 from .watch import WatchEngines
@@ -20,9 +24,12 @@
     "FollowDeployment",
     "FollowEndpoints",
     "FollowNotices",
+    "FollowPrefills",
     "FollowStore",
+    "ProbePaces",
     "ShareLimits",
     "ShareLoads",
+    "SharePaces",
     "TrackCrashes",
     "WatchEngines",
 ]
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -4,21 +4,22 @@
 
 from ...core import Clock, Decision, Handlers, Message
 from ..endpoints import Endpoint, Endpoints
-from ..messages import EndpointNotice, LimitChanged
+from ..messages import EndpointNotice, LimitChanged, PaceRead
 
 
 class FollowNotices:
-    """Filter that records the limits that endpoints name.
+    """Filter that records the limits and the paces that endpoints report.
 
     Args:
         endpoints: Known endpoints.
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_endpoints", "handlers")
+    __slots__ = ("_clock", "_distrusted", "_endpoints", "handlers")
 
     def __init__(self, endpoints: Endpoints, clock: Clock) -> None:
         self._endpoints = endpoints
+        self._distrusted: set[str] = set()
         self._clock = clock
         self.handlers: Handlers = {EndpointNotice: self._on_endpoint_notice}
 
@@ -27,9 +28,51 @@
         if endpoint is None or endpoint.entry.born != msg.born:
             # A new incarnation starts without the notices of the one before it.
             return
+        if msg.pace_factor is not None:
+            yield from self._learn_pace(endpoint, msg.pace_factor)
         if msg.limit_per_s is not None or msg.is_signed:
             yield from self._learn_limit(endpoint, msg)
 
+    def _learn_pace(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
+        service = endpoint.entry.service
+        was_slow = endpoint.pace.is_slow
+        if not endpoint.pace.learn(factor, self._clock.now()):
+            return
+        yield PaceRead(endpoint.name)
+        yield from self._note_trust(endpoint, factor)
+        if endpoint.pace.is_slow != was_slow:
+            yield Decision(
+                "pace",
+                reason="slow" if not was_slow else "no longer slow",
+                endpoint=endpoint.name,
+                factor=factor,
+            )
+        if service not in self._endpoints.paced_services:
+            self._endpoints.paced_services.add(service)
+            yield Decision(
+                "placed_by_pace",
+                reason="an endpoint reports its pace",
+                service=service,
+                endpoint=endpoint.name,
+                factor=factor,
+            )
+
+    def _note_trust(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
+        if endpoint.pace.is_trusted == (endpoint.name not in self._distrusted):
+            return
+        is_trusted = endpoint.pace.is_trusted
+        if is_trusted:
+            self._distrusted.discard(endpoint.name)
+        else:
+            self._distrusted.add(endpoint.name)
+        yield Decision(
+            "pace_trust",
+            reason="as measured" if is_trusted else "contradicted by measured gaps",
+            endpoint=endpoint.name,
+            factor=factor,
+            usual_gap_s=round(endpoint.usual_gap_s, 3),
+        )
+
     def _learn_limit(
         self, endpoint: Endpoint, msg: EndpointNotice
     ) -> Iterator[Message]:
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -14,6 +14,7 @@
 from .crash import EndpointEnded
 from .dispatch import Cancel, Dispatch
 from .notice import EndpointNotice, LimitChanged
+from .pace import PaceRead, ProbeRequested
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportFailed, ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
@@ -63,7 +64,9 @@
     "Matched",
     "Migration",
     "Origin",
+    "PaceRead",
     "PartAccused",
+    "ProbeRequested",
     "ReplyBegan",
     "ReplyEvents",
     "ReportFailed",
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -1,11 +1,19 @@
 """Decide on routing, admission, queue order and retries, without I/O."""
 
+from .admission import MAX_RETRY_AFTER_SHARE, ReturnTimes, UrgencyQueue, Waiting
 from .affinity import PrefixAffinity
 from .calibration import Calibration
 from .crash_evidence import Crash, CrashEvidence
 from .endpoint_view import EndpointView
 from .fair_division import divide_fairly
 from .fair_queue import FairQueue, Queue
+from .forecast import (
+    EngineLoad,
+    ForecastError,
+    RunningWork,
+    WaitingWork,
+    forecast_starts,
+)
 from .length_ratios import LengthRatios
 from .lengths import (
     BackoffPredictor,
@@ -18,6 +26,7 @@
 from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .pause import PauseDetector
 from .recent_rate import RecentRate
+from .recent_sizes import RecentSizes
 from .rendezvous import rank_owners, spread_subset
 from .retry import RetryBudget
 from .routing import Choice, PowerOfTwoChoices, RoutingPolicy
@@ -25,6 +34,7 @@
 from .token_bucket import TokenBucket
 
 __all__ = [
+    "MAX_RETRY_AFTER_SHARE",
     "BackoffPredictor",
     "Calibration",
     "Choice",
@@ -32,8 +42,10 @@
     "Crash",
     "CrashEvidence",
     "EndpointView",
+    "EngineLoad",
     "ExpectedMemory",
     "FairQueue",
+    "ForecastError",
     "LengthHistogram",
     "LengthPredictor",
     "LengthRatios",
@@ -44,12 +56,19 @@
     "PrefixAffinity",
     "Queue",
     "RecentRate",
+    "RecentSizes",
     "RetryBudget",
+    "ReturnTimes",
     "RoutingPolicy",
+    "RunningWork",
     "SlowStart",
     "TokenBucket",
     "PowerOfTwoChoices",
+    "UrgencyQueue",
+    "Waiting",
+    "WaitingWork",
     "divide_fairly",
+    "forecast_starts",
     "rank_owners",
     "spread_subset",
     "estimate_prompt_tokens",
