Check that a load header with nan or a single figure sets no pace

Both rows were dropped when the feature of the pace was shortened. A float parser would take nan, and a header of one figure is another format; both must be ignored with a log line. Both pass on the code as it is, as the reader takes integers only.

--- a/features/pace.feature
+++ b/features/pace.feature
@@ -95,6 +95,8 @@
       | 3,0,24,9999999999 | 200    | none | one    |
       | 3,0,24,1e2        | 200    | none | one    |
       | 3,0,24,250,1      | 200    | none | one    |
+      | 3,0,24,nan        | 200    | none | one    |
+      | 250               | 200    | none | one    |
 
   @fixture.platform_world
   Scenario: An endpoint that runs something is probed on its health path
