Lead a rollout by a lease and bound what each gateway exposes

Gateways need to agree on the share of a new version, stop it within seconds and go on when the leading one dies. FollowRollouts learns orders and states, LeadRollouts holds the lease, decides and writes with a condition on the row, ShareRollouts reports counts to the holder, which answers with the share; a share lapses when no answer comes. Rollouts says per gateway which version a request may go to, and Eligibility asks it.

Counts of all gateways to all were weighed: with 340 they are 340 times as many datagrams. A share in the store alone would be seconds late. Without an order nothing is asked or counted; without bounds in the settings, which nothing sets yet, orders are refused.

--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -37,6 +37,9 @@
     RecordEntry,
     Refused,
     Replied,
+    RolloutCounts,
+    RolloutShare,
+    RolloutTally,
     ServiceCall,
     Subscribe,
     TeamDemand,
@@ -82,6 +85,9 @@
     31: CrashReportsRequested,
     32: PartsSound,
     33: EndpointLimit,
+    34: RolloutCounts,
+    35: RolloutShare,
+    36: RolloutTally,
 }
 _TAG_BY_TYPE = {cls: tag for tag, cls in _TYPE_BY_TAG.items()}
 _CHECKER_BY_TAG = {tag: FieldChecker(cls) for tag, cls in _TYPE_BY_TAG.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -11,9 +11,12 @@
     FollowDeployment,
     FollowEndpoints,
     FollowNotices,
+    FollowRollouts,
     FollowStore,
+    LeadRollouts,
     ShareLimits,
     ShareLoads,
+    ShareRollouts,
     TrackCrashes,
     WatchEngines,
 )
@@ -23,7 +26,7 @@
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
-from .reply import CloseRequests, Expire, Relay
+from .reply import CloseRequests, CountResponses, Expire, Relay
 from .request import (
     Match,
     Quarantine,
@@ -34,6 +37,7 @@
     WaitForCapacity,
 )
 from .retry_budget import SharedRetryBudget
+from .rollouts import Rollouts
 from .sampling import Sampling
 from .streams import Migrate, Resume
 from .streams.resumption import Resumption
@@ -53,6 +57,7 @@
         pace: Pace of the reads of endpoint changes.
         peers: The other gateways.
         retry_budget: Limits the retries of each service.
+        rollouts: Rollouts that operators ordered.
     """
 
     __slots__ = (
@@ -66,6 +71,7 @@
         "pace",
         "peers",
         "retry_budget",
+        "rollouts",
     )
 
     def __init__(
@@ -78,7 +84,8 @@
         self.pace = ReadPace(self.peers)
         self.directory = Directory(clock)
         self.endpoints = Endpoints(self.peers, clock)
-        self.eligibility = Eligibility(self.directory, self.endpoints)
+        self.rollouts = Rollouts(self.endpoints, clock)
+        self.eligibility = Eligibility(self.directory, self.endpoints, self.rollouts)
         self.grace = GracePeriod(self.directory, self.endpoints, self.peers, clock)
         self.inflight = InFlight(self.endpoints, clock)
         self.retry_budget = SharedRetryBudget(clock)
@@ -118,6 +125,8 @@
         FollowDeployment(state.directory, clock),
         FollowEndpoints(state.endpoints, clock),
         FollowNotices(state.endpoints, clock),
+        FollowRollouts(state.rollouts, state.peers, clock),
+        LeadRollouts(state.name, state.rollouts, state.directory, state.peers, clock),
         WatchEngines(
             state.endpoints,
             state.directory,
@@ -147,6 +156,7 @@
             state.directory,
             clock,
         ),
+        CountResponses(state.rollouts, state.inflight, clock),
         Resume(state.inflight, state.endpoints, state.eligibility, resumption),
         Migrate(
             state.inflight,
@@ -162,6 +172,14 @@
         Expire(state.inflight, state.endpoints),
         *metrics_filters,
         CloseRequests(state.inflight, clock),
+        ShareRollouts(
+            state.name,
+            state.rollouts,
+            state.endpoints,
+            state.inflight,
+            state.peers,
+            clock,
+        ),
         ShareLimits(state.name, state.peers, state.endpoints, clock),
         ShareLoads(
             state.name,
--- a/hawthornyard/edge/eligibility.py
+++ b/hawthornyard/edge/eligibility.py
@@ -4,6 +4,7 @@
 from .directory import Directory
 from .endpoints import Endpoint, Endpoints
 from .messages import Request
+from .rollouts import Rollouts
 
 
 class Eligibility:
@@ -12,16 +13,20 @@
     Args:
         directory: Deployment in force.
         endpoints: Known endpoints.
+        rollouts: Versions that may get requests.
 
     Attributes:
         n_gateways: Gateways among which a cold endpoint's request rate is divided.
     """
 
-    __slots__ = ("_directory", "_endpoints", "n_gateways")
+    __slots__ = ("_directory", "_endpoints", "_rollouts", "n_gateways")
 
-    def __init__(self, directory: Directory, endpoints: Endpoints) -> None:
+    def __init__(
+        self, directory: Directory, endpoints: Endpoints, rollouts: Rollouts
+    ) -> None:
         self._directory = directory
         self._endpoints = endpoints
+        self._rollouts = rollouts
         self.n_gateways = 1
 
     def for_request(self, request: Request) -> list[Endpoint]:
@@ -34,6 +39,7 @@
             for endpoint in self._endpoints.of_service(request.service)
             if self.accepts(endpoint)
         ]
+        allowed = self._rollouts.narrow(request, allowed)
         fresh = [end for end in allowed if end.name not in request.excluded]
         return fresh or allowed
 
@@ -53,8 +59,14 @@
         """
         if endpoint.entry.is_draining or endpoint.leaving_since is not None:
             return False
+        if self._rollouts.forbids(endpoint):
+            return False
         return endpoint.entry.failure_domain not in self._directory.domains_out
 
+    def must_move(self, endpoint: Endpoint) -> bool:
+        """Return whether the streams of an endpoint are to go on at another one."""
+        return endpoint.leaving_since is not None or self._rollouts.is_retired(endpoint)
+
     def may_resume_at(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get a stream that resumes from a copy."""
         return self.may_receive(endpoint) and endpoint.allowance.limit.may_resume()
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -32,6 +32,7 @@
         mirrored: Requests of this gateway that it mirrors, by attempt id.
         leaving_since: Monotonic time in seconds when it was seen to leave, None before.
         has_announced_leaving: Whether it said itself that it leaves, which is final.
+        is_retired: Whether the traffic of its version moved to another version.
         allowance: What restricts its requests for a time.
         failure_rate: Moving average of the share of failures among its answers.
         n_absences: Consecutive times that it was not found at its address.
@@ -47,6 +48,7 @@
         "entry",
         "failure_rate",
         "has_announced_leaving",
+        "is_retired",
         "leaving_since",
         "mean_answer_s",
         "mean_gap_s",
@@ -63,6 +65,7 @@
         self.mirrored: dict[str, Request] = {}
         self.leaving_since: float | None = None
         self.has_announced_leaving = False
+        self.is_retired = False
         self.allowance = Allowance(clock)
         self.failure_rate = 0.0
         self.n_absences = 0
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -10,6 +10,9 @@
 from .endpoints import FollowEndpoints
 from .limits import ShareLimits
 from .notices import FollowNotices
+from .rollout_lead import LeadRollouts
+from .rollout_share import ShareRollouts
+from .rollouts import FollowRollouts
 from .share import ShareLoads
 from .store import FollowStore
 from .watch import WatchEngines
@@ -18,9 +21,12 @@
     "FollowDeployment",
     "FollowEndpoints",
     "FollowNotices",
+    "FollowRollouts",
     "FollowStore",
+    "LeadRollouts",
     "ShareLimits",
     "ShareLoads",
+    "ShareRollouts",
     "TrackCrashes",
     "WatchEngines",
 ]
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -16,6 +16,15 @@
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
+from .rollout import (
+    EndpointRetired,
+    RolloutCallFailed,
+    RolloutOrderRead,
+    RolloutRead,
+    RolloutReadRequested,
+    RolloutWriteRequested,
+    RolloutWritten,
+)
 from .stage import AttemptFailed, Closed, Dequeued, Matched, PartAccused, Routed
 from .updates import (
     DeploymentRead,
@@ -53,6 +62,7 @@
     "EndpointEntry",
     "EndpointLeaving",
     "EndpointNotice",
+    "EndpointRetired",
     "EndpointsRead",
     "Event",
     "GatewaysRead",
@@ -67,6 +77,12 @@
     "ReportRead",
     "ReportRequested",
     "Request",
+    "RolloutCallFailed",
+    "RolloutOrderRead",
+    "RolloutRead",
+    "RolloutReadRequested",
+    "RolloutWriteRequested",
+    "RolloutWritten",
     "Routed",
     "StoreAnswered",
     "StoreFailed",
--- a/hawthornyard/edge/messages/updates.py
+++ b/hawthornyard/edge/messages/updates.py
@@ -51,6 +51,7 @@
         is_draining: Whether it is about to leave.
         cold_s: Seconds until it is warm.
         born: Start time in Unix milliseconds; another value means another incarnation.
+        version: Version of its software, empty if it names none.
     """
 
     __slots__ = (
@@ -62,6 +63,7 @@
         "is_draining",
         "cold_s",
         "born",
+        "version",
     )
 
     def __init__(
@@ -75,6 +77,7 @@
         is_draining: bool = False,
         cold_s: float = 0.0,
         born: int = 0,
+        version: str = "",
     ) -> None:
         self.name = name
         self.service = service
@@ -84,6 +87,7 @@
         self.is_draining = is_draining
         self.cold_s = cold_s
         self.born = born
+        self.version = version
 
 
 class EndpointsRead(Message):
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -1,6 +1,6 @@
 """Track the other gateways and their loads."""
 
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterator, Mapping, Sequence
 
 from ..core import Clock
 from ..frames import EndpointLoad, GatewayLoads
@@ -100,6 +100,10 @@
         """Return whether a gateway of this name has an address."""
         return name in self._addresses
 
+    def address(self, name: str) -> str | None:
+        """Return the address of another gateway, None if it has none."""
+        return self._addresses.get(name)
+
     def divisible_share(self) -> float:
         """Return the share of a common limit that the gateways heard from may use.
 
@@ -109,6 +113,10 @@
         n_live = 1 + sum(self._is_live(peer) for peer in self._by_name.values())
         return 1.0 if 2 * n_live > self.n_gateways else n_live / self.n_gateways
 
+    def names(self) -> Sequence[str]:
+        """Return the names of the other gateways."""
+        return list(self._addresses)
+
     def addresses(self) -> Iterator[str]:
         """Yield the addresses of the other gateways."""
         yield from self._addresses.values()
--- /dev/null
+++ b/hawthornyard/edge/rollouts.py
@@ -0,0 +1,376 @@
+"""Decide what this gateway may send to each version while a service is rolled out."""
+
+import hashlib
+from collections.abc import Iterator, Sequence
+
+from ..core import Clock
+from ..rollout import RUNNING as RUNNING_STRICTNESS
+from ..rollout import (
+    Exposure,
+    Phase,
+    RolloutOrder,
+    RolloutState,
+    Tally,
+    Verdict,
+    choose_tested,
+    judge,
+    period_length_s,
+    share_of,
+)
+from .endpoints import Endpoint, Endpoints
+from .messages import Request
+from .rollout_counts import ResponseCounts
+
+# Part of the bound on the time to a roll back for which a share that the holder told
+# may be used: a gateway that is cut off then still stops in time.
+GRANT_PART = 0.6
+# Time after which the next endpoints of the new version get its share; within it an
+# endpoint comes to its full load.
+TURN_S = 2.0
+
+
+class RolloutBounds:
+    """Bounds that the platform sets on rollouts.
+
+    Attributes:
+        share: Largest share of a service's requests that a bad version may get.
+        slack: Requests that it may get in addition, from all gateways.
+        rollback_s: Seconds after its 50th bad response until it gets none.
+    """
+
+    __slots__ = ("rollback_s", "share", "slack")
+
+    def __init__(self, share: float, slack: float, rollback_s: float) -> None:
+        self.share = share
+        self.slack = slack
+        self.rollback_s = rollback_s
+
+
+class Rollout:
+    """Rollout of one service as one gateway knows it.
+
+    Args:
+        order: The order.
+        bounds: Bounds of the platform.
+        n_gateways: Gateways that share the slack.
+        now: Monotonic time in seconds.
+
+    Attributes:
+        order: The order.
+        state: Newest state that is known, None before the first.
+        granted_until: Monotonic time in seconds until which the share of the test
+            phase may be used.
+        own_verdict: Verdict of this gateway's own counts once they are bad, else None.
+        counts: Responses that this gateway counted.
+        exposure: Credit for requests to the new version.
+        refused_revision: Number of the write of the last order that was refused while
+            this one ran, 0 for none.
+        rollback_s: Seconds after its 50th bad response until it gets none.
+        cold_attempts: Attempts at endpoints that were cold, whose times say nothing.
+        first_seen_at: Monotonic time in seconds at which the order was read.
+    """
+
+    __slots__ = (
+        "_bounds",
+        "cold_attempts",
+        "counts",
+        "exposure",
+        "first_seen_at",
+        "granted_until",
+        "order",
+        "own_verdict",
+        "refused_revision",
+        "rollback_s",
+        "state",
+    )
+
+    def __init__(
+        self,
+        order: RolloutOrder,
+        bounds: RolloutBounds,
+        n_gateways: int,
+        now: float,
+    ) -> None:
+        self.first_seen_at = now
+        self.refused_revision = 0
+        self.rollback_s = bounds.rollback_s
+        self.cold_attempts: set[str] = set()
+        self.order = order
+        self._bounds = bounds
+        self.state: RolloutState | None = None
+        self.granted_until = float("-inf")
+        self.own_verdict: Verdict | None = None
+        self.counts = ResponseCounts(period_length_s(order.duration_s))
+        self.exposure = Exposure(bounds.slack, n_gateways)
+
+    @property
+    def to(self) -> str:
+        """Return the version that is to get the traffic."""
+        return self.order.to
+
+    @property
+    def phase(self) -> Phase | None:
+        """Return the phase, None while it is unknown."""
+        return self.state.phase if self.state is not None else None
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether the rollout is known to have ended."""
+        return self.state is not None and self.state.phase.is_final
+
+    def grant(self, now: float) -> None:
+        """Allow the present share for some time."""
+        self.granted_until = now + GRANT_PART * self.rollback_s
+
+    def share(self, now: float) -> float:
+        """Return the share of the requests that the new version may get now."""
+        if self.state is None:
+            return 0.0
+        phase = self.state.phase
+        if phase is not Phase.SUCCEEDED and self.own_verdict is not None:
+            return 0.0
+        if phase is Phase.TEST and now >= self.granted_until:
+            return 0.0
+        return share_of(phase, self.state.step, self._bounds.share)
+
+    def learn(self, state: RolloutState) -> bool:
+        """Take over a state unless a newer one is known; a final one is kept.
+
+        Returns:
+            Whether the state was taken over.
+        """
+        known = self.state
+        if known is not None and known.phase.is_final:
+            return False
+        is_back = state.phase is Phase.ROLLED_BACK
+        if known is not None and not is_back and _rank(state) <= _rank(known):
+            return False
+        self.state = state
+        return True
+
+    def is_of(self, state: RolloutState) -> bool:
+        """Return whether a state is that of this order."""
+        is_same_write = state.order_revision == self.order.revision
+        return state.to == self.to and (is_same_write or self.state is not None)
+
+    def judge_own(self) -> bool:
+        """Judge this gateway's own counts.
+
+        Returns:
+            Whether they show, for the first time, that the new version is bad.
+        """
+        if self.own_verdict is not None or self.is_over:
+            return False
+        verdict = judge(self.counts.evidence.all(), RUNNING_STRICTNESS)
+        if verdict.is_bad:
+            self.own_verdict = verdict
+        return verdict.is_bad
+
+
+def _rank(state: RolloutState) -> tuple[int, int, int]:
+    phases = (Phase.TEST, Phase.MOVE, Phase.SUCCEEDED, Phase.ROLLED_BACK)
+    return state.number, phases.index(state.phase), state.step
+
+
+class Rollouts:
+    """The rollouts that operators ordered, by service.
+
+    Args:
+        endpoints: Known endpoints.
+        clock: Source of time.
+
+    Attributes:
+        bounds: Bounds of the platform, None where rollouts are not in force.
+    """
+
+    __slots__ = ("_by_service", "_clock", "_endpoints", "_withheld", "bounds")
+
+    def __init__(self, endpoints: Endpoints, clock: Clock) -> None:
+        self._endpoints = endpoints
+        self._clock = clock
+        self._by_service: dict[str, Rollout] = {}
+        # Versions of refused orders, which no order allows.
+        self._withheld: dict[str, set[str]] = {}
+        self.bounds: RolloutBounds | None = None
+
+    def __iter__(self) -> Iterator[Rollout]:
+        yield from list(self._by_service.values())
+
+    def get(self, service: str) -> Rollout | None:
+        """Return the rollout of a service, None if there was no order."""
+        return self._by_service.get(service)
+
+    def begin(self, order: RolloutOrder, n_gateways: int) -> Rollout | None:
+        """Track a new order, None where rollouts are not in force."""
+        if self.bounds is None:
+            return None
+        before = self._by_service.get(order.service)
+        withheld = self._withheld.setdefault(order.service, set())
+        if before is not None and before.phase is Phase.ROLLED_BACK:
+            withheld.add(before.to)
+        withheld.discard(order.to)
+        rollout = Rollout(order, self.bounds, n_gateways, self._clock.now())
+        self._by_service[order.service] = rollout
+        return rollout
+
+    def replace(self, order: RolloutOrder, n_gateways: int) -> None:
+        """Track another order of the same service in place of the present one."""
+        self._by_service.pop(order.service, None)
+        self.begin(order, n_gateways)
+
+    def refuse(self, order: RolloutOrder) -> None:
+        """Send nothing to the version of an order that can't be carried out.
+
+        A version that has endpoints already is served as before.
+        """
+        rollout = self._by_service.get(order.service)
+        if rollout is not None:
+            rollout.refused_revision = order.revision
+        is_present = order.to in self.versions(order.service)
+        if not is_present and rollout is not None and rollout.to != order.to:
+            self.withhold(order.service, order.to)
+
+    def withhold(self, service: str, version: str) -> None:
+        """Send nothing to a version that a refused order named."""
+        self._withheld.setdefault(service, set()).add(version)
+
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of the endpoints of a service that do not leave."""
+        return {
+            endpoint.entry.version
+            for endpoint in self._endpoints.of_service(service)
+            if endpoint.leaving_since is None
+        }
+
+    def forbids(self, endpoint: Endpoint) -> bool:
+        """Return whether an endpoint gets no new work because of its version."""
+        service = endpoint.entry.service
+        rollout = self._by_service.get(service)
+        if rollout is None:
+            return False
+        version = endpoint.entry.version
+        if version == rollout.to:
+            return self._forbids_new(rollout)
+        if version in self._withheld.get(service, ()):
+            return True
+        return self.is_retired(endpoint)
+
+    def _forbids_new(self, rollout: Rollout) -> bool:
+        if rollout.share(self._clock.now()) > 0.0:
+            return False
+        # An order that was carried out before this process began: nothing else is left.
+        is_alone = self.versions(rollout.order.service) == {rollout.to}
+        return rollout.state is not None or not is_alone
+
+    def is_retired(self, endpoint: Endpoint) -> bool:
+        """Return whether the traffic of an old endpoint has moved to another version.
+
+        Endpoints that begin after the end of the rollout are not concerned.
+        """
+        rollout = self._by_service.get(endpoint.entry.service)
+        if rollout is None or endpoint.entry.version == rollout.to:
+            return False
+        return endpoint.is_retired and rollout.share(self._clock.now()) >= 1.0
+
+    def retire(self, service: str) -> Sequence[Endpoint]:
+        """Mark the old endpoints of a service and return those not marked before."""
+        rollout = self._by_service[service]
+        new = [
+            endpoint
+            for endpoint in self._endpoints.of_service(service)
+            if endpoint.entry.version != rollout.to and not endpoint.is_retired
+        ]
+        for endpoint in new:
+            endpoint.is_retired = True
+        return new
+
+    def narrow(self, request: Request, allowed: list[Endpoint]) -> list[Endpoint]:
+        """Return the endpoints of the version that a request goes to.
+
+        Only a first attempt tests the new version, and it is tried elsewhere after.
+        """
+        rollout = self._by_service.get(request.service)
+        if rollout is None or rollout.phase is not Phase.TEST:
+            return allowed
+        old = [end for end in allowed if end.entry.version != rollout.to]
+        if request.n_attempts or not rollout.exposure.may_expose(_draw(request)):
+            return old
+        return self._tested(rollout, allowed) or old
+
+    def _tested(self, rollout: Rollout, allowed: list[Endpoint]) -> list[Endpoint]:
+        now = self._clock.now()
+        share = rollout.share(now)
+        known = self._endpoints.of_service(rollout.order.service)
+        names = [end.name for end in known if end.entry.version == rollout.to]
+        n_old = len(known) - len(names)
+        tested = choose_tested(names, n_old, share, int(now / TURN_S))
+        return [end for end in allowed if end.name in tested]
+
+    def is_counted(self, service: str) -> bool:
+        """Return whether the responses of a service are counted at present."""
+        rollout = self._by_service.get(service)
+        if rollout is None or rollout.state is None:
+            return False
+        return not rollout.is_over
+
+    def note_response(self, request: Request, *, is_bad: bool) -> None:
+        """Count a response to the current attempt of a request."""
+        tally = Tally()
+        tally.note(is_bad=is_bad)
+        self._count(request, request.route.name, tally)
+
+    def note_time(
+        self, request: Request, seconds: float, *, is_pace: bool = False
+    ) -> None:
+        """Count the time of the current attempt of a request.
+
+        Args:
+            request: The request.
+            seconds: Time until its first event or its whole response, or the time
+                that some events took.
+            is_pace: Whether it is the time of some events.
+        """
+        tally = Tally()
+        tally.note_time(seconds)
+        route = request.route.name
+        self._count(request, f"{route} events" if is_pace else route, tally)
+
+    def _count(self, request: Request, route: str, tally: Tally) -> None:
+        rollout = self._by_service[request.service]
+        attempt = request.attempt
+        endpoint = self._endpoints.get(attempt.endpoint) if attempt else None
+        if attempt is None or endpoint is None:
+            return
+        if tally.n_timed and attempt.attempt_id in rollout.cold_attempts:
+            return
+        is_new = endpoint.entry.version == rollout.to
+        rollout.counts.note(attempt.sent_at, route, is_new=is_new, tally=tally)
+
+    def n_old_running(self, rollout: Rollout) -> int:
+        """Return the requests at old endpoints, -1 while these may get more."""
+        if rollout.phase is not Phase.MOVE:
+            return -1
+        return sum(
+            len(endpoint.requests)
+            for endpoint in self._endpoints.of_service(rollout.order.service)
+            if endpoint.entry.version != rollout.to
+        )
+
+    def note_dispatch(self, request: Request, endpoint: Endpoint) -> None:
+        """Count a dispatch of a request."""
+        rollout = self._by_service.get(request.service)
+        if rollout is None or rollout.is_over:
+            return
+        if endpoint.allowance.cold.is_in_force and request.attempt is not None:
+            rollout.cold_attempts.add(request.attempt.attempt_id)
+        if rollout.phase is not Phase.TEST:
+            return
+        if request.n_attempts == 1:
+            rollout.exposure.note_request(rollout.share(self._clock.now()))
+        if endpoint.entry.version == rollout.to:
+            rollout.exposure.note_exposed()
+
+
+def _draw(request: Request) -> float:
+    digest = hashlib.blake2b(request.request_id.encode(), digest_size=4).digest()
+    return int.from_bytes(digest, "big") / 2**32
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -16,6 +16,7 @@
     CopyDropped,
     CopyRequested,
     EndpointLeaving,
+    EndpointRetired,
     Migration,
     Request,
 )
@@ -100,12 +101,15 @@
         self._departures: dict[str, Departure] = {}
         self.handlers: Handlers = {
             EndpointLeaving: self._on_endpoint_leaving,
+            EndpointRetired: self._on_endpoint_leaving,
             CopyAnswered: self._on_copy_answered,
             Closed: self._on_closed,
             Tick: self._on_tick,
         }
 
-    def _on_endpoint_leaving(self, msg: EndpointLeaving) -> Iterator[Message]:
+    def _on_endpoint_leaving(
+        self, msg: EndpointLeaving | EndpointRetired
+    ) -> Iterator[Message]:
         yield msg
         endpoint = self._endpoints.get(msg.endpoint)
         if endpoint is None:
@@ -119,7 +123,7 @@
         yield msg
         for name in list(self._departures):
             endpoint = self._endpoints.get(name)
-            if endpoint is None or endpoint.leaving_since is None:
+            if endpoint is None or not self._eligibility.must_move(endpoint):
                 del self._departures[name]
             else:
                 yield from self._start_next_copy(endpoint)
--- a/hawthornyard/frames/__init__.py
+++ b/hawthornyard/frames/__init__.py
@@ -29,6 +29,7 @@
 from .limit import TeamDemand, TeamLimitShare
 from .loads import EndpointLoad, GatewayLoads
 from .plan import LoadedReport, PlanEntry, PlanPush
+from .rollout import RolloutCounts, RolloutShare, RolloutTally
 from .work import Generation, ServiceCall, Work
 
 __all__ = [
@@ -65,6 +66,9 @@
     "RecordEntry",
     "Refused",
     "Replied",
+    "RolloutCounts",
+    "RolloutShare",
+    "RolloutTally",
     "ServiceCall",
     "Subscribe",
     "TeamDemand",
--- a/hawthornyard/rollout/__init__.py
+++ b/hawthornyard/rollout/__init__.py
@@ -5,7 +5,7 @@
 gateway sends to the new version.
 """
 
-from .evidence import Evidence, Period, period_length_s
+from .evidence import MAX_PERIODS, Evidence, Period, period_length_s
 from .exposure import BONUS_SHARE, Exposure, choose_tested
 from .order import RolloutOrder, find_fault
 from .state import Phase, RolloutState
@@ -16,6 +16,7 @@
 __all__ = [
     "BONUS_SHARE",
     "FINAL",
+    "MAX_PERIODS",
     "RUNNING",
     "Evidence",
     "Exposure",
--- a/hawthornyard/rollout/state.py
+++ b/hawthornyard/rollout/state.py
@@ -1,6 +1,7 @@
 """Define the state of a rollout as the store keeps it."""
 
 from enum import Enum
+from typing import Any
 
 from ..core import Message
 
@@ -33,6 +34,7 @@
         phase: Phase of the rollout.
         step: Index of the share in the test phase.
         reason: Why it is in this phase and step.
+        until_ms: Time of the store's clock in milliseconds at which the lease ends.
         refused_revision: Number of the write of the last order that came while this
             one ran; 0 for none.
     """
@@ -48,6 +50,7 @@
         "phase",
         "step",
         "reason",
+        "until_ms",
         "refused_revision",
     )
 
@@ -64,6 +67,7 @@
         phase: Phase = Phase.TEST,
         step: int = 0,
         reason: str = "",
+        until_ms: float = 0.0,
         refused_revision: int = 0,
     ) -> None:
         self.service = service
@@ -76,9 +80,10 @@
         self.phase = phase
         self.step = step
         self.reason = reason
+        self.until_ms = until_ms
         self.refused_revision = refused_revision
 
-    def replaced(self, **fields: object) -> "RolloutState":
+    def replaced(self, **fields: Any) -> "RolloutState":
         """Return a copy with other values in some fields."""
         values = {name: getattr(self, name) for name in self.fields()}
         return RolloutState(**{**values, **fields})
