Carry out rollout orders of the platform's store

Operators order a rollout by a row and read its state in another. RolloutSink reads and writes them; the state, with its lease, has a row of its own, and both rows are written in one transaction on condition of the version and the era in which the row was read. Settings without expose_share keep rollouts off, and without an order no call is made. The command rollout tells the state, its reason and what it waits for.

Tests with a real gateway showed that callers which use one request id for all requests never tested the new version; the exchange's own id is hashed instead. Long streams count as they begin, attempts that break as their endpoint ends do not count, a full endpoint is passed over, and an order counts as new by its write.

--- a/features/rollouts.feature
+++ b/features/rollouts.feature
@@ -172,6 +172,30 @@
     Then it is succeeded within its duration and its bounds
     And the log has rollout_withdrawn with "goes on"
 
+  Scenario: A version that was rolled back may be ordered again
+    Given a service of two versions behind 3 gateways
+    And the new version fails 0.5 of its responses
+    When the operator orders the new version
+    And callers send requests until it is over
+    And the new version fails 0.0 of its responses from now on
+    And the operator orders v2 for 12 seconds
+    And callers send requests until the state is succeeded
+    Then it is succeeded within its duration and its bounds
+
+  Scenario Outline: Attempts that break with the end of an endpoint say nothing of it
+    # Guards against a roll back because the host of the tested endpoint fails.
+    Given a service of two versions behind 5 gateways
+    When the operator orders the new version
+    And callers send requests for 3 seconds
+    And 4 attempts at a new endpoint break, and it <fate>
+    And callers send requests until it is over
+    Then it is <state> within its duration and its bounds
+
+    Examples:
+      | fate            | state       |
+      | is gone         | succeeded   |
+      | goes on         | rolled_back |
+
   @fixture.edge
   Scenario: Streams leave the old endpoints while the traffic moves
     Given the engines engine-a and engine-b
--- a/features/steps/rollouts.py
+++ b/features/steps/rollouts.py
@@ -74,6 +74,17 @@
     fleet.run_until(lambda: _is_over(fleet), DURATION_S)
 
 
+@when("callers send requests until the state is {state}")
+def send_until_state(context: Context, state: str) -> None:
+    fleet = context.fleet
+    fleet.run_until(lambda: fleet.state().phase is Phase(state), DURATION_S)
+
+
+@when("{n:d} attempts at a new endpoint break, and it {fate}")
+def break_attempts(context: Context, n: int, fate: str) -> None:
+    context.fleet.break_at_new(n, is_gone=fate == "is gone")
+
+
 @when("callers send requests until the traffic moves")
 def send_until_move(context: Context) -> None:
     fleet = context.fleet
--- a/features/support/platform_world.py
+++ b/features/support/platform_world.py
@@ -69,7 +69,7 @@
         "thread",
     )
 
-    def __init__(self) -> None:
+    def __init__(self, **settings_fields: Any) -> None:
         self.store = PlatformStoreApp()
         self._store_server = HttpServer(LOOPBACK_ADDRESS, self.store)
         self._store_server.start()
@@ -84,11 +84,16 @@
             f"127.0.0.1:{self._store_server.port}",
             repeat_slack=50.0,
             key_max_age_s=5.0,
+            **settings_fields,
         )
         self._settings = settings
         self.gateway = EdgeGateway(settings, Path("absent"))
         self.thread = self.gateway.start()
 
+    @property
+    def store_address(self) -> str:
+        return f"127.0.0.1:{self._store_server.port}"
+
     def restart_gateway(self) -> None:
         """Replace the gateway by one that knows nothing."""
         self.gateway.close()
@@ -105,7 +110,7 @@
         self.endpoints.append(endpoint)
         self.add_entry(f"i-{len(self.endpoints)}", endpoint.address)
 
-    def add_entry(self, name: str, address: str) -> None:
+    def add_entry(self, name: str, address: str, **fields: Any) -> None:
         self.store.put(
             "servers",
             name,
@@ -116,6 +121,7 @@
                 "slots": 6,
                 "state": "ready",
                 "born": 1,
+                **fields,
             },
         )
 
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -6,7 +6,9 @@
 from features.support.edge import TICK_S, EdgeDriver
 from hawthornyard.core import Message
 from hawthornyard.edge.messages import (
+    AttemptBroke,
     Dispatch,
+    EndpointsRead,
     GatewaysRead,
     RolloutCallFailed,
     RolloutOrderRead,
@@ -203,6 +205,24 @@
                 dispatch.attempt_id, 500 if is_bad else 200
             )
 
+    def break_at_new(self, n: int, *, is_gone: bool) -> None:
+        """Break attempts at one new endpoint, which may be gone afterwards."""
+        name = ""
+        end = self.now + 3.0
+        # Before the first of them counts, so that the version still gets requests.
+        while n and self.now < end:
+            self.run(TICK_S, per_tick=20)
+            running = [item for item in self._answers if "-v2-" in item[2].endpoint]
+            name = name or (running[0][2].endpoint if running else "")
+            for item in [item for item in running if item[2].endpoint == name][:n]:
+                self._answers.remove(item)
+                gateway = self.gateways[item[1]]
+                gateway.push(AttemptBroke(item[2].attempt_id, "reset"))
+                n -= 1
+        assert not n, f"{n} attempts were not there to break"
+        for gateway in self.gateways if is_gone else ():
+            gateway.push(EndpointsRead([], [name]))
+
     def n_sent(self, version: str, since: float = 0.0, *, by: int | None = None) -> int:
         """Return how many requests a version got, optionally of one gateway."""
         return sum(
--- a/hawthornyard/cli/app.py
+++ b/hawthornyard/cli/app.py
@@ -10,6 +10,7 @@
 from .exit import ExitCode
 from .explain import add_explain_command
 from .records import add_records_commands
+from .rollout_state import add_rollout_command
 from .run import add_run_commands
 from .settings import add_settings_commands
 from .standin import add_standin_commands
@@ -32,6 +33,7 @@
     add_team_key_command,
     add_status_command,
     add_explain_command,
+    add_rollout_command,
     add_standin_commands,
 )
 
--- a/hawthornyard/edge/fleet/rollout_lead.py
+++ b/hawthornyard/edge/fleet/rollout_lead.py
@@ -82,8 +82,8 @@
         self._clock = clock
         self._tenures: dict[str, Tenure] = {}
         self._writes: dict[str, _Write] = {}
-        # Services whose rollout is over, as the store knows too.
-        self._settled: set[str] = set()
+        # Orders whose end the store knows, by service.
+        self._settled: dict[str, int] = {}
         self._faults: dict[str, str] = {}
         self._next_read_at: dict[str, float] = {}
         self._next_decision_at = 0.0
@@ -135,7 +135,9 @@
 
     def _settle(self, service: str) -> None:
         self._tenures.pop(service, None)
-        self._settled.add(service)
+        rollout = self._rollouts.get(service)
+        if rollout is not None:
+            self._settled[service] = rollout.order.revision
 
     def _take_if_free(
         self, rollout: Rollout, msg: RolloutRead, time: StoreTime
@@ -283,9 +285,13 @@
             tenure = self._tenures.get(service)
             if tenure is not None:
                 yield from self._lead(tenure, msg.now)
-            elif service not in self._settled and self._is_candidate(service):
+            elif not self._is_settled(rollout) and self._is_candidate(service):
                 yield from self._read_if_due(service, msg.now)
 
+    def _is_settled(self, rollout: Rollout) -> bool:
+        order = rollout.order
+        return self._settled.get(order.service) == order.revision
+
     def _is_candidate(self, service: str) -> bool:
         return self._peers.is_owner(f"rollout/{service}")
 
--- a/hawthornyard/edge/fleet/rollout_share.py
+++ b/hawthornyard/edge/fleet/rollout_share.py
@@ -98,6 +98,7 @@
         yield msg
         for rollout in self._rollouts:
             if not rollout.is_over and rollout.state is not None:
+                self._rollouts.count_breaks(rollout)
                 yield from self._report_if_due(rollout, msg.now)
 
     def _report_if_due(self, rollout: Rollout, now: float) -> Iterator[Message]:
--- a/hawthornyard/edge/fleet/rollouts.py
+++ b/hawthornyard/edge/fleet/rollouts.py
@@ -21,6 +21,8 @@
 UNHEARD_INTERVAL_S = 1.0
 # Time between reads while the holder tells its state by datagrams.
 HEARD_INTERVAL_S = 3.0
+# Time after a restore within which operators write lost orders again.
+RESTORED_S = 10.0
 
 
 class FollowRollouts:
@@ -34,9 +36,9 @@
 
     __slots__ = (
         "_clock",
-        "_is_restored",
         "_next_read_at",
         "_peers",
+        "_restored_until",
         "_rollouts",
         "handlers",
     )
@@ -46,7 +48,7 @@
         self._peers = peers
         self._clock = clock
         self._next_read_at: dict[str, float] = {}
-        self._is_restored = False
+        self._restored_until = float("-inf")
         self.handlers: Handlers = {
             RolloutOrderRead: self._on_order_read,
             RolloutRead: self._on_rollout_read,
@@ -98,11 +100,13 @@
 
     def _is_same(self, rollout: Rollout, order: RolloutOrder) -> bool:
         known = rollout.order
-        if order.to != known.to:
-            return order.revision == known.revision
-        # A restored store gives revisions out again, and a state must not go back.
-        is_older = order.revision <= known.revision
-        return is_older or not rollout.is_over or self._is_restored
+        if order.revision == known.revision:
+            return True
+        if self._clock.now() < self._restored_until:
+            # The copy may have an earlier order, or the operator writes a lost one
+            # again; the state must not go back.
+            return order.to == known.to or order.revision < known.revision
+        return order.to == known.to and not rollout.is_over
 
     def _on_rollout_read(self, msg: RolloutRead) -> Iterator[Message]:
         rollout = self._rollouts.get(msg.service)
@@ -181,7 +185,7 @@
 
     def _on_store_restored(self, msg: StoreRestored) -> Iterator[Message]:
         if msg.feed == OPERATOR_FEED:
-            self._is_restored = True
+            self._restored_until = self._clock.now() + RESTORED_S
             for rollout in self._rollouts:
                 self._next_read_at[rollout.order.service] = self._clock.now()
         yield msg
--- a/hawthornyard/edge/reply/count.py
+++ b/hawthornyard/edge/reply/count.py
@@ -59,6 +59,8 @@
             if attempt.is_resumed:
                 pass
             elif attempt.first_event_at is None:
+                # Long streams end after the rollout: they count as they begin.
+                self._rollouts.note_response(request, is_bad=False)
                 self._rollouts.note_time(request, now - attempt.sent_at)
             elif request.last_event < N_PACED_EVENTS <= last:
                 seconds = now - attempt.first_event_at
@@ -67,14 +69,15 @@
 
     def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
         request = self._counted(msg.attempt_id)
-        if request is not None:
-            self._rollouts.note_response(request, is_bad=False)
+        if request is not None and request.attempt is not None:
+            if request.attempt.first_event_at is None:
+                self._rollouts.note_response(request, is_bad=False)
         yield msg
 
     def _on_attempt_broke(self, msg: AttemptBroke) -> Iterator[Message]:
         request = self._counted(msg.attempt_id)
         if request is not None:
-            self._rollouts.note_response(request, is_bad=True)
+            self._rollouts.note_break(request)
         yield msg
 
     def _counted(self, attempt_id: str) -> Request | None:
--- a/hawthornyard/edge/rollouts.py
+++ b/hawthornyard/edge/rollouts.py
@@ -18,7 +18,7 @@
     share_of,
 )
 from .endpoints import Endpoint, Endpoints
-from .messages import Request
+from .messages import Attempt, Request
 from .rollout_counts import ResponseCounts
 
 # Part of the bound on the time to a roll back for which a share that the holder told
@@ -27,6 +27,9 @@
 # Time after which the next endpoints of the new version get its share; within it an
 # endpoint comes to its full load.
 TURN_S = 2.0
+# Time after which a break counts if its endpoint is still found: the next request there
+# tells whether it has ended.
+BREAK_DELAY_S = 0.5
 
 
 class RolloutBounds:
@@ -46,6 +49,21 @@
         self.rollback_s = rollback_s
 
 
+class _Break:
+    """A broken attempt that is not counted yet."""
+
+    __slots__ = ("at", "attempt", "endpoint", "is_new", "route")
+
+    def __init__(
+        self, at: float, attempt: Attempt, route: str, endpoint: Endpoint, is_new: bool
+    ) -> None:
+        self.at = at
+        self.attempt = attempt
+        self.route = route
+        self.endpoint = endpoint
+        self.is_new = is_new
+
+
 class Rollout:
     """Rollout of one service as one gateway knows it.
 
@@ -62,6 +80,7 @@
             phase may be used.
         own_verdict: Verdict of this gateway's own counts once they are bad, else None.
         counts: Responses that this gateway counted.
+        breaks: Broken attempts that are not counted yet.
         exposure: Credit for requests to the new version.
         refused_revision: Number of the write of the last order that was refused while
             this one ran, 0 for none.
@@ -72,6 +91,7 @@
 
     __slots__ = (
         "_bounds",
+        "breaks",
         "cold_attempts",
         "counts",
         "exposure",
@@ -95,6 +115,7 @@
         self.refused_revision = 0
         self.rollback_s = bounds.rollback_s
         self.cold_attempts: set[str] = set()
+        self.breaks: list[_Break] = []
         self.order = order
         self._bounds = bounds
         self.state: RolloutState | None = None
@@ -209,6 +230,8 @@
         if before is not None and before.phase is Phase.ROLLED_BACK:
             withheld.add(before.to)
         withheld.discard(order.to)
+        for endpoint in self._endpoints.of_service(order.service):
+            endpoint.is_retired = False
         rollout = Rollout(order, self.bounds, n_gateways, self._clock.now())
         self._by_service[order.service] = rollout
         return rollout
@@ -258,9 +281,10 @@
     def _forbids_new(self, rollout: Rollout) -> bool:
         if rollout.share(self._clock.now()) > 0.0:
             return False
+        if rollout.state is not None:
+            return True
         # An order that was carried out before this process began: nothing else is left.
-        is_alone = self.versions(rollout.order.service) == {rollout.to}
-        return rollout.state is not None or not is_alone
+        return self.versions(rollout.order.service) != {rollout.to}
 
     def is_retired(self, endpoint: Endpoint) -> bool:
         """Return whether the traffic of an old endpoint has moved to another version.
@@ -299,12 +323,17 @@
 
     def _tested(self, rollout: Rollout, allowed: list[Endpoint]) -> list[Endpoint]:
         now = self._clock.now()
-        share = rollout.share(now)
+        share = rollout.exposure.rate(rollout.share(now))
         known = self._endpoints.of_service(rollout.order.service)
         names = [end.name for end in known if end.entry.version == rollout.to]
         n_old = len(known) - len(names)
         tested = choose_tested(names, n_old, share, int(now / TURN_S))
-        return [end for end in allowed if end.name in tested]
+        # Without a free slot a request would wait for one endpoint only.
+        return [
+            end
+            for end in allowed
+            if end.name in tested and end.n_running < end.entry.n_slots
+        ]
 
     def is_counted(self, service: str) -> bool:
         """Return whether the responses of a service are counted at present."""
@@ -319,6 +348,40 @@
         tally.note(is_bad=is_bad)
         self._count(request, request.route.name, tally)
 
+    def note_break(self, request: Request) -> None:
+        """Count a broken attempt, unless its endpoint turns out to have ended.
+
+        Load pattern: few endpoints get the whole share, and all that one of them runs
+        breaks when its host fails, which says nothing of its version.
+        """
+        rollout = self._by_service[request.service]
+        attempt = request.attempt
+        endpoint = self._endpoints.get(attempt.endpoint) if attempt else None
+        if attempt is None or endpoint is None:
+            return
+        is_new = endpoint.entry.version == rollout.to
+        rollout.breaks.append(
+            _Break(self._clock.now(), attempt, request.route.name, endpoint, is_new)
+        )
+
+    def count_breaks(self, rollout: Rollout) -> None:
+        """Count the breaks whose endpoints have not ended since."""
+        now = self._clock.now()
+        breaks, rollout.breaks = rollout.breaks, []
+        for item in breaks:
+            if now - item.at < BREAK_DELAY_S:
+                rollout.breaks.append(item)
+            elif not self._has_ended(item.endpoint):
+                tally = Tally(1, 1)
+                rollout.counts.note(
+                    item.attempt.sent_at, item.route, is_new=item.is_new, tally=tally
+                )
+
+    def _has_ended(self, endpoint: Endpoint) -> bool:
+        known = self._endpoints.get(endpoint.name)
+        is_gone = known is not endpoint or endpoint.leaving_since is not None
+        return is_gone or endpoint.n_absences > 0
+
     def note_time(
         self, request: Request, seconds: float, *, is_pace: bool = False
     ) -> None:
@@ -372,5 +435,6 @@
 
 
 def _draw(request: Request) -> float:
-    digest = hashlib.blake2b(request.request_id.encode(), digest_size=4).digest()
+    # Callers choose their request ids, and may use one for all.
+    digest = hashlib.blake2b(request.call_id.encode(), digest_size=4).digest()
     return int.from_bytes(digest, "big") / 2**32
--- a/hawthornyard/platform/endpoint.py
+++ b/hawthornyard/platform/endpoint.py
@@ -49,6 +49,7 @@
         raise RecordError(f"state is {state!r}, expected 'ready' or 'draining'")
     address = get_text(body, "address")
     _check_address(address)
+    version = body.get("version")
     return EndpointEntry(
         name,
         get_text(body, "service"),
@@ -59,6 +60,8 @@
         cold_s=get_number(body, "cold_remaining_ms", 0.0) / 1000,
         # Start time in Unix milliseconds; only compared for equality.
         born=int(get_number(body, "born", 0.0)),
+        # An odd version must not take an endpoint out of use.
+        version=version if isinstance(version, str) else "",
     )
 
 
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -28,7 +28,9 @@
     DOMAIN_OUT_KEY_PREFIX,
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
+    ROLLOUT_KEY_PREFIX,
 )
+from .rollouts import decode_order
 from .store import FIRST_ERA, READ_TIMEOUT_S, PlatformStore, RowPage, StoredRow
 
 RETRY_DELAY_S = 0.25
@@ -58,7 +60,7 @@
 
 
 class OperatorTableDecoder:
-    """Decoder of deployments and of the failure domains taken out of service.
+    """Decoder of deployments, failure domains out of service and rollout orders.
 
     Args:
         inbox: Receives the decoded messages.
@@ -85,6 +87,8 @@
                 self._domains_out.discard(domain)
             else:
                 self._domains_out.add(domain)
+        elif row.key.startswith(ROLLOUT_KEY_PREFIX):
+            self._inbox.put(decode_order(row))
         elif row.key == DEPLOYMENT_KEY and row.value is not None:
             try:
                 self._inbox.put(
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -77,7 +77,11 @@
 OPERATOR_TABLE = "op"
 DEPLOYMENT_KEY = "config"
 DOMAIN_OUT_KEY_PREFIX = "evacuate/"
+ROLLOUT_KEY_PREFIX = "rollout/"
 ENDPOINT_TABLE = "servers"
+STATUS_TABLE = "status"
+# Table of the states of rollouts, which only the system reads.
+ROLLOUT_TABLE = "rollouts"
 
 REPORT_PATH = "/report"
 COPY_PATH = "/kv-move"
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -26,6 +26,7 @@
     Closed,
     CopyAnswered,
     EndpointLeaving,
+    EndpointRetired,
     EndpointsRead,
     ReplyBegan,
     ReplyEvents,
@@ -39,6 +40,8 @@
     GatewayLoads,
     LeavingNotice,
     PartsSound,
+    RolloutCounts,
+    RolloutShare,
 )
 from ..front import HttpServer, ListenerSink, MetricsApplication, ReplyQueues
 from ..front.exchange import Environ, StartResponse
@@ -69,6 +72,7 @@
 from .protocol import strict_protocol
 from .reload import ReloadSink, apply_bounds
 from .reports import ReportSink
+from .rollouts import RolloutSink
 from .runner import RunnerSink
 from .settings import EdgeSettings
 from .store import PlatformStore
@@ -184,6 +188,8 @@
             GatewayLoads,
             LeavingNotice,
             PartsSound,
+            RolloutCounts,
+            RolloutShare,
         )
         self._registry = GatewayRegistry(
             settings.name,
@@ -210,6 +216,7 @@
                 ReportSink(self._inbox, notices),
                 self._datagrams,
                 self._registry,
+                RolloutSink(store, self._inbox, self._clock),
                 DecisionLog(settings.name),
                 DiscardSink(
                     Tick,
@@ -220,6 +227,7 @@
                     StoreFailed,
                     EndpointsRead,
                     EndpointLeaving,
+                    EndpointRetired,
                 ),
                 replies,
                 ListenerSink(self._server),
@@ -326,6 +334,16 @@
             "Parts of prompts that are kept from endpoints.",
             lambda: state.crash_evidence.n_accused,
         )
+        add_gauge(
+            "rollouts_running",
+            "Rollouts that are not over.",
+            lambda: sum(not rollout.is_over for rollout in state.rollouts),
+        )
+        add_gauge(
+            "rollout_exposed_requests",
+            "Requests that tested a new version.",
+            lambda: sum(rollout.exposure.n_exposed for rollout in state.rollouts),
+        )
         add_gauge(
             "held_bytes",
             "Bytes of messages that are held in memory.",
--- a/hawthornyard/platform/reload.py
+++ b/hawthornyard/platform/reload.py
@@ -29,7 +29,8 @@
     """Sink that reloads the settings file and applies its bounds.
 
     The bounds limit retries, the age of team keys, the time in which a leaving endpoint
-    may get new work and the time of a stop. All other settings need a restart.
+    may get new work, the time of a stop and the exposure of rollouts. All other
+    settings need a restart.
 
     Args:
         path: Path of the settings file.
@@ -69,6 +70,7 @@
         slack=settings.repeat_slack,
         window_s=settings.repeat_window_s,
     )
+    state.rollouts.bounds = settings.rollout_bounds
     state.pace.leave_bound_s = settings.leave_bound_s
     max_age_s = settings.key_max_age_s
     if max_age_s is not None:
--- a/hawthornyard/platform/settings.py
+++ b/hawthornyard/platform/settings.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from ..edge.rollouts import RolloutBounds
 from ..errors import RecordError, SettingsError
 from ..io import MAX_PORT
 from .fields import decode_object, get_flag, get_number, get_text
@@ -33,6 +34,7 @@
         leave_bound_s: Seconds after which a leaving endpoint must get no new work.
         contact_s: Seconds after a disturbance within which this gateway must know again
             what the store says.
+        rollout_bounds: Bounds of rollouts, None where they are not in force.
         grace_s: Seconds from the request to stop until the process is killed, None if
             unknown.
     """
@@ -52,6 +54,7 @@
         "repeat_ratio",
         "repeat_slack",
         "repeat_window_s",
+        "rollout_bounds",
         "store",
     )
 
@@ -73,6 +76,7 @@
         leave_bound_s: float = 2.0,
         contact_s: float = 3.0,
         grace_s: float | None = None,
+        rollout_bounds: RolloutBounds | None = None,
     ) -> None:
         self.name = name
         self.failure_domain = failure_domain
@@ -89,6 +93,7 @@
         self.leave_bound_s = leave_bound_s
         self.contact_s = contact_s
         self.grace_s = grace_s
+        self.rollout_bounds = rollout_bounds
 
 
 def load_edge_settings(path: Path) -> EdgeSettings:
@@ -127,6 +132,22 @@
         leave_bound_s=get_number(bounds, "drain_ms", 2000.0) * _SECONDS_PER_MS,
         contact_s=get_number(bounds, "contact_ms", 3000.0) * _SECONDS_PER_MS,
         grace_s=get_number(bounds, "grace_s") if "grace_s" in bounds else None,
+        rollout_bounds=_get_rollout_bounds(bounds),
+    )
+
+
+def _get_rollout_bounds(bounds: dict[str, Any]) -> RolloutBounds | None:
+    if "expose_share" not in bounds:
+        return None
+    share = get_number(bounds, "expose_share")
+    if share > 1.0:
+        raise RecordError(
+            f"field 'expose_share' is {share:g}, expected a number from 0 to 1"
+        )
+    return RolloutBounds(
+        share,
+        get_number(bounds, "expose_slack", 0.0),
+        get_number(bounds, "rollback_ms", 5000.0) * _SECONDS_PER_MS,
     )
 
 
--- a/hawthornyard/platform/standins/store.py
+++ b/hawthornyard/platform/standins/store.py
@@ -26,6 +26,7 @@
         is_down: Whether all calls are refused with status 503.
         n_calls: Number of calls received.
         oldest_version: Version after which changes are kept.
+        tables_read: Names of the tables that were read whole.
         rows: Value and version by table and key; None for a removed row.
         version: Version of the newest change.
     """
@@ -39,11 +40,13 @@
         "n_calls",
         "oldest_version",
         "rows",
+        "tables_read",
         "version",
     )
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self.tables_read: set[str] = set()
         self.version = 1
         self.oldest_version = 0
         self.n_calls = 0
@@ -100,6 +103,7 @@
     def _read(self, query: dict[str, str], start: StartResponse) -> Iterable[bytes]:
         first_key = query.get("from", "")
         limit = min(MAX_PAGE_ROWS, int(query.get("limit", MAX_PAGE_ROWS)))
+        self.tables_read.add(query["table_name"])
         rows = self._select_rows(query["table_name"], 0, include_removed=False)
         found = sorted(
             (row for row in rows if row["key"] >= first_key), key=lambda row: row["key"]
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -178,6 +178,40 @@
         row = {**_row_id(table, key), "value": base64.b64encode(value).decode()}
         self._transact({"expect": [], "puts": [row], "remove": []})
 
+    def write_if(
+        self,
+        expected: tuple[str, str, int],
+        rows: Sequence[tuple[str, str, bytes]],
+        era: int,
+    ) -> int:
+        """Write rows in one transaction unless a row has changed.
+
+        Args:
+            expected: Table, key and version of the row that must not have changed; the
+                version is 0 if there must be none.
+            rows: Tables, keys and values of the rows.
+            era: Era in which the row was read; a later one gives versions out again.
+
+        Returns:
+            The version of the transaction, 0 if the row has changed.
+
+        Raises:
+            PlatformError: If there is no response, or one with an unexpected status;
+                the rows may have been written, or may be written later.
+        """
+        if era != self.era:
+            return 0
+        table, key, version = expected
+        puts = [
+            {**_row_id(name, row_key), "value": base64.b64encode(value).decode()}
+            for name, row_key, value in rows
+        ]
+        expect = [{**_row_id(table, key), "ver": version}]
+        answer = self._transact({"expect": expect, "puts": puts, "remove": []})
+        if answer.status == _CONFLICT:
+            return 0
+        return _decode_version(_decode_body(answer.data))
+
     def remove(self, table: str, key: str, version: int, era: int) -> None:
         """Remove one row unless it has changed since `version`.
 
@@ -197,9 +231,9 @@
         expected = {**name, "ver": version}
         self._transact({"expect": [expected], "puts": [], "remove": [name]})
 
-    def _transact(self, body: dict[str, Any]) -> None:
+    def _transact(self, body: dict[str, Any]) -> HttpResponse:
         data = json.dumps(body).encode()
-        self._call(
+        return self._call(
             "POST", "/rows-tx", data=data, expected_statuses=frozenset({_CONFLICT})
         )
 
--- a/hawthornyard/rollout/__init__.py
+++ b/hawthornyard/rollout/__init__.py
@@ -9,7 +9,7 @@
 from .exposure import BONUS_SHARE, Exposure, choose_tested
 from .order import RolloutOrder, find_fault
 from .state import Phase, RolloutState
-from .steps import Step, decide, share_of
+from .steps import Step, decide, describe_wait, share_of
 from .tally import Tally
 from .verdict import FINAL, RUNNING, Strictness, Verdict, judge
 
@@ -30,6 +30,7 @@
     "Verdict",
     "choose_tested",
     "decide",
+    "describe_wait",
     "find_fault",
     "judge",
     "period_length_s",
--- a/hawthornyard/rollout/exposure.py
+++ b/hawthornyard/rollout/exposure.py
@@ -43,6 +43,10 @@
         self._bonus -= bonus
         self._credit = min(MAX_CREDIT, self._credit + share + bonus)
 
+    def rate(self, share: float) -> float:
+        """Return the share that goes to the new version, with what is left of slack."""
+        return share + min(BONUS_SHARE, self._bonus)
+
     def may_expose(self, draw: float) -> bool:
         """Return whether a request may go to the new version.
 
--- a/hawthornyard/rollout/steps.py
+++ b/hawthornyard/rollout/steps.py
@@ -71,17 +71,43 @@
     verdict = _judge_all(evidence, now)
     if verdict.is_bad:
         return Step(Phase.ROLLED_BACK, state.step, verdict.reason, verdict)
-    end_s = state.duration_s - min(WRITE_S, WRITE_PART * state.duration_s)
     if state.phase is Phase.MOVE:
-        if is_old_idle or elapsed_s >= end_s:
+        if is_old_idle or elapsed_s >= _end_of_move_s(state):
             reason = "no work on old endpoints" if is_old_idle else "end of duration"
             return Step(Phase.SUCCEEDED, state.step, reason, verdict)
         return Step(Phase.MOVE, state.step, state.reason, verdict)
-    if elapsed_s >= end_s - min(MOVE_S, MOVE_PART * state.duration_s):
+    if elapsed_s >= _end_of_test_s(state):
         return _end_of_test(state, evidence)
     return _grow(state, evidence, elapsed_s, verdict)
 
 
+def describe_wait(state: RolloutState, elapsed_s: float) -> str:
+    """Return what a rollout waits for, for operators.
+
+    Args:
+        state: State of the rollout.
+        elapsed_s: Seconds since it began.
+    """
+    if state.phase.is_final:
+        return "nothing: it is over"
+    if state.phase is Phase.MOVE:
+        left_s = _end_of_move_s(state) - elapsed_s
+        return f"the end of work on old endpoints, at most {max(0.0, left_s):.1f} s"
+    left_s = max(0.0, _end_of_test_s(state) - elapsed_s)
+    if state.step >= len(STEP_PARTS) - 1:
+        return f"the end of the test in {left_s:.1f} s"
+    n_needed = RESPONSES_PER_STEP * (state.step + 1)
+    return f"{n_needed} responses of the new version, or the time of the next step"
+
+
+def _end_of_move_s(state: RolloutState) -> float:
+    return state.duration_s - min(WRITE_S, WRITE_PART * state.duration_s)
+
+
+def _end_of_test_s(state: RolloutState) -> float:
+    return _end_of_move_s(state) - min(MOVE_S, MOVE_PART * state.duration_s)
+
+
 def _judge_all(evidence: Evidence, now: float) -> Verdict:
     verdict = judge(evidence.all(), RUNNING)
     return verdict if verdict.is_bad else judge(evidence.since(now - RECENT_S), RUNNING)
