Forget what a rollout counted apart once it is over

Attempts at cold endpoints and breaks that await their verdict were kept for the life of a gateway, though nothing reads them after the end. They are dropped with the final state. Dropping each one with its response was weighed: it needs the attempt's end in five handlers.

--- a/hawthornyard/edge/rollouts.py
+++ b/hawthornyard/edge/rollouts.py
@@ -167,6 +167,9 @@
         if known is not None and not is_back and _rank(state) <= _rank(known):
             return False
         self.state = state
+        if state.phase.is_final:
+            self.cold_attempts.clear()
+            self.breaks.clear()
         return True
 
     def is_of(self, state: RolloutState) -> bool:
