--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -42,6 +42,7 @@
     DomainsRead,
     EndpointEntry,
     EndpointLeaving,
+    EndpointRetired,
     EndpointsRead,
     Event,
     GenerationSize,
@@ -51,6 +52,8 @@
     ReportFailed,
     ReportRead,
     ReportRequested,
+    RolloutReadRequested,
+    RolloutWriteRequested,
     StoreAnswered,
     StoreFailed,
     StoreRestored,
@@ -64,6 +67,8 @@
     LeavingNotice,
     PartsSound,
     PossibleCrashReport,
+    RolloutCounts,
+    RolloutShare,
 )
 from hawthornyard.gateway.messages import (
     CallerGone,
@@ -226,12 +231,17 @@
             ReplyFailed,
             ReplyResponse,
             ReportRequested,
+            RolloutCounts,
+            RolloutReadRequested,
+            RolloutShare,
+            RolloutWriteRequested,
             StopListening,
         )
         discarded = (
             CallerGone,
             CopyAnswered,
             EndpointLeaving,
+            EndpointRetired,
             EndpointsRead,
             ReportFailed,
             ReportRead,
--- a/hawthornyard/codec/msgpack.py
+++ b/hawthornyard/codec/msgpack.py
@@ -39,6 +39,9 @@
     RecordEntry,
     Refused,
     Replied,
+    RolloutCounts,
+    RolloutShare,
+    RolloutTally,
     ServiceCall,
     Subscribe,
     TeamDemand,
@@ -86,6 +89,9 @@
     33: EndpointLimit,
     34: PossibleCrashReport,
     35: EndpointPace,
+    36: RolloutCounts,
+    37: RolloutShare,
+    38: RolloutTally,
 }
 _TAG_BY_TYPE = {cls: tag for tag, cls in _TYPE_BY_TAG.items()}
 _CHECKER_BY_TAG = {tag: FieldChecker(cls) for tag, cls in _TYPE_BY_TAG.items()}
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -13,11 +13,14 @@
     FollowEndpoints,
     FollowNotices,
     FollowPrefills,
+    FollowRollouts,
     FollowStore,
+    LeadRollouts,
     ProbePaces,
     ShareLimits,
     ShareLoads,
     SharePaces,
+    ShareRollouts,
     TrackCrashes,
     WatchEngines,
 )
@@ -30,7 +33,7 @@
 from .peers import Peers
 from .placement import LeastLoaded, Placement
 from .read_pace import ReadPace
-from .reply import CloseRequests, Expire, Relay
+from .reply import CloseRequests, CountResponses, Expire, Relay
 from .request import (
     Admission,
     Match,
@@ -43,6 +46,7 @@
 )
 from .reservations import Reservations
 from .retry_budget import SharedRetryBudget
+from .rollouts import Rollouts
 from .sampling import Sampling
 from .streams import Migrate, Resume
 from .streams.resumption import Resumption
@@ -62,6 +66,7 @@
         pace: Pace of the reads of endpoint changes.
         peers: The other gateways.
         retry_budget: Limits the retries of each service.
+        rollouts: Rollouts that operators ordered.
     """
 
     __slots__ = (
@@ -75,6 +80,7 @@
         "pace",
         "peers",
         "retry_budget",
+        "rollouts",
     )
 
     def __init__(
@@ -87,7 +93,8 @@
         self.pace = ReadPace(self.peers)
         self.directory = Directory(clock)
         self.endpoints = Endpoints(self.peers, clock)
-        self.eligibility = Eligibility(self.directory, self.endpoints)
+        self.rollouts = Rollouts(self.endpoints, clock)
+        self.eligibility = Eligibility(self.directory, self.endpoints, self.rollouts)
         self.grace = GracePeriod(self.directory, self.endpoints, self.peers, clock)
         self.inflight = InFlight(self.endpoints, clock)
         self.retry_budget = SharedRetryBudget(clock)
@@ -149,6 +156,8 @@
         FollowEndpoints(state.endpoints, clock),
         FollowNotices(state.endpoints, clock),
         FollowPrefills(state.endpoints, state.peers, clock),
+        FollowRollouts(state.rollouts, state.peers, clock),
+        LeadRollouts(state.name, state.rollouts, state.directory, state.peers, clock),
         WatchEngines(
             state.endpoints,
             state.directory,
@@ -179,6 +188,7 @@
             state.directory,
             clock,
         ),
+        CountResponses(state.rollouts, state.inflight, clock),
         Resume(
             state.inflight,
             state.endpoints,
@@ -201,6 +211,14 @@
         Expire(state.inflight, state.endpoints),
         *metrics_filters,
         CloseRequests(state.inflight, clock),
+        ShareRollouts(
+            state.name,
+            state.rollouts,
+            state.endpoints,
+            state.inflight,
+            state.peers,
+            clock,
+        ),
         ShareLimits(state.name, state.peers, state.endpoints, clock),
         SharePaces(state.name, state.peers, state.endpoints, clock),
         ProbePaces(state.endpoints, state.directory, state.peers, clock),
--- a/hawthornyard/edge/fleet/__init__.py
+++ b/hawthornyard/edge/fleet/__init__.py
@@ -15,6 +15,9 @@
 from .paces import SharePaces
 from .prefills import FollowPrefills
 from .probe import ProbePaces
+from .rollout_lead import LeadRollouts
+from .rollout_share import ShareRollouts
+from .rollouts import FollowRollouts
 from .share import ShareLoads
 from .store import FollowStore
 from .watch import WatchEngines
@@ -25,11 +28,14 @@
     "FollowEndpoints",
     "FollowNotices",
     "FollowPrefills",
+    "FollowRollouts",
     "FollowStore",
+    "LeadRollouts",
     "ProbePaces",
     "ShareLimits",
     "ShareLoads",
     "SharePaces",
+    "ShareRollouts",
     "TrackCrashes",
     "WatchEngines",
 ]
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -18,6 +18,15 @@
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportFailed, ReportRead, ReportRequested
 from .request import Attempt, Migration, Request
+from .rollout import (
+    EndpointRetired,
+    RolloutCallFailed,
+    RolloutOrderRead,
+    RolloutRead,
+    RolloutReadRequested,
+    RolloutWriteRequested,
+    RolloutWritten,
+)
 from .stage import AttemptFailed, Closed, Dequeued, Matched, PartAccused, Routed
 from .updates import (
     DeploymentRead,
@@ -56,6 +65,7 @@
     "EndpointEntry",
     "EndpointLeaving",
     "EndpointNotice",
+    "EndpointRetired",
     "EndpointsRead",
     "Event",
     "GatewaysRead",
@@ -73,6 +83,12 @@
     "ReportRead",
     "ReportRequested",
     "Request",
+    "RolloutCallFailed",
+    "RolloutOrderRead",
+    "RolloutRead",
+    "RolloutReadRequested",
+    "RolloutWriteRequested",
+    "RolloutWritten",
     "Routed",
     "StoreAnswered",
     "StoreFailed",
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -26,6 +26,7 @@
     Closed,
     CopyAnswered,
     EndpointLeaving,
+    EndpointRetired,
     EndpointsRead,
     ReplyBegan,
     ReplyEvents,
@@ -43,6 +44,8 @@
     LeavingNotice,
     PartsSound,
     PossibleCrashReport,
+    RolloutCounts,
+    RolloutShare,
 )
 from ..front import HttpServer, ListenerSink, MetricsApplication, ReplyQueues
 from ..front.exchange import Environ, StartResponse
@@ -73,6 +76,7 @@
 from .protocol import strict_protocol
 from .reload import ReloadSink, apply_bounds
 from .reports import ReportSink
+from .rollouts import RolloutSink
 from .runner import RunnerSink
 from .settings import EdgeSettings
 from .store import PlatformStore
@@ -190,6 +194,8 @@
             LeavingNotice,
             PartsSound,
             PossibleCrashReport,
+            RolloutCounts,
+            RolloutShare,
         )
         self._registry = GatewayRegistry(
             settings.name,
@@ -216,6 +222,7 @@
                 ReportSink(self._inbox, notices),
                 self._datagrams,
                 self._registry,
+                RolloutSink(store, self._inbox, self._clock),
                 DecisionLog(settings.name),
                 DiscardSink(
                     Tick,
@@ -228,6 +235,7 @@
                     StoreFailed,
                     EndpointsRead,
                     EndpointLeaving,
+                    EndpointRetired,
                 ),
                 replies,
                 ListenerSink(self._server),
@@ -344,6 +352,16 @@
             "Parts of prompts that are kept from endpoints.",
             lambda: state.crash_evidence.n_accused,
         )
+        add_gauge(
+            "rollouts_running",
+            "Rollouts that are not over.",
+            lambda: sum(not rollout.is_over for rollout in state.rollouts),
+        )
+        add_gauge(
+            "rollout_exposed_requests",
+            "Requests that tested a new version.",
+            lambda: sum(rollout.exposure.n_exposed for rollout in state.rollouts),
+        )
         add_gauge(
             "held_bytes",
             "Bytes of messages that are held in memory.",
