Read status lines of responses by one strict reader

The reader of http.client takes statuses up to 999, signs, underscores, any version that begins with "HTTP/1.", and interim responses as final ones. A status 600 reached the caller, and a refusal with status 600 counted as "not run" and was answered 503, although nothing true is known of such a request.

net/status_line.py now decides for all connections (endpoints, reports, copies, sidecars, the store): HTTP/1.0 or HTTP/1.1, one space, three digits from 100 to 599. Interim responses are skipped within the bound on heads, and 101 is refused, as no call asks for another protocol. A missing reason phrase and a bare line feed are accepted, since sound servers send them; checks in each sink were weighed and would be four rules in place of one.

--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -28,6 +28,9 @@
       | the refusal of another request | closes | 502    |
       | a refusal without id | closes | 502    |
       | the refusal of another without id | closes | 502    |
+      | a status of 000               | closes | 502    |
+      | a status of 600               | closes | 502    |
+      | a refusal of status 600       | closes | 502    |
       | no HTTP                       | closes | 502    |
       | nothing                       | closes | 502    |
       | nothing                       | resets | 502    |
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -72,6 +72,11 @@
     b"X-Hawthornyard-Request-Id: {id}\r\nContent-Length: 0\r\n\r\n",
     "the refusal of another without id": b"HTTP/1.1 421 Misdirected Request\r\n"
     b"X-Hawthornyard-Instance-Id: i-other\r\nContent-Length: 0\r\n\r\n",
+    "a status of 000": b"HTTP/1.1 000\r\n" + SIGNATURE_HEADERS + b"\r\nbody",
+    "a status of 600": b"HTTP/1.1 600 Odd\r\n" + SIGNATURE_HEADERS + b"\r\nbody",
+    "a refusal of status 600": b"HTTP/1.1 600 Odd\r\n"
+    + SIGNATURE_HEADERS
+    + b"X-Hawthornyard-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
     "no HTTP": b"\x00\x01garbage\r\n\r\n",
     "nothing": b"",
     "the head of a stream": stream_of(),
--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -56,6 +56,9 @@
     "a head without a length": _HEAD + b"Connection: close\r\n\r\n",
     "a head of a chunked body": _CHUNKED_HEAD,
     "a head of a chunked stream": STREAM_HEAD,
+    "a head of status 000": _HEAD.replace(b"200 OK", b"000") + b"\r\n",
+    "a head of status 600": _HEAD.replace(b"200 OK", b"600 Odd") + b"\r\n",
+    "a status line without end": b"HTTP/1.1 200 ",
     "the start of an extension": _CHUNKED_HEAD + b"5;",
     "the last chunk": _CHUNKED_HEAD + b"0\r\n",
     "a head of a stream": STREAM_HEAD.replace(
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -11,6 +11,7 @@
     new_pool,
     read_body,
 )
+from .status_line import StatusLine, parse_status_line, read_final_status
 
 __all__ = [
     "BLOCK_END",
@@ -23,8 +24,11 @@
     "ChunkError",
     "FairSocket",
     "Holding",
+    "StatusLine",
     "connect",
     "limit_body",
     "new_pool",
+    "parse_status_line",
     "read_body",
+    "read_final_status",
 ]
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -12,6 +12,7 @@
 from .byte_budget import PROCESS_BUDGET, Holding
 from .chunks import ChunkDecoder
 from .fair_socket import FairSocket
+from .status_line import read_final_status
 
 MAX_HEAD_BYTES = 65_536
 """Bytes of a response's head and of the interim responses before it. Bytes of the body
@@ -82,6 +83,7 @@
 
         Raises:
             OversizedMessageError: If the head is longer than `MAX_HEAD_BYTES`.
+            BadStatusLine: If the status line is malformed.
             RemoteDisconnected: If the peer closes the connection within the head, whose
                 first lines would otherwise pass for a whole head with an empty body.
         """
@@ -96,6 +98,12 @@
             self.fp = io.BufferedReader(_ChunkedReader(self.fp))
             self.chunked = False
 
+    def _read_status(self) -> tuple[str, int, str]:
+        # The reader of the base class takes statuses up to 999 or with a sign, each
+        # version that begins with "HTTP/1.", and interim responses for final ones.
+        found = read_final_status(self.fp, MAX_HEAD_BYTES)
+        return found.version, found.status, found.reason
+
 
 class BoundedConnection(HTTPConnection):
     """HTTP connection that bounds each response as a whole.
@@ -112,6 +120,7 @@
 
         Raises:
             OversizedMessageError: If the head is longer than `MAX_HEAD_BYTES`.
+            BadStatusLine: If the status line is malformed.
             RemoteDisconnected: If the peer closes the connection within the head.
             TimeoutError: If the head does not arrive within the timeout.
         """
