Let an engine begin one long prompt at a time, behind a flag

Engines read prompts in order of arrival, so that a short prompt waits for all long ones before it while other engines may read nothing. PrefillPolicy tells WaitForCapacity and Route whether a prompt may begin at an endpoint. A long one, that takes an eighth of the shortest target of its service, waits for another long one there unless its first event would then be late. The queue gets a lane for each route and magnitude of prompt, as a held prompt would hold up short ones. edge_chain takes the flag takes_prefill_turns, off by default; without it AnyTime serves all as before, but for the new field n_in_turn of the route decision.

Reports of other gateways are up to 2 s old: what they name counts as read once the engine had the time for it, since the number was first reported.

--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -174,7 +174,11 @@
     )
 
     def __init__(
-        self, name: str = "gateway-1", *, random_source: RandomSource | None = None
+        self,
+        name: str = "gateway-1",
+        *,
+        random_source: RandomSource | None = None,
+        takes_prefill_turns: bool = False,
     ) -> None:
         self.clock = SteppingClock(START_TIME_S)
         self.state = EdgeState(name, self.clock)
@@ -184,7 +188,11 @@
         self.requests: dict[str, str] = {}
         self.drain = Drain(self.state.inflight, self.clock, readiness_lag_s=3.0)
         chain = edge_chain(
-            self.state, self.drain, self.clock, random_source or FirstChoiceRandom()
+            self.state,
+            self.drain,
+            self.clock,
+            random_source or FirstChoiceRandom(),
+            takes_prefill_turns=takes_prefill_turns,
         )
         self.pipeline = Pipeline(chain, [self])
 
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -22,6 +22,7 @@
 from .mirroring import Mirroring, MirrorOnLeastUsed
 from .peers import Peers
 from .placement import LeastLoaded, Placement
+from .prefill import AnyTime, PrefillPolicy, PrefillTurns
 from .read_pace import ReadPace
 from .reply import CloseRequests, Expire, Relay
 from .request import (
@@ -94,6 +95,7 @@
     metrics_filters: Sequence[Filter] = (),
     placement: Placement | None = None,
     mirroring: Mirroring | None = None,
+    takes_prefill_turns: bool = False,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway that calls endpoints itself, head first.
 
@@ -106,8 +108,12 @@
             `CloseRequests` forgets the requests.
         placement: Policy that chooses the endpoint of a request, `LeastLoaded` if None.
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
+        takes_prefill_turns: Whether an engine begins one long prompt at a time.
     """
     placement = placement or LeastLoaded(state.directory, state.endpoints)
+    prefill: PrefillPolicy = AnyTime()
+    if takes_prefill_turns:
+        prefill = PrefillTurns(state.directory, state.peers, clock)
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
@@ -138,8 +144,8 @@
         Retry(state.inflight, state.retry_budget, clock),
         Quarantine(state.crash_evidence, state.inflight, state.peers),
         RefuseUnfinishable(state.grace),
-        WaitForCapacity(state.eligibility, placement, state.grace, clock),
-        Route(state.eligibility, sampling, placement, state.directory),
+        WaitForCapacity(state.eligibility, placement, prefill, state.grace, clock),
+        Route(state.eligibility, sampling, placement, prefill, state.directory),
         Send(
             state.inflight,
             state.endpoints,
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -29,6 +29,7 @@
         "_has_teams",
         "_routes",
         "_services",
+        "_shortest_targets_s",
         "_teams",
         "are_domains_known",
         "domains_out",
@@ -44,6 +45,7 @@
         self._deployment: Deployment | None = None
         self._routes: dict[str, list[RouteRule]] = {}
         self._services: dict[str, ServiceRule] = {}
+        self._shortest_targets_s: dict[str, float] = {}
         self._teams: dict[str, TeamRule] = {}
         self._has_teams = False
         self.version = 0
@@ -68,8 +70,12 @@
         self._teams = {key: team for team in deployment.teams for key in team.keys}
         self._has_teams = bool(deployment.teams)
         self._routes = {}
+        self._shortest_targets_s = {}
         for route in deployment.routes:
             self._routes.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                target_s = self._shortest_targets_s.get(share.service, route.target_s)
+                self._shortest_targets_s[share.service] = min(target_s, route.target_s)
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         return True
@@ -123,3 +129,11 @@
     def service(self, name: str) -> ServiceRule | None:
         """Return the rule of a service, None if it is unknown."""
         return self._services.get(name)
+
+    def shortest_target_s(self, service: str) -> float | None:
+        """Return the shortest target latency of the routes to a service in seconds.
+
+        Returns:
+            The target, None if no route leads there.
+        """
+        return self._shortest_targets_s.get(service)
--- a/hawthornyard/edge/peers.py
+++ b/hawthornyard/edge/peers.py
@@ -17,14 +17,23 @@
 
 
 class _Peer:
-    """Newest load report of one gateway."""
+    """Newest load report of one gateway.
+
+    Attributes:
+        heard_at: Monotonic time of the newest report in seconds.
+        loads: Newest load on each endpoint.
+        prefill_since: Monotonic time in seconds since which it has reported the same
+            prompt tokens at each endpoint.
+        sequence: Number of the newest report.
+    """
 
-    __slots__ = ("heard_at", "loads", "sequence")
+    __slots__ = ("heard_at", "loads", "prefill_since", "sequence")
 
     def __init__(self) -> None:
         self.heard_at = 0.0
         self.sequence = -1
         self.loads: dict[str, EndpointLoad] = {}
+        self.prefill_since: dict[str, float] = {}
 
 
 class Peers:
@@ -127,7 +136,12 @@
         peer.sequence = report.sequence
         peer.heard_at = self._clock.now()
         loads = {load.endpoint: load for load in report.loads}
-        peer.loads = loads if report.is_complete else {**peer.loads, **loads}
+        since = {name: self._prefill_since(peer, load) for name, load in loads.items()}
+        if not report.is_complete:
+            loads = {**peer.loads, **loads}
+            since = {**peer.prefill_since, **since}
+        peer.loads = loads
+        peer.prefill_since = since
 
     def n_running(self, endpoint: str) -> int:
         """Return how many requests other gateways run at an endpoint."""
@@ -141,6 +155,19 @@
         """Return other gateways' prompt tokens that await prefill at an endpoint."""
         return sum(load.n_prefill_tokens for load in self._loads(endpoint))
 
+    def prefill_reports(self, endpoint: str) -> Iterator[tuple[int, float]]:
+        """Yield what each other gateway reported of its prompts at an endpoint.
+
+        Yields:
+            Prompt tokens that awaited prefill, and the seconds since which it has
+            reported this number.
+        """
+        now = self._clock.now()
+        for peer in self._by_name.values():
+            load = peer.loads.get(endpoint)
+            if load is not None and load.n_prefill_tokens and self._is_live(peer):
+                yield load.n_prefill_tokens, now - peer.prefill_since[endpoint]
+
     def prefill_rate(self, endpoint: str) -> float:
         """Return other gateways' mean prefill rate in tokens/s, 0 if unknown."""
         rates = [load.prefill_tokens_per_s for load in self._loads(endpoint)]
@@ -153,5 +180,11 @@
             if load is not None and self._is_live(peer):
                 yield load
 
+    def _prefill_since(self, peer: _Peer, load: EndpointLoad) -> float:
+        before = peer.loads.get(load.endpoint)
+        if before is None or before.n_prefill_tokens != load.n_prefill_tokens:
+            return peer.heard_at
+        return peer.prefill_since[load.endpoint]
+
     def _is_live(self, peer: _Peer) -> bool:
         return self._clock.now() - peer.heard_at < PEER_TIMEOUT_S
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from ...core import Clock, Handlers, Message, Tick
+from ...core import Clock, Decision, Handlers, Message, Tick
 from ...errors import ErrorKind
 from ...gateway.messages import CallerGone, ReplyFailed
 from ...policy import FairQueue, RecentRate
@@ -17,6 +17,7 @@
     Request,
 )
 from ..placement import Placement
+from ..prefill import PrefillPolicy
 from .stop import refusal
 
 # Longest wait for capacity, as a share of the route's target latency; beyond it a
@@ -42,6 +43,7 @@
     Args:
         eligibility: Tells which endpoints may get new work.
         placement: Tells which endpoints have capacity.
+        prefill: Tells where a prompt may begin.
         grace: Tells which requests can end before a stopping process is killed.
         clock: Source of time.
     """
@@ -51,6 +53,7 @@
         "_eligibility",
         "_grace",
         "_placement",
+        "_prefill",
         "_queue",
         "_queued_at",
         "_throughput",
@@ -61,11 +64,13 @@
         self,
         eligibility: Eligibility,
         placement: Placement,
+        prefill: PrefillPolicy,
         grace: GracePeriod,
         clock: Clock,
     ) -> None:
         self._eligibility = eligibility
         self._placement = placement
+        self._prefill = prefill
         self._grace = grace
         self._clock = clock
         self._queue: FairQueue[Request] = FairQueue(clock)
@@ -92,10 +97,11 @@
             # The queue serves larger numbers first; in routes and teams, 0 goes first.
             priority=-request.priority,
             cost=float(request.n_tokens or 1),
-            lane=request.service,
+            lane=self._prefill.lane(request),
         )
         yield from self._dequeue()
         if request.call_id in self._queued_at:
+            yield from self._note_held(request)
             yield from self._refuse_if_hopeless(request)
 
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
@@ -154,9 +160,24 @@
     def _has_capacity(self, request: Request) -> bool:
         return any(
             self._placement.has_capacity(request, endpoint)
+            and self._prefill.may_begin(request, endpoint)
             for endpoint in self._eligibility.for_request(request)
         )
 
+    def _note_held(self, request: Request) -> Iterator[Message]:
+        eligible = self._eligibility.for_request(request)
+        n_in_turn = sum(self._prefill.may_begin(request, end) for end in eligible)
+        if n_in_turn < len(eligible):
+            yield Decision(
+                "prefill_turn",
+                request_id=request.request_id,
+                reason="held",
+                n_candidates=len(eligible),
+                n_in_turn=n_in_turn,
+                route=request.route.name,
+                service=request.service,
+            )
+
     def _is_wait_over(self, request: Request, now: float) -> bool:
         waited_s = now - self._queued_at[request.call_id]
         if self._eligibility.is_limited(request.service):
--- a/hawthornyard/edge/request/route.py
+++ b/hawthornyard/edge/request/route.py
@@ -8,6 +8,7 @@
 from ..eligibility import Eligibility
 from ..messages import AttemptFailed, Dequeued, Routed
 from ..placement import Placement, cheapest
+from ..prefill import PrefillPolicy
 from ..sampling import Sampling
 
 
@@ -18,21 +19,31 @@
         eligibility: Tells which endpoints may get new work.
         sampling: Samples the endpoints that are compared.
         placement: Policy that rates the sampled endpoints.
+        prefill: Tells where a prompt may begin.
         directory: Deployment in force, for the log.
     """
 
-    __slots__ = ("_directory", "_eligibility", "_placement", "_sampling", "handlers")
+    __slots__ = (
+        "_directory",
+        "_eligibility",
+        "_placement",
+        "_prefill",
+        "_sampling",
+        "handlers",
+    )
 
     def __init__(
         self,
         eligibility: Eligibility,
         sampling: Sampling,
         placement: Placement,
+        prefill: PrefillPolicy,
         directory: Directory,
     ) -> None:
         self._eligibility = eligibility
         self._sampling = sampling
         self._placement = placement
+        self._prefill = prefill
         self._directory = directory
         self.handlers: Handlers = {Dequeued: self._on_dequeued}
 
@@ -42,7 +53,10 @@
         with_capacity = [
             end for end in candidates if self._placement.has_capacity(request, end)
         ]
-        drawn = self._sampling.draw(with_capacity or candidates)
+        in_turn = [
+            end for end in with_capacity if self._prefill.may_begin(request, end)
+        ]
+        drawn = self._sampling.draw(in_turn or with_capacity or candidates)
         endpoint = cheapest(self._placement, request, drawn)
         if endpoint is None:
             yield AttemptFailed(request, ErrorKind.NO_ENDPOINT)
@@ -55,6 +69,7 @@
             failure_domain=endpoint.entry.failure_domain,
             cost=round(self._placement.cost(request, endpoint), 3),
             n_candidates=len(candidates),
+            n_in_turn=len(in_turn),
             n_running=endpoint.n_running,
             team=request.team,
             route=request.route.name,
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -17,6 +17,7 @@
 )
 from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .pause import PauseDetector
+from .prefill_turns import is_long, may_begin_long
 from .recent_rate import RecentRate
 from .rendezvous import rank_owners, spread_subset
 from .retry import RetryBudget
@@ -50,6 +51,8 @@
     "TokenBucket",
     "PowerOfTwoChoices",
     "divide_fairly",
+    "is_long",
+    "may_begin_long",
     "rank_owners",
     "spread_subset",
     "estimate_prompt_tokens",
