--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -191,6 +191,7 @@
         *,
         random_source: RandomSource | None = None,
         load_aware: LoadAwareServices | None = None,
+        takes_prefill_turns: bool = False,
     ) -> None:
         self.clock = SteppingClock(START_TIME_S)
         self.state = EdgeState(name, self.clock)
@@ -205,6 +206,7 @@
             self.clock,
             random_source or FirstChoiceRandom(),
             load_aware=load_aware,
+            takes_prefill_turns=takes_prefill_turns,
         )
         self.pipeline = Pipeline(chain, [self])
 
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -32,6 +32,7 @@
 from .pace_placement import PacePlacement
 from .peers import Peers
 from .placement import LeastLoaded, Placement
+from .prefill import AnyTime, PrefillPolicy, PrefillTurns
 from .read_pace import ReadPace
 from .reply import CloseRequests, CountResponses, Expire, Relay
 from .request import (
@@ -111,6 +112,7 @@
     placement: Placement | None = None,
     mirroring: Mirroring | None = None,
     load_aware: LoadAwareServices | None = None,
+    takes_prefill_turns: bool = False,
 ) -> Sequence[Filter]:
     """Return the filters of a gateway that calls endpoints itself, head first.
 
@@ -126,6 +128,7 @@
         mirroring: Policy that chooses mirrors, `MirrorOnLeastUsed` if None.
         load_aware: Tells which services are admitted by forecast, those
             whose endpoints report a pace if None.
+        takes_prefill_turns: Whether an engine begins one long prompt at a time.
     """
     placement = placement or PacePlacement(
         state.name,
@@ -134,6 +137,9 @@
         clock,
         LeastLoaded(state.directory, state.endpoints),
     )
+    prefill: PrefillPolicy = AnyTime()
+    if takes_prefill_turns:
+        prefill = PrefillTurns(state.directory, state.peers, clock)
     sampling = Sampling(state.peers, random_source)
     mirroring = mirroring or MirrorOnLeastUsed(
         state.directory, state.eligibility, sampling
@@ -179,8 +185,10 @@
         Retry(state.inflight, state.retry_budget, clock),
         Quarantine(state.crash_evidence, state.inflight, state.peers),
         RefuseUnfinishable(state.grace),
-        WaitForCapacity(state.eligibility, reservations, state.grace, clock, admission),
-        Route(state.eligibility, sampling, reservations, state.directory),
+        WaitForCapacity(
+            state.eligibility, reservations, prefill, state.grace, clock, admission
+        ),
+        Route(state.eligibility, sampling, reservations, prefill, state.directory),
         Send(
             state.inflight,
             state.endpoints,
--- a/hawthornyard/edge/directory.py
+++ b/hawthornyard/edge/directory.py
@@ -30,6 +30,7 @@
         "_has_teams",
         "_routes",
         "_services",
+        "_shortest_targets_s",
         "_teams",
         "are_domains_known",
         "domains_out",
@@ -45,6 +46,7 @@
         self._deployment: Deployment | None = None
         self._routes: dict[str, list[RouteRule]] = {}
         self._services: dict[str, ServiceRule] = {}
+        self._shortest_targets_s: dict[str, float] = {}
         self._teams: dict[str, TeamRule] = {}
         self._gap_targets: dict[str, float] = {}
         self._has_teams = False
@@ -70,8 +72,12 @@
         self._teams = {key: team for team in deployment.teams for key in team.keys}
         self._has_teams = bool(deployment.teams)
         self._routes = {}
+        self._shortest_targets_s = {}
         for route in deployment.routes:
             self._routes.setdefault(route.host, []).append(route)
+            for share in route.shares:
+                target_s = self._shortest_targets_s.get(share.service, route.target_s)
+                self._shortest_targets_s[share.service] = min(target_s, route.target_s)
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.prefix), reverse=True)
         self._gap_targets = _gap_targets(deployment)
@@ -131,6 +137,14 @@
         """Return the shortest target gap of the routes to a service, 0 if none has."""
         return self._gap_targets.get(service, 0.0)
 
+    def shortest_target_s(self, service: str) -> float | None:
+        """Return the shortest target latency of the routes to a service in seconds.
+
+        Returns:
+            The target, None if no route leads there.
+        """
+        return self._shortest_targets_s.get(service)
+
 
 def _gap_targets(deployment: Deployment) -> dict[str, float]:
     targets: dict[str, float] = {}
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -25,6 +25,7 @@
 )
 from .memory import ExpectedMemory, MemoryLimit, Occupant
 from .pause import PauseDetector
+from .prefill_turns import is_long, may_begin_long
 from .recent_rate import RecentRate
 from .recent_sizes import RecentSizes
 from .rendezvous import rank_owners, spread_subset
@@ -69,6 +70,8 @@
     "WaitingWork",
     "divide_fairly",
     "forecast_starts",
+    "is_long",
+    "may_begin_long",
     "rank_owners",
     "spread_subset",
     "estimate_prompt_tokens",
