Find the part that ends endpoints among many possible suspects

Three traces under load: 10, 5 and 14 ends; parts that a quarter of the prompts share were accused in all gateways.

Cause: requests that broke at an engine that had ended already counted as suspects of its end; of the then thirteen suspects the one with the part was beyond the eighth and was dropped; and parts were accused before all gateways had reported theirs.

Change: only what breaks within 0.2 s of the first is a suspect; up to 64 possible ones are kept; they count a second after the first report of the crash, and four crashes are needed, as three accused shared parts by chance. An answer is sound as soon as it is too old to be a suspect (0.5 s). A part whose crashes a newly accused part explains is released.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -71,11 +71,11 @@
 
     Examples:
       | n | sign                | attempts |
-      | 2 | a refused connection | 1        |
-      | 3 | a refused connection | 0        |
-      | 3 | a removed entry      | 0        |
-      | 3 | a new incarnation    | 0        |
-      | 3 | nothing              | 1        |
+      | 3 | a refused connection | 1        |
+      | 4 | a refused connection | 0        |
+      | 4 | a removed entry      | 0        |
+      | 4 | a new incarnation    | 0        |
+      | 4 | nothing              | 1        |
 
   @fixture.edge
   Scenario: Answers lost by an endpoint that goes on accuse no part
@@ -87,18 +87,51 @@
   @fixture.edge
   Scenario: An answer that breaks soon after its first event is a suspect once its endpoint has ended
     Given the engines engine-a and engine-b and engine-c
-    When 3 engines end 0.3 seconds after the first event of a summary of "group,place,bad"
+    When 4 engines end 0.3 seconds after the first event of a summary of "group,place,bad"
     And a caller sends "group,place,bad,own-9"
     Then the request ends as prompt_quarantined
 
+  @fixture.edge
+  Scenario: What is sent to an endpoint that has ended already is no suspect
+    Given the engines engine-a
+    When 4 engines end before a summary of "group,place,bad" begins, and later break one of "other,sound"
+    And a caller sends "other,sound,own-9"
+    Then 1 attempts were sent for it
+    When a caller sends "group,place,bad,own-9"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: The part that ends an engine is found among many requests that wait there
+    Given the engines engine-a
+    When other gateways report 4 crashes with 20 possible suspects, one of them with "bad"
+    And 1.2 seconds go by
+    And a caller sends "group,place,bad,own-9"
+    Then the request ends as prompt_quarantined
+
+  @fixture.edge
+  Scenario: A shared part that was accused first is released when another one explains it
+    Given the engines engine-a
+    When other gateways report 4 possible crashes on "group,place", of which 3 also on "group,place,bad"
+    And a caller sends "group,place,own-1"
+    Then the request ends as prompt_quarantined
+    When other gateways report 4 possible crashes on "other,spot,bad"
+    And a caller sends "group,place,own-2"
+    Then 1 attempts were sent for it
+    When a caller sends "group,place,bad,own-3"
+    Then the request ends as prompt_quarantined
+
   @fixture.edge
   Scenario: Possible suspects are reported to the others and count there
     Given the engines engine-a
     And 3 other gateways
     When 1 engines end before a summary of "group,place,bad" begins, which shows as a refused connection
     Then 3 gateways were told of a possible suspect
-    When another gateway reports a possible crash of engine-y on "group,place,bad"
+    When another gateway reports a possible crash of engine-x on "group,place,bad"
+    And another gateway reports a possible crash of engine-y on "group,place,bad"
     And another gateway reports a possible crash of engine-z on "group,place,bad"
+    And a caller sends "group,place,bad,own-8"
+    Then 1 attempts were sent for it
+    When 1.2 seconds go by
     And a caller sends "group,place,bad,own-9"
     Then the request ends as prompt_quarantined
 
@@ -153,7 +186,7 @@
   @fixture.edge
   Scenario Outline: An answer that had begun before the crashes acquits no part
     Given the engines engine-a and engine-b and engine-c
-    When a caller sends "group,place,own-0" and gets events for 0.6 seconds
+    When a caller sends "group,place,own-0" and gets events for 0.3 seconds
     And other gateways report <n> crashes on "place"
     And 0.6 seconds go by
     And a caller sends "group,place,own-1"
--- a/features/steps/quarantine.py
+++ b/features/steps/quarantine.py
@@ -142,6 +142,38 @@
         context.edge.advance(NEXT_CRASH_S)
 
 
+@when(
+    '{n:d} engines end before a summary of "{shared}" begins, and later break one of '
+    '"{other}"'
+)
+def break_after_end(context: Context, n: int, shared: str, other: str) -> None:
+    edge: EdgeDriver = context.edge
+    for index in range(n):
+        first = _send(context, f"{shared},own-{index}")
+        assert first is not None, edge.messages_of(ReplyFailed)
+        edge.push(AttemptBroke(first.attempt_id, "reset"))
+        edge.advance(0.4)
+        later = _send(context, f"{other},own-{index}")
+        assert later is not None, edge.messages_of(ReplyFailed)
+        edge.push(AttemptBroke(later.attempt_id, "reset"))
+        _show_end(edge, first, "a refused connection")
+        _show_end(edge, later, "nothing")
+        edge.advance(NEXT_CRASH_S)
+
+
+@when(
+    "other gateways report {n:d} crashes with {n_suspects:d} possible suspects, one of "
+    'them with "{part}"'
+)
+def report_many_suspects(context: Context, n: int, n_suspects: int, part: str) -> None:
+    for crash in range(n):
+        for index in range(n_suspects - 1):
+            prefix = [f"group-{index % 4}", f"place-{crash}-{index}"]
+            context.edge.push(PossibleCrashReport(f"engine-{crash}", 0.0, prefix))
+        prefix = ["group-0", f"place-{crash}", part]
+        context.edge.push(PossibleCrashReport(f"engine-{crash}", 0.0, prefix))
+
+
 @when('{n:d} engines lose the answer to a summary of "{shared}" and go on')
 def lose_answers(context: Context, n: int, shared: str) -> None:
     for index in range(n):
@@ -227,6 +259,27 @@
     context.edge.push(PossibleCrashReport(name, 0.0, prefix.split(",")))
 
 
+@when(
+    'other gateways report {n:d} possible crashes on "{prefix}", of which {n_also:d} '
+    'also on "{other}"'
+)
+def report_shared_crashes(
+    context: Context, n: int, prefix: str, n_also: int, other: str
+) -> None:
+    for index in range(n):
+        report_possible_crash(context, f"engine-{index}", prefix)
+        if index < n_also:
+            report_possible_crash(context, f"engine-{index}", other)
+    context.edge.advance(NEXT_CRASH_S)
+
+
+@when('other gateways report {n:d} possible crashes on "{prefix}"')
+def report_possible_crashes(context: Context, n: int, prefix: str) -> None:
+    for index in range(n):
+        report_possible_crash(context, f"engine-{index}", prefix)
+    context.edge.advance(NEXT_CRASH_S)
+
+
 @then("{n:d} gateways were told of a possible suspect")
 def check_possible_reports(context: Context, n: int) -> None:
     told = {msg.peer for msg in context.edge.messages_of(PossibleCrashReport)}
--- a/hawthornyard/edge/fleet/confirm.py
+++ b/hawthornyard/edge/fleet/confirm.py
@@ -20,6 +20,9 @@
 # An answer that had been writing for less than this when it broke may have ended its
 # endpoint: a busy gateway reads the first event and the end of the stream apart.
 EARLY_ANSWER_S = 0.5
+# Time in which all answers of an endpoint that ends break. What breaks later was sent
+# to an endpoint that had ended already, and has not ended it.
+SETTLE_S = 0.2
 # Time in which the end of an endpoint must show. An entry expires after three intervals
 # of its reports, some 3.6 s, and an endpoint that restarts is back before.
 CONFIRM_TIMEOUT_S = 6.0
@@ -127,7 +130,8 @@
         suspicion = self._suspicions.setdefault(
             endpoint.name, _Suspicion(now, endpoint.entry.born)
         )
-        suspicion.prefixes.append(request.shared_parts)
+        if now - suspicion.at < SETTLE_S:
+            suspicion.prefixes.append(request.shared_parts)
 
     def _on_report_failed(self, msg: ReportFailed) -> Iterator[Message]:
         suspicion = self._suspicions.get(msg.endpoint)
--- a/hawthornyard/edge/fleet/crashes.py
+++ b/hawthornyard/edge/fleet/crashes.py
@@ -14,14 +14,15 @@
 from ..inflight import InFlight
 from ..messages import AttemptBroke, Closed, EndpointEnded, PartAccused, Request
 from ..peers import Peers
-from .confirm import has_just_begun
+from .confirm import EARLY_ANSWER_S, has_just_begun
 
 # Time in which all attempts at an endpoint that ended break.
 SETTLE_S = 0.1
 # An answer that has been writing for this long shows that its prompt is sound.
-SOUND_S = 1.0
-# Interval between looks for such answers.
-SCAN_INTERVAL_S = 0.5
+SOUND_S = EARLY_ANSWER_S
+# Interval between looks for such answers; engines may end one after the other within a
+# second, and what they wrote before is lost with them.
+SCAN_INTERVAL_S = 0.1
 # Pauses until a report is sent again, since a datagram may be lost and a gateway may
 # have been cut off: the first, and the longest, which stays below the time in which
 # gateways must agree.
@@ -155,6 +156,8 @@
         if msg.now >= self._next_scan_at:
             self._next_scan_at = msg.now + SCAN_INTERVAL_S
             yield from self._scan(msg.now)
+        if self._evidence.is_settling:
+            yield from self._accuse()
         yield from self._send_reports(msg.now)
         if msg.now >= self._next_ask_at:
             self._next_ask_at = msg.now + ASK_INTERVAL_S
@@ -205,6 +208,8 @@
                 endpoints=[crash.endpoint for crash in crashes],
             )
             yield PartAccused(part)
+            released = self._evidence.retract_explained(part)
+            yield from self._clear(released, f"part {part} explains its crashes")
 
     def _scan(self, now: float) -> Iterator[Message]:
         for request in self._inflight:
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -14,12 +14,17 @@
 
 # Crashes that accuse a part if its prompts are certain suspects of that many, if they
 # are possible suspects, and if answers with the part had gone on before. All are below
-# 5, the crashes after which gateways must keep the part from endpoints.
+# 5, the crashes after which gateways must keep the part from endpoints. With 3 possible
+# ones, parts that a quarter of the prompts share were accused by chance.
 MIN_CRASHES = 2
-MIN_POSSIBLE_CRASHES = 3
+MIN_POSSIBLE_CRASHES = 4
 MIN_CRASHES_IF_SOUND = 4
 # Reports of the same endpoint within this time are about the same crash.
 SAME_CRASH_S = 1.0
+# Time after the first report of a crash from which its possible suspects count: by then
+# all gateways have told theirs. Before, parts that most prompts share would be accused,
+# as the rarer one was not reported yet.
+REPORTS_SETTLE_S = 1.0
 # Crashes that no accused part explains are forgotten after this time.
 EVIDENCE_AGE_S = 120.0
 # Time until an accused part is tried again, and its growth after each trial, which may
@@ -29,6 +34,8 @@
 # Bounds on memory.
 MAX_CRASHES = 64
 MAX_PREFIXES_PER_CRASH = 8
+# All gateways together have as many requests at an engine as it has slots.
+MAX_POSSIBLE_PREFIXES_PER_CRASH = 64
 MAX_SOUND_PARTS = 4096
 MAX_ACCUSED_PARTS = 256
 
@@ -39,22 +46,26 @@
     Attributes:
         endpoint: Name of the endpoint.
         at: Monotonic time in seconds.
+        heard_at: Monotonic time in seconds of its first report.
         prefixes: Shared parts of each certain suspect's prompt, in order.
         possible_prefixes: The same of each possible suspect.
     """
 
-    __slots__ = ("at", "endpoint", "possible_prefixes", "prefixes")
+    __slots__ = ("at", "endpoint", "heard_at", "possible_prefixes", "prefixes")
 
-    def __init__(self, endpoint: str, at: float) -> None:
+    def __init__(self, endpoint: str, at: float, heard_at: float) -> None:
         self.endpoint = endpoint
         self.at = at
+        self.heard_at = heard_at
         self.prefixes: list[Sequence[str]] = []
         self.possible_prefixes: list[Sequence[str]] = []
 
     def add(self, prefix: Sequence[str], *, is_certain: bool) -> None:
         """Add a suspect unless it is known or there are too many."""
-        prefixes = self.prefixes if is_certain else self.possible_prefixes
-        if prefix not in prefixes and len(prefixes) < MAX_PREFIXES_PER_CRASH:
+        prefixes, n_max = self.possible_prefixes, MAX_POSSIBLE_PREFIXES_PER_CRASH
+        if is_certain:
+            prefixes, n_max = self.prefixes, MAX_PREFIXES_PER_CRASH
+        if prefix not in prefixes and len(prefixes) < n_max:
             prefixes.append(prefix)
 
     def has_certain(self, part: str) -> bool:
@@ -75,17 +86,19 @@
 
     Args:
         now: Monotonic time in seconds.
-        last_crash_at: Monotonic time in seconds of the newest crash that it explains.
+        crashes: Crashes that accuse the part.
 
     Attributes:
+        crashes: Crashes that accuse the part.
         last_crash_at: Monotonic time in seconds of the newest crash that it explains.
         trial_at: Monotonic time in seconds of its next trial.
     """
 
-    __slots__ = ("_hold_s", "_put_off_at", "last_crash_at", "trial_at")
+    __slots__ = ("_hold_s", "_put_off_at", "crashes", "last_crash_at", "trial_at")
 
-    def __init__(self, now: float, last_crash_at: float) -> None:
-        self.last_crash_at = last_crash_at
+    def __init__(self, now: float, crashes: Sequence[Crash]) -> None:
+        self.crashes = crashes
+        self.last_crash_at = max(crash.at for crash in crashes)
         self._hold_s = FIRST_TRIAL_S
         self._put_off_at = now
         self.trial_at = now + FIRST_TRIAL_S
@@ -132,6 +145,12 @@
         """Return the known crashes, oldest first."""
         return self._crashes
 
+    @property
+    def is_settling(self) -> bool:
+        """Return whether possible suspects of a crash count since a moment, or soon."""
+        since = self._clock.now() - 2 * REPORTS_SETTLE_S
+        return any(crash.heard_at > since for crash in self._crashes)
+
     def accused_part(self, parts: Iterable[str]) -> str | None:
         """Return the first accused one among the parts, None if there is none."""
         return next((part for part in parts if part in self._accusations), None)
@@ -174,7 +193,7 @@
             None,
         )
         if crash is None:
-            crash = Crash(endpoint, at)
+            crash = Crash(endpoint, at, self._clock.now())
             self._crashes.append(crash)
             for part in prefix:
                 accusation = self._accusations.get(part)
@@ -196,11 +215,27 @@
             part, crashes = found
             if len(self._accusations) >= MAX_ACCUSED_PARTS:
                 del self._accusations[next(iter(self._accusations))]
-            last_crash_at = max(crash.at for crash in crashes)
-            self._accusations[part] = _Accusation(self._clock.now(), last_crash_at)
+            self._accusations[part] = _Accusation(self._clock.now(), crashes)
             accused[part] = crashes
         return accused
 
+    def retract_explained(self, part: str) -> list[str]:
+        """Release the accused parts whose crashes a newly accused part explains.
+
+        Many prompts share some parts. While endpoints end one after the other, nothing
+        shows that these are sound, and they may be accused first.
+
+        Returns:
+            The parts that were released.
+        """
+        released = []
+        for other, accusation in list(self._accusations.items()):
+            rest = [crash for crash in accusation.crashes if part not in crash.depths()]
+            if other != part and not self._is_enough(other, rest):
+                del self._accusations[other]
+                released.append(other)
+        return released
+
     def note_sound(
         self, parts: Iterable[str], began_at: float
     ) -> tuple[list[str], list[str]]:
@@ -250,7 +285,10 @@
             depths = crash.depths()
             if any(part in self._accusations for part in depths):
                 continue
+            is_settled = self._clock.now() - crash.heard_at >= REPORTS_SETTLE_S
             for part, depth in depths.items():
+                if not is_settled and not crash.has_certain(part):
+                    continue
                 if crash.at > self._sound_at.get(part, float("-inf")):
                     crashes_by_part.setdefault(part, []).append(crash)
                     depth_by_part[part] = max(depth, depth_by_part.get(part, 0))
