Count a crash for a part that explains more than the accused one

Cause: a crash with an accused part counted for no other part, so that four more crashes without the first one were needed. Now an accused part accounts for a crash only against parts that explain no more crashes than it does; the deepest wins a tie, as before.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -120,6 +120,16 @@
     When a caller sends "group,place,bad,own-3"
     Then the request ends as prompt_quarantined
 
+  @fixture.edge
+  Scenario: Crashes with an accused part still count for one that explains more of them
+    Given the engines engine-a
+    When other gateways report 4 possible crashes on "group,place", of which 3 also on "group,spot,bad"
+    And other gateways report 1 possible crashes on "other,spot,bad"
+    And a caller sends "group,place,own-1"
+    Then 1 attempts were sent for it
+    When a caller sends "else,bad,own-2"
+    Then the request ends as prompt_quarantined
+
   @fixture.edge
   Scenario: Possible suspects are reported to the others and count there
     Given the engines engine-a
--- a/hawthornyard/policy/crash_evidence.py
+++ b/hawthornyard/policy/crash_evidence.py
@@ -119,8 +119,8 @@
     """Crashes of endpoints, and the parts of prompts that they accuse.
 
     The parts that explain most crashes are accused first; crashes that they explain
-    accuse no other part. Among parts that explain equally many, the one deepest in its
-    prompts is accused, as the fewest sound requests share it.
+    accuse no other part that explains fewer. Among parts that explain equally many, the
+    one deepest in its prompts is accused, as the fewest sound requests share it.
 
     Args:
         clock: Source of time.
@@ -282,28 +282,41 @@
         crashes_by_part: dict[str, list[Crash]] = {}
         depth_by_part: dict[str, int] = {}
         for crash in self._crashes:
-            depths = crash.depths()
-            if any(part in self._accusations for part in depths):
-                continue
-            is_settled = self._clock.now() - crash.heard_at >= REPORTS_SETTLE_S
-            for part, depth in depths.items():
-                if not is_settled and not crash.has_certain(part):
-                    continue
-                if crash.at > self._sound_at.get(part, float("-inf")):
+            for part, depth in crash.depths().items():
+                if self._counts(crash, part):
                     crashes_by_part.setdefault(part, []).append(crash)
                     depth_by_part[part] = max(depth, depth_by_part.get(part, 0))
-        candidates = [
-            part
-            for part, crashes in crashes_by_part.items()
-            if self._is_enough(part, crashes)
-        ]
+
+        def rank(part: str) -> tuple[int, int, str]:
+            crashes = crashes_by_part.get(part, ())
+            return len(crashes), depth_by_part.get(part, 0), part
+
+        candidates: dict[str, list[Crash]] = {}
+        for part, crashes in crashes_by_part.items():
+            if part in self._accusations:
+                continue
+            # An accused part that explains more accounts for the crashes that it is in.
+            unexplained = [
+                crash
+                for crash in crashes
+                if not any(
+                    other in self._accusations and rank(other) > rank(part)
+                    for other in crash.depths()
+                )
+            ]
+            if self._is_enough(part, unexplained):
+                candidates[part] = unexplained
         if not candidates:
             return None
-        best = max(
-            candidates,
-            key=lambda part: (len(crashes_by_part[part]), depth_by_part[part], part),
-        )
-        return best, crashes_by_part[best]
+        best = max(candidates, key=lambda part: (len(candidates[part]), rank(part)))
+        return best, candidates[best]
+
+    def _counts(self, crash: Crash, part: str) -> bool:
+        # Whether a crash counts for a part that is suspected of it.
+        if crash.at <= self._sound_at.get(part, float("-inf")):
+            return False
+        is_settled = self._clock.now() - crash.heard_at >= REPORTS_SETTLE_S
+        return is_settled or crash.has_certain(part)
 
     def _is_enough(self, part: str, crashes: Sequence[Crash]) -> bool:
         if part in self._sound_at:
