--- a/features/steps/rollout_rows.py
+++ b/features/steps/rollout_rows.py
@@ -16,7 +16,7 @@
 from features.support.scripted import ScriptedEndpoint
 from hawthornyard.cli.app import run_app
 from hawthornyard.codec import MsgpackCodec
-from hawthornyard.edge.rollouts import RolloutBounds
+from hawthornyard.edge.rollout import RolloutBounds
 from hawthornyard.errors import SettingsError
 from hawthornyard.frames import RolloutCounts, RolloutShare, RolloutTally
 from hawthornyard.platform.rollouts import decode_order, decode_state, encode_state
--- a/features/support/rollout_fleet.py
+++ b/features/support/rollout_fleet.py
@@ -18,7 +18,7 @@
     RolloutWritten,
     StoreRestored,
 )
-from hawthornyard.edge.rollouts import RolloutBounds
+from hawthornyard.edge.rollout import RolloutBounds
 from hawthornyard.frames import GatewayLoads, RolloutCounts, RolloutShare
 from hawthornyard.rollout import RolloutOrder, RolloutState
 
--- a/hawthornyard/edge/fleet/rollout_lead.py
+++ b/hawthornyard/edge/fleet/rollout_lead.py
@@ -15,7 +15,8 @@
     StoreRestored,
 )
 from ..peers import Peers
-from ..rollouts import Rollout, Rollouts
+from ..rollout import Rollout
+from ..rollouts import Rollouts
 from .rollout_tenure import LEASE_S, StoreTime, Tenure
 
 # Time between two decisions; a verdict on long evidence takes some milliseconds.
--- a/hawthornyard/edge/fleet/rollout_share.py
+++ b/hawthornyard/edge/fleet/rollout_share.py
@@ -8,7 +8,8 @@
 from ..inflight import InFlight
 from ..messages import Cancel, Dispatch, Request
 from ..peers import Peers
-from ..rollouts import Rollout, Rollouts
+from ..rollout import Rollout
+from ..rollouts import Rollouts
 
 REPORT_INTERVAL_S = 0.5
 # Gateways above which each reports less often, so that the holder gets no more than
--- a/hawthornyard/edge/fleet/rollout_tenure.py
+++ b/hawthornyard/edge/fleet/rollout_tenure.py
@@ -4,8 +4,8 @@
 
 from ...frames import RolloutCounts
 from ...rollout import RolloutState, Step, decide, period_length_s
+from ..rollout import Rollout
 from ..rollout_counts import GatheredCounts
-from ..rollouts import Rollout
 
 # A holder that does not renew its lease for so long is replaced. Calls of a slow store
 # take 0.3 s, and a roll back must be written within seconds.
--- a/hawthornyard/edge/fleet/rollouts.py
+++ b/hawthornyard/edge/fleet/rollouts.py
@@ -13,7 +13,8 @@
     StoreRestored,
 )
 from ..peers import Peers
-from ..rollouts import Rollout, Rollouts
+from ..rollout import Rollout
+from ..rollouts import Rollouts
 from .deployment import OPERATOR_FEED
 
 # Time between reads of a state that is not known, or whose holder is not heard.
--- a/hawthornyard/platform/settings.py
+++ b/hawthornyard/platform/settings.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Any
 
-from ..edge.rollouts import RolloutBounds
+from ..edge.rollout import RolloutBounds
 from ..errors import RecordError, SettingsError
 from ..io import MAX_PORT
 from .fields import decode_object, get_flag, get_number, get_text
