Log the ends of streams without length or chunks

The log could not tell a run that finished by itself from one that the engine had stopped for a final copy: the end of a stream left no line of its own.

--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -21,6 +21,7 @@
         n_prefill_ahead: Prompt tokens that were queued for prefill at the endpoint when
             it was sent, its own included.
         is_resumed: Whether it resumes from a copy of an earlier attempt's run.
+        n_final_copies: Number of final copies that were ordered of its run.
     """
 
     __slots__ = (
@@ -32,6 +33,7 @@
         "last_event_at",
         "n_prefill_ahead",
         "is_resumed",
+        "n_final_copies",
     )
 
     def __init__(
@@ -51,6 +53,7 @@
         self.last_event_at: float | None = None
         self.n_prefill_ahead = 0
         self.is_resumed = is_resumed
+        self.n_final_copies = 0
 
 
 class Migration(Message):
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -172,6 +172,7 @@
         if request.attempt is None or request.migration is None:
             return
         request.migration.is_final = request.migration.n_copies >= PRE_COPY_ROUNDS
+        request.attempt.n_final_copies += request.migration.is_final
         yield CopyRequested(
             request.attempt.attempt_id,
             request.request_id,
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -7,7 +7,7 @@
 from ..eligibility import Eligibility
 from ..endpoints import BROKEN_BACKOFF_S, Endpoints
 from ..inflight import InFlight
-from ..messages import AttemptBroke, AttemptEnded
+from ..messages import Attempt, AttemptBroke, AttemptEnded, Request
 from .resumption import Resumption
 
 
@@ -83,8 +83,22 @@
     def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
         migration = request.migration if request is not None else None
+        if request is not None and request.attempt is not None:
+            if not msg.is_delimited:
+                yield _undelimited_end(request, request.attempt)
         if msg.is_delimited or migration is None or not migration.is_final:
             yield msg
             return
         # The engine's answer about the copy tells whether it has stopped the run.
         migration.has_stream_ended = True
+
+
+def _undelimited_end(request: Request, attempt: Attempt) -> Decision:
+    return Decision(
+        "undelimited_end",
+        request_id=request.request_id,
+        endpoint=attempt.endpoint,
+        n_events=request.last_event,
+        n_final_copies=attempt.n_final_copies,
+        is_copying=request.migration is not None,
+    )
