--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -120,6 +120,21 @@
       | the engine knows no such run    | complete  |
       | the engine could not copy its run | lost    |
 
+  Scenario Outline: A stream without length or chunks that ends after the answer to its final copy is not complete
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And <answer>
+    And the connection of the stream, which has no length, ends
+    Then the summary is <outcome>
+
+    Examples:
+      | answer                                  | outcome  |
+      | the engine could not copy its run       | lost     |
+      | the engine knows no such run            | complete |
+
   Scenario: A run whose final copy failed is resumed at its leaving engine only for a short time
     Given the engines engine-a
     And a summary that got the events 1 to 10
