--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -49,8 +49,7 @@
 from .retry_budget import SharedRetryBudget
 from .rollouts import Rollouts
 from .sampling import Sampling
-from .streams import Migrate, Resume
-from .streams.resumption import Resumption
+from .streams import CopyCandidates, Migrate, Resume, Resumption
 
 
 class EdgeState:
@@ -208,11 +207,15 @@
             state.inflight,
             state.endpoints,
             state.eligibility,
-            sampling,
-            state.directory,
+            CopyCandidates(
+                state.endpoints,
+                state.eligibility,
+                sampling,
+                state.directory,
+                state.crash_evidence,
+            ),
             state.pace,
             resumption,
-            state.crash_evidence,
             clock,
         ),
         Relay(state.inflight, state.endpoints, clock),
--- a/hawthornyard/edge/streams/__init__.py
+++ b/hawthornyard/edge/streams/__init__.py
@@ -3,7 +3,9 @@
 The chain is Resume, Migrate.
 """
 
+from .candidates import CopyCandidates
 from .migrate import Migrate
 from .resume import Resume
+from .resumption import Resumption
 
-__all__ = ["Migrate", "Resume"]
+__all__ = ["CopyCandidates", "Migrate", "Resume", "Resumption"]
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -3,8 +3,6 @@
 from collections.abc import Iterator
 
 from ...core import Clock, Decision, Handlers, Message, Tick
-from ...policy import CrashEvidence
-from ..directory import Directory
 from ..eligibility import Eligibility
 from ..endpoints import Endpoint, Endpoints
 from ..inflight import InFlight
@@ -22,7 +20,7 @@
     Request,
 )
 from ..read_pace import ReadPace
-from ..sampling import Sampling
+from .candidates import CopyCandidates
 from .departure import Departure
 from .resumption import Resumption
 
@@ -34,13 +32,6 @@
 NOT_BEGUN_RETRY_S = 0.1
 # Delay before a copy that failed for another reason is retried.
 FAILED_RETRY_S = 0.2
-# Least expected remaining time of a run that is copied: a copy takes 0.2 to 0.4 s.
-MIN_REMAINING_S = 0.4
-# Least remaining output that is assumed, as a share of the events sent so far: an
-# output may exceed its estimate.
-OVERRUN_SHARE = 0.2
-# Gap between events that is assumed until the endpoint's own was measured.
-DEFAULT_GAP_S = 0.05
 COPY_TIMEOUT_S = 3.0
 # Longest time after an engine was seen to leave during which it may resume its own run;
 # later it is likely to stop before the run ends.
@@ -60,25 +51,21 @@
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
         eligibility: Tells which endpoints may get new work.
-        sampling: Samples the endpoints that are compared.
-        directory: Deployment in force, for the capabilities of engines.
+        candidates: Chooses the runs to copy and their targets.
         pace: Tells how late a gateway may learn that an endpoint leaves.
         resumption: Starts the attempts that resume from copies.
-        evidence: Parts of prompts that end endpoints.
         clock: Source of time.
     """
 
     __slots__ = (
+        "_candidates",
         "_clock",
         "_departures",
-        "_directory",
         "_eligibility",
         "_endpoints",
-        "_evidence",
         "_inflight",
         "_pace",
         "_resumption",
-        "_sampling",
         "handlers",
     )
 
@@ -87,21 +74,17 @@
         inflight: InFlight,
         endpoints: Endpoints,
         eligibility: Eligibility,
-        sampling: Sampling,
-        directory: Directory,
+        candidates: CopyCandidates,
         pace: ReadPace,
         resumption: Resumption,
-        evidence: CrashEvidence,
         clock: Clock,
     ) -> None:
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligibility = eligibility
-        self._sampling = sampling
-        self._directory = directory
+        self._candidates = candidates
         self._pace = pace
         self._resumption = resumption
-        self._evidence = evidence
         self._clock = clock
         self._departures: dict[str, Departure] = {}
         self.handlers: Handlers = {
@@ -120,7 +103,7 @@
         if endpoint is None:
             return
         endpoint.drop_mirrors()
-        if self._can_migrate(endpoint):
+        if self._candidates.can_migrate(endpoint):
             self._departures[endpoint.name] = Departure()
             yield from self._start_next_copy(endpoint)
 
@@ -138,17 +121,12 @@
         if departure is None or self._is_copying(departure):
             return
         departure.copying_attempt_id = ""
-        unmirrored = filter(self._may_be_copied, endpoint.requests.values())
-        candidates = [
-            (self._remaining_s(request, endpoint), request.call_id, request)
-            for request in departure.not_postponed(unmirrored, self._clock.now())
-        ]
-        # Longest first: they have most to lose, and shorter runs may end before the
-        # engine does.
-        for remaining_s, _, request in sorted(candidates, reverse=True):
-            if remaining_s < MIN_REMAINING_S or request.attempt is None:
+        copyable = filter(self._candidates.may_be_copied, endpoint.requests.values())
+        due = departure.not_postponed(copyable, self._clock.now())
+        for request in self._candidates.rank(due, endpoint):
+            if request.attempt is None:
                 continue
-            target = self._choose_target(request, endpoint)
+            target = self._candidates.target(request, endpoint)
             if target is not None:
                 departure.copying_attempt_id = request.attempt.attempt_id
                 request.migration = Migration(target.name)
@@ -277,50 +255,3 @@
     def _on_closed(self, msg: Closed) -> Iterator[Message]:
         msg.request.migration = None
         yield msg
-
-    def _can_migrate(self, endpoint: Endpoint) -> bool:
-        rule = self._directory.service(endpoint.entry.service)
-        return rule is not None and rule.engine is not None and rule.engine.can_migrate
-
-    def _may_be_copied(self, request: Request) -> bool:
-        # A prompt with an accused part may end the endpoint that it is copied to.
-        if self._evidence.accused_part(request.shared_parts) is not None:
-            return False
-        return self._has_no_mirror(request)
-
-    def _has_no_mirror(self, request: Request) -> bool:
-        attempt = request.attempt
-        if attempt is None or not request.route.is_stream:
-            return False
-        mirror = self._endpoints.get(attempt.mirror)
-        return mirror is None or not self._eligibility.may_receive(mirror)
-
-    def _remaining_s(self, request: Request, endpoint: Endpoint) -> float:
-        rule = self._directory.service(request.service)
-        per_event = rule.engine.tokens_per_event if rule and rule.engine else 1
-        n_events = request.n_output_tokens / per_event - request.last_event
-        n_events = max(n_events, OVERRUN_SHARE * request.last_event)
-        return n_events * (endpoint.mean_gap_s or DEFAULT_GAP_S)
-
-    def _choose_target(self, request: Request, endpoint: Endpoint) -> Endpoint | None:
-        rule = self._directory.service(request.service)
-        if rule is None or rule.engine is None:
-            return None
-        memory_tokens = rule.engine.memory_tokens
-        with_capacity = [
-            other
-            for other in self._eligibility.for_request(request)
-            if other.name != endpoint.name
-            and other.n_running < other.entry.n_slots
-            and other.used_tokens + request.n_tokens <= memory_tokens
-        ]
-        # A copy to another failure domain takes twice as long, and time is short.
-        domain = endpoint.entry.failure_domain
-        same_domain = [
-            other for other in with_capacity if other.entry.failure_domain == domain
-        ]
-        return min(
-            self._sampling.draw(same_domain or with_capacity),
-            key=lambda other: (other.used_tokens, other.name),
-            default=None,
-        )
