Take no end for a complete stream once its run may have been stopped

The engine had stopped the run for its final copy and closed the stream, which had neither length nor chunks; the answer about the copy was lost. Cause: what an order may have done to a run was remembered only while the order was open, in the migration. Any answer without a handle threw it away, and the end that came next was taken for a natural one.

The attempt now counts the final copies that may have stopped its run, and the new filter FinalCopies judges every end against them. An end without length or chunks passes for complete only before any such order, or if the incarnation that ran it knows no such run after a single order; the copy sink asks for the engine's report before it says so. An order without a readable answer is repeated, since the engine keeps the memory of a run that it stopped: the stream goes on from the handle then.

The same state was lost in four other ways, each with its scenario: a stream broken by the stop whose order then failed stayed open until its deadline; so did one whose engine had been forgotten when the answer came; a plain answer without length was judged by nothing; a run that may be stopped was copied as a running one. A handle of null was used as "None".

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -134,6 +134,112 @@
       | answer                                  | outcome  |
       | the engine could not copy its run       | lost     |
       | the engine knows no such run            | complete |
+      | the final copy gets no answer           | open     |
+      | the gateway can't connect to the engine | open     |
+
+  Scenario Outline: A final copy without an answer is ordered again before the stream is given up
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And <loss>
+    And the connection of the stream, which has no length, ends
+    And the final copy gets no answer
+    And 0.3 seconds go by
+    Then 5 copies were requested
+    When <answer>
+    Then the summary is <outcome>
+
+    Examples:
+      | loss                          | answer                              | outcome |
+      | the final copy gets no answer | the engine copies its run 1 times   | resumed |
+      | the final copy gets no answer | the engine has stopped its run but could not copy it | resumed |
+      | the final copy gets no answer | the engine knows no such run        | lost    |
+      | the final copy gets no answer | the engine could not copy its run   | lost    |
+
+  Scenario: A run that no final copy has reached may have ended by itself
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the gateway can't connect to the engine
+    And the engine knows no such run
+    And the connection of the stream, which has no length, ends
+    Then the summary is complete
+
+  Scenario Outline: A stream whose final copy stays without an answer is given up, not left open
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And <end>
+    And the final copies get no answers for 6 seconds
+    Then the summary is lost
+
+    Examples:
+      | end                                                         |
+      | the connection of the stream, which has no length, ends     |
+      | its engine breaks the connection                            |
+
+  Scenario Outline: A final copy whose engine is forgotten decides about the stream all the same
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the connection of the stream, which has no length, ends
+    And the entry of engine-a is removed and forgotten
+    And <answer>
+    Then the summary is <outcome>
+
+    Examples:
+      | answer                            | outcome  |
+      | the engine copies its run 1 times | resumed  |
+      | the engine could not copy its run | lost     |
+      | the engine knows no such run      | complete |
+
+  Scenario: A stream with chunks that ends after an unanswered final copy is complete
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the final copy gets no answer
+    And the stream ends
+    Then the summary is complete
+
+  Scenario: A run that its engine may have stopped is not copied as a running one
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the engine could not copy its run
+    And 0.3 seconds go by
+    Then the last copy was final and 4 were requested
+
+  Scenario: A lost answer to a final copy does not hold up the other streams of the engine
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the final copy gets no answer
+    Then copies of 2 runs were requested
+
+  Scenario: A plain answer without length that ends after a final copy is not complete
+    Given the engines engine-a
+    And a summary that was sent
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And the engine could not copy its run
+    And its engine answers without a length
+    Then the summary is lost
 
   Scenario: A run whose final copy failed is resumed at its leaving engine only for a short time
     Given the engines engine-a
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -7,6 +7,7 @@
 
 from features.support.edge import EdgeDriver
 from hawthornyard.edge.messages import (
+    AttemptAnswered,
     AttemptBroke,
     AttemptEnded,
     AttemptRefused,
@@ -163,6 +164,18 @@
     context.edge.push(EndpointsRead([], [name]))
 
 
+@when("the entry of {name} is removed and forgotten")
+def forget_entry(context: Context, name: str) -> None:
+    remove_entry(context, name)
+    context.edge.state.endpoints.forget(name)
+
+
+@when("its engine answers without a length")
+def answer_undelimited(context: Context) -> None:
+    attempt_id = _last_dispatch(context).attempt_id
+    context.edge.push(AttemptAnswered(attempt_id, 200, [], b"body", is_delimited=False))
+
+
 @when("the failure domain of {name} is out")
 def take_out(context: Context, name: str) -> None:
     domain = context.edge.state.endpoints.get(name).entry.failure_domain
@@ -208,6 +221,42 @@
     context.edge.push(CopyAnswered(request, is_done=False, detail="no room"))
 
 
+@when("the final copy gets no answer")
+def lose_copy_answer(context: Context) -> None:
+    request = context.edge.last_message(CopyRequested)
+    assert request.is_final
+    context.edge.push(
+        CopyAnswered(request, is_done=False, is_inconclusive=True, detail="closed")
+    )
+
+
+@when("the gateway can't connect to the engine")
+def fail_copy_connection(context: Context) -> None:
+    request = context.edge.last_message(CopyRequested)
+    context.edge.push(
+        CopyAnswered(
+            request,
+            is_done=False,
+            is_inconclusive=True,
+            is_sent=False,
+            detail="timed out",
+        )
+    )
+
+
+@when("the final copies get no answers for {seconds:g} seconds")
+def lose_all_copy_answers(context: Context, seconds: float) -> None:
+    n_answered = len(context.edge.messages_of(CopyRequested)) - 1
+    until = context.edge.clock.now() + seconds
+    while context.edge.clock.now() < until:
+        for request in context.edge.messages_of(CopyRequested)[n_answered:]:
+            n_answered += 1
+            context.edge.push(
+                CopyAnswered(request, is_done=False, is_inconclusive=True)
+            )
+        context.edge.advance(0.05)
+
+
 @when("the engine knows no such run")
 def reject_unknown_run(context: Context) -> None:
     request = context.edge.last_message(CopyRequested)
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -142,6 +142,19 @@
     assert finals == [False, False, True], finals
 
 
+@then("the last copy was final and {n:d} were requested")
+def check_last_final(context: Context, n: int) -> None:
+    asked = context.edge.messages_of(CopyRequested)
+    assert len(asked) == n, asked
+    assert asked[-1].is_final, asked
+
+
+@then("copies of {n:d} runs were requested")
+def check_copied_runs(context: Context, n: int) -> None:
+    asked = context.edge.messages_of(CopyRequested)
+    assert len({msg.request_id for msg in asked}) == n, asked
+
+
 @then("{n:d} copies were requested")
 def check_n_copies(context: Context, n: int) -> None:
     asked = context.edge.messages_of(CopyRequested)
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -49,7 +49,7 @@
 from .retry_budget import SharedRetryBudget
 from .rollouts import Rollouts
 from .sampling import Sampling
-from .streams import CopyCandidates, Migrate, Resume, Resumption
+from .streams import CopyCandidates, FinalCopies, Migrate, Resume, Resumption
 
 
 class EdgeState:
@@ -196,13 +196,6 @@
             clock,
         ),
         CountResponses(state.rollouts, state.inflight, clock),
-        Resume(
-            state.inflight,
-            state.endpoints,
-            state.eligibility,
-            resumption,
-            state.crash_evidence,
-        ),
         Migrate(
             state.inflight,
             state.endpoints,
@@ -214,10 +207,23 @@
                 state.directory,
                 state.crash_evidence,
             ),
+            clock,
+        ),
+        FinalCopies(
+            state.inflight,
+            state.endpoints,
+            state.eligibility,
             state.pace,
             resumption,
             clock,
         ),
+        Resume(
+            state.inflight,
+            state.endpoints,
+            state.eligibility,
+            resumption,
+            state.crash_evidence,
+        ),
         Relay(state.inflight, state.endpoints, clock),
         Expire(state.inflight, state.endpoints),
         *metrics_filters,
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -17,7 +17,7 @@
 from .pace import PaceRead, ProbeRequested
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportFailed, ReportRead, ReportRequested
-from .request import Attempt, Migration, Request
+from .request import Attempt, AttemptEnd, Migration, Request
 from .rollout import (
     EndpointRetired,
     RolloutCallFailed,
@@ -46,6 +46,7 @@
     "AttemptAnswered",
     "AttemptBegan",
     "AttemptBroke",
+    "AttemptEnd",
     "AttemptEnded",
     "AttemptEvents",
     "AttemptFailed",
--- a/hawthornyard/edge/messages/answer.py
+++ b/hawthornyard/edge/messages/answer.py
@@ -60,9 +60,18 @@
 
 
 class AttemptAnswered(Message):
-    """The whole answer of an endpoint."""
+    """The whole answer of an endpoint.
 
-    __slots__ = ("attempt_id", "status", "headers", "body")
+    Attributes:
+        attempt_id: Identifier of the attempt.
+        status: HTTP status.
+        headers: Headers that the caller gets.
+        body: Whole body.
+        is_delimited: Whether the body told its end, by a length or a last chunk; else
+            its connection ended.
+    """
+
+    __slots__ = ("attempt_id", "status", "headers", "body", "is_delimited")
 
     def __init__(
         self,
@@ -70,11 +79,14 @@
         status: int,
         headers: Sequence[tuple[str, str]],
         body: bytes,
+        *,
+        is_delimited: bool = True,
     ) -> None:
         self.attempt_id = attempt_id
         self.status = status
         self.headers = headers
         self.body = body
+        self.is_delimited = is_delimited
 
 
 class AttemptRefused(Message):
--- a/hawthornyard/edge/messages/copy.py
+++ b/hawthornyard/edge/messages/copy.py
@@ -75,7 +75,10 @@
         is_done: Whether the target holds the copy.
         handle: Handle to resume from, empty if there is none; an engine that stopped
             the run but could not copy it also gives one.
-        is_unknown: Whether the engine knows no such run.
+        is_unknown: Whether the incarnation that was asked knows no such run.
+        is_inconclusive: Whether it does not tell if the copy was or will be made: no
+            answer could be read, or an earlier order is still being carried out.
+        is_sent: Whether the engine may have received the request.
         detail: The engine's answer, or the error.
         seconds: Duration of the copy.
     """
@@ -85,6 +88,8 @@
         "is_done",
         "handle",
         "is_unknown",
+        "is_inconclusive",
+        "is_sent",
         "detail",
         "seconds",
     )
@@ -96,6 +101,8 @@
         is_done: bool,
         handle: str = "",
         is_unknown: bool = False,
+        is_inconclusive: bool = False,
+        is_sent: bool = True,
         detail: str = "",
         seconds: float = 0.0,
     ) -> None:
@@ -103,6 +110,8 @@
         self.is_done = is_done
         self.handle = handle
         self.is_unknown = is_unknown
+        self.is_inconclusive = is_inconclusive
+        self.is_sent = is_sent
         self.detail = detail
         self.seconds = seconds
 
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -4,7 +4,12 @@
 
 from ...core import Message
 from ..deployment import RouteRule
+from .answer import AttemptAnswered, AttemptBroke, AttemptEnded
 from .call import Call
+from .copy import CopyRequested
+
+AttemptEnd = AttemptAnswered | AttemptBroke | AttemptEnded
+"""Message that ends an attempt which had begun to answer."""
 
 
 class Attempt(Message):
@@ -21,7 +26,8 @@
         n_prefill_ahead: Prompt tokens that were queued for prefill at the endpoint when
             it was sent, its own included.
         is_resumed: Whether it resumes from a copy of an earlier attempt's run.
-        n_final_copies: Number of final copies that were ordered of its run.
+        n_final_copies: Number of final copies that were ordered of its run and may have
+            stopped it.
     """
 
     __slots__ = (
@@ -63,17 +69,35 @@
         target: Name of the endpoint that receives the copies.
         n_copies: Number of completed copies.
         is_final: Whether the run stops for the copy in progress.
-        has_stream_ended: Whether the connection of the stream has ended meanwhile, by
-            the stop or by the end of the run.
+        order: Newest order of the final copy, None before the first.
+        n_orders: Number of orders of the final copy.
+        repeat_at: Monotonic time in seconds at which the final copy is ordered again,
+            None while an answer is awaited.
+        end: End of the stream that came meanwhile, by the stop or by the end of the
+            run; None before.
+        ended_at: Monotonic time of that end in seconds.
     """
 
-    __slots__ = ("target", "n_copies", "is_final", "has_stream_ended")
+    __slots__ = (
+        "target",
+        "n_copies",
+        "is_final",
+        "order",
+        "n_orders",
+        "repeat_at",
+        "end",
+        "ended_at",
+    )
 
     def __init__(self, target: str) -> None:
         self.target = target
         self.n_copies = 0
         self.is_final = False
-        self.has_stream_ended = False
+        self.order: CopyRequested | None = None
+        self.n_orders = 0
+        self.repeat_at: float | None = None
+        self.end: AttemptEnd | None = None
+        self.ended_at = 0.0
 
 
 class Request(Message):
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -7,7 +7,7 @@
 from ..eligibility import Eligibility
 from ..endpoints import BROKEN_BACKOFF_S, Endpoints
 from ..inflight import InFlight
-from ..messages import Attempt, AttemptBroke, AttemptEnded, Request
+from ..messages import AttemptBroke
 from .resumption import Resumption
 
 
@@ -46,16 +46,12 @@
         self._resumption = resumption
         self.handlers: Handlers = {
             AttemptBroke: self._on_attempt_broke,
-            AttemptEnded: self._on_attempt_ended,
         }
 
     def _on_attempt_broke(self, msg: AttemptBroke) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
         if request is None or request.attempt is None:
             return
-        if request.migration is not None and request.migration.is_final:
-            # The engine closes the stream of a run that it stops for the final copy.
-            return
         if request.has_begun:
             self._endpoints.back_off(request.attempt.endpoint, BROKEN_BACKOFF_S)
         mirror = self._endpoints.get(request.attempt.mirror)
@@ -79,26 +75,3 @@
         yield self._resumption.begin_attempt(
             request, mirror, address, request.request_id
         )
-
-    def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
-        request = self._inflight.by_attempt(msg.attempt_id)
-        migration = request.migration if request is not None else None
-        if request is not None and request.attempt is not None:
-            if not msg.is_delimited:
-                yield _undelimited_end(request, request.attempt)
-        if msg.is_delimited or migration is None or not migration.is_final:
-            yield msg
-            return
-        # The engine's answer about the copy tells whether it has stopped the run.
-        migration.has_stream_ended = True
-
-
-def _undelimited_end(request: Request, attempt: Attempt) -> Decision:
-    return Decision(
-        "undelimited_end",
-        request_id=request.request_id,
-        endpoint=attempt.endpoint,
-        n_events=request.last_event,
-        n_final_copies=attempt.n_final_copies,
-        is_copying=request.migration is not None,
-    )
--- a/hawthornyard/platform/connections.py
+++ b/hawthornyard/platform/connections.py
@@ -108,7 +108,26 @@
         OSError: If the endpoint can't be reached.
         ValueError: If the address has no numeric port.
     """
-    conn = open_connection(address)
+    return call_on(open_connection(address), method, path, body, timeout_s)
+
+
+def call_on(
+    conn: BoundedConnection, method: str, path: str, body: str, timeout_s: float
+) -> CallAnswer:
+    """Send one small request on a new connection, close it, return the response.
+
+    Args:
+        conn: The connection.
+        method: HTTP method.
+        path: Path and query.
+        body: JSON text, empty for no body.
+        timeout_s: Seconds within which the whole response must arrive.
+
+    Raises:
+        urllib3.exceptions.HTTPError: If there is no response.
+        http.client.HTTPException: If the response is not HTTP.
+        OSError: If the connection breaks.
+    """
     try:
         conn.timeout = timeout_s
         conn.request(
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -8,10 +8,19 @@
 from ..core import Consumers, Inbox
 from ..edge.messages import CopyAnswered, CopyDropped, CopyRequested
 from ..errors import RecordError
-from .connections import CALL_ERRORS, call_once
+from ..net import BoundedConnection
+from .connections import (
+    CALL_ERRORS,
+    call_on,
+    call_once,
+    is_refused,
+    open_connection,
+)
+from .endpoint import decode_report
 from .fields import decode_object
-from .names import COPY_DROP_PATH, COPY_PATH
+from .names import COPY_DROP_PATH, COPY_PATH, REPORT_PATH
 from .notices import NoticeReader
+from .reports import REPORT_TIMEOUT_S
 
 DROP_TIMEOUT_S = 1.0
 """Timeout for freeing a copy; engines free unused copies themselves after some
@@ -47,30 +56,59 @@
 
     def _copy(self, msg: CopyRequested) -> None:
         asked_at = self._notices.now()
-        body = {"id": msg.request_id, "to": msg.target, "last": msg.is_final}
         try:
-            answer = call_once(
-                "POST", msg.source, COPY_PATH, json.dumps(body), msg.timeout_s
+            conn = open_connection(msg.source)
+        except CALL_ERRORS as exc:
+            answered = CopyAnswered(
+                msg,
+                is_done=False,
+                # Where nothing listens, the engine has ended, and its runs with it.
+                is_inconclusive=not is_refused(exc),
+                is_sent=False,
+                detail=f"connection failed: {exc}",
             )
+        else:
+            answered = self._call(conn, msg, asked_at)
+        self._inbox.put(answered)
+
+    def _call(
+        self, conn: BoundedConnection, msg: CopyRequested, asked_at: float
+    ) -> CopyAnswered:
+        body = {"id": msg.request_id, "to": msg.target, "last": msg.is_final}
+        try:
+            answer = call_on(conn, "POST", COPY_PATH, json.dumps(body), msg.timeout_s)
         except CALL_ERRORS as exc:
-            self._inbox.put(CopyAnswered(msg, is_done=False, detail=str(exc)))
-            return
+            detail = f"{type(exc).__name__}: {exc}"
+            return CopyAnswered(msg, is_done=False, is_inconclusive=True, detail=detail)
         self._notices.read(
             answer.status, answer.headers, msg.source_name, msg.source_born, asked_at
         )
-        self._inbox.put(
-            CopyAnswered(
-                msg,
-                is_done=answer.status == _OK,
-                # An engine that stopped the run but failed to deliver the copy
-                # returns a handle too.
-                handle=_decode_handle(answer.data),
-                is_unknown=answer.status == _NOT_FOUND,
-                detail=f"the engine answered with status {answer.status}",
-                seconds=self._notices.now() - asked_at,
-            )
+        # An engine that stopped the run but failed to deliver the copy returns a handle
+        # too.
+        handle = _decode_handle(answer.data)
+        is_missing = answer.status == _NOT_FOUND
+        born = self._read_born(msg) if is_missing and msg.is_final else None
+        return CopyAnswered(
+            msg,
+            is_done=answer.status == _OK,
+            handle=handle,
+            # Another incarnation never knew the run; its answer tells nothing of it.
+            is_unknown=is_missing and (not msg.is_final or born == msg.source_born),
+            is_inconclusive=msg.is_final and not handle and born is None,
+            detail=f"the engine answered with status {answer.status}",
+            seconds=self._notices.now() - asked_at,
         )
 
+    def _read_born(self, msg: CopyRequested) -> int | None:
+        """Return the incarnation at the source's address, None if it is not known."""
+        try:
+            answer = call_once("GET", msg.source, REPORT_PATH, "", REPORT_TIMEOUT_S)
+            report = decode_report(msg.source_name, answer.data)
+        except (*CALL_ERRORS, RecordError) as exc:
+            logger.bind(endpoint=msg.source_name, detail=str(exc)).info("report_failed")
+            return None
+        return report.born or None
+
     def _drop(self, msg: CopyDropped) -> None:
         path = f"{COPY_DROP_PATH}{msg.handle}"
         try:
@@ -85,4 +123,6 @@
     except RecordError:
         # Error responses need not be JSON; they carry no handle then.
         return ""
-    return handle if isinstance(handle, str) else str(handle)
+    if isinstance(handle, int) and not isinstance(handle, bool):
+        return str(handle)
+    return handle if isinstance(handle, str) else ""
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -149,7 +149,13 @@
             return
         body = conn.read_body(resp)
         self._inbox.put(
-            AttemptAnswered(msg.attempt_id, resp.status, _forwarded_headers(resp), body)
+            AttemptAnswered(
+                msg.attempt_id,
+                resp.status,
+                _forwarded_headers(resp),
+                body,
+                is_delimited=_is_delimited(resp),
+            )
         )
 
     def _relay_events(self, resp: Any, msg: Dispatch, holding: Holding) -> None:
@@ -172,7 +178,7 @@
         holding.check()
         if splitter.n_unfinished:
             raise EndpointError("the stream ended within an event")
-        is_delimited = resp.chunked or "Content-Length" in resp.headers
+        is_delimited = _is_delimited(resp)
         if not is_delimited and not has_events:
             raise EndpointError("the stream ended before its first event")
         self._inbox.put(AttemptEnded(msg.attempt_id, is_delimited=is_delimited))
@@ -215,6 +221,10 @@
         raise EndpointError("the response has no signature of the endpoint")
 
 
+def _is_delimited(resp: Any) -> bool:
+    return resp.chunked or "Content-Length" in resp.headers
+
+
 def _forwarded_headers(resp: Any) -> list[tuple[str, str]]:
     dropped = set(RESPONSE_HEADERS_NOT_FORWARDED)
     for value in resp.headers.getlist("Connection"):
