--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -1,13 +1,13 @@
 """A gateway process of little memory and crowds of clients that cost it much."""
 
 import contextlib
-import json
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import eventlet
 
+from features.support.gateway_process import GatewayProcess
 from features.support.platform_bytes import (
     AUTH,
     HOST,
@@ -17,18 +17,13 @@
     chunk,
 )
 from features.support.platform_world import KEY, route
-from features.support.scripted import exchange, read_message
-from hawthornyard.front import HttpServer
-from hawthornyard.io import ReservedPort
-from hawthornyard.platform.standins import PlatformStoreApp
-from soak.deployment import gateway_settings
+from features.support.scripted import read_message
 from soak.loopback import LOOPBACK
 from soak.process import Process
 
 MEMORY_MB = 96
 MAX_FDS = 900
 N_CLIENTS = 400
-START_TIMEOUT_S = 10.0
 HOLD_S = 9.0
 ANSWER_TIMEOUT_S = 30.0
 LARGE_BODY = b"x" * 900_000
@@ -77,61 +72,39 @@
     """A gateway process with a store and an endpoint in this process.
 
     Attributes:
-        process: Process of the gateway.
         n_running: Requests that the endpoint answers now.
     """
 
-    __slots__ = ("_endpoint", "_ports", "_server", "_socks", "n_running", "process")
+    __slots__ = ("_endpoint", "_gateway", "_socks", "n_running")
 
     def __init__(self, folder: Path) -> None:
         self.n_running = 0
         self._socks: list[Any] = []
         self._endpoint = eventlet.listen((LOOPBACK, 0))
         eventlet.spawn_n(self._run_endpoint)
-        store = PlatformStoreApp()
-        store.put("op", "config", CONFIG)
+        limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
+        self._gateway = GatewayProcess(folder, CONFIG, limits=limits)
         address = f"{LOOPBACK}:{self._endpoint.getsockname()[1]}"
-        entry = {"service": "desk", "address": address, "zone": "domain-1"}
-        store.put(
-            "servers", "i-1", {**entry, "slots": 1000, "state": "ready", "born": 1}
-        )
-        self._server = HttpServer((LOOPBACK, 0), store)
-        self._server.start()
-        self._ports = [ReservedPort(LOOPBACK), ReservedPort(LOOPBACK)]
-        front, ready = self._ports
-        settings = gateway_settings(
-            "gateway-1", "domain-1", front.address, ready.address, self._server.port
-        )
-        settings["limits"] = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
-        path = folder / "gateway.json"
-        path.write_text(json.dumps(settings))
-        self.process = Process(
-            folder / "gateway.log",
-            ["-m", "hawthornyard.platform"],
-            {"HAWTHORNYARD_NODE_FILE": str(path)},
-        )
-        self.process.start()
-        with eventlet.Timeout(START_TIMEOUT_S):
-            while not self.is_ready():
-                eventlet.sleep(0.05)
+        self._gateway.add_entry("i-1", address, service="desk", slots=1000)
+        self._gateway.start()
+
+    @property
+    def process(self) -> Process:
+        """Return the process of the gateway."""
+        return self._gateway.process
 
     def is_ready(self) -> bool:
         """Return whether the readiness port answers with status 200."""
-        with contextlib.suppress(OSError):
-            probe = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
-            return exchange(self._ports[1].number, probe).startswith(b"HTTP/1.1 200")
-        return False
+        return self._gateway.is_ready()
 
     def send(self, data: bytes) -> bytes:
         """Send one request and return what comes back."""
-        with contextlib.suppress(OSError):
-            return exchange(self._ports[0].number, data)
-        return b""
+        return self._gateway.send(data)
 
     def join(self, kind: str) -> None:
         """Connect a crowd, which stays until `close`."""
         for _ in range(N_CLIENTS):
-            sock = eventlet.connect((LOOPBACK, self._ports[0].number))
+            sock = eventlet.connect((LOOPBACK, self._gateway.port))
             self._socks.append(sock)
             eventlet.spawn_n(_behave, sock, kind)
         eventlet.sleep(HOLD_S)
@@ -156,10 +129,9 @@
 
     def close(self) -> None:
         """End the gateway and the crowd."""
-        self.process.kill()
-        self._server.close()
+        self._gateway.close()
         self._endpoint.close()
-        for sock in (*self._socks, *self._ports):
+        for sock in self._socks:
             sock.close()
 
     def _run_endpoint(self) -> None:
