--- a/features/final_copies.feature
+++ b/features/final_copies.feature
@@ -21,6 +21,19 @@
       | with 503 and no handle, then soundly          | 10 |
       | with 409, then soundly                        | 10 |
       | with 404 as the run has finished              | 10 |
+      | with 404 as another process                   | 0  |
+
+  Scenario Outline: Streams whose engine ends and <how> are not whole
+    Given a gateway process and an engine whose streams have no length
+    And 10 streams that have begun
+    When the engine ends and <how>
+    Then no part of a stream passes for the whole
+    And 0 streams are whole
+
+    Examples:
+      | how                                 |
+      | another one answers at its address  |
+      | nothing listens at its address      |
 
   Scenario: Streams without a length that end by themselves are whole
     Given a gateway process and an engine whose streams have no length
--- a/features/steps/final_copies.py
+++ b/features/steps/final_copies.py
@@ -36,6 +36,19 @@
     context.world.wait()
 
 
+@when("the engine ends and another one answers at its address")
+def restart(context: Context) -> None:
+    context.world.first.restart()
+    context.world.wait()
+
+
+@when("the engine ends and nothing listens at its address")
+def end(context: Context) -> None:
+    context.world.first.restart()
+    context.world.first.close()
+    context.world.wait()
+
+
 @when("nothing disturbs the engine")
 def wait(context: Context) -> None:
     context.world.wait()
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -9,18 +9,11 @@
 from ..edge.messages import CopyAnswered, CopyDropped, CopyRequested
 from ..errors import RecordError
 from ..net import BoundedConnection
-from .connections import (
-    CALL_ERRORS,
-    call_on,
-    call_once,
-    is_refused,
-    open_connection,
-)
-from .endpoint import decode_report
+from .connections import CALL_ERRORS, call_on, call_once, is_refused, open_connection
 from .fields import decode_object
-from .names import COPY_DROP_PATH, COPY_PATH, REPORT_PATH
+from .names import COPY_DROP_PATH, COPY_PATH
 from .notices import NoticeReader
-from .reports import REPORT_TIMEOUT_S
+from .reports import read_born
 
 DROP_TIMEOUT_S = 1.0
 """Timeout for freeing a copy; engines free unused copies themselves after some
@@ -87,28 +80,21 @@
         # too.
         handle = _decode_handle(answer.data)
         is_missing = answer.status == _NOT_FOUND
-        born = self._read_born(msg) if is_missing and msg.is_final else None
+        born = None
+        if is_missing and msg.is_final:
+            born = read_born(msg.source_name, msg.source)
+        # Another incarnation never knew the run; its answer tells nothing of it.
+        is_same = bool(born) and born == msg.source_born
         return CopyAnswered(
             msg,
             is_done=answer.status == _OK,
             handle=handle,
-            # Another incarnation never knew the run; its answer tells nothing of it.
-            is_unknown=is_missing and (not msg.is_final or born == msg.source_born),
+            is_unknown=is_missing and (is_same or not msg.is_final),
             is_inconclusive=msg.is_final and not handle and born is None,
             detail=f"the engine answered with status {answer.status}",
             seconds=self._notices.now() - asked_at,
         )
 
-    def _read_born(self, msg: CopyRequested) -> int | None:
-        """Return the incarnation at the source's address, None if it is not known."""
-        try:
-            answer = call_once("GET", msg.source, REPORT_PATH, "", REPORT_TIMEOUT_S)
-            report = decode_report(msg.source_name, answer.data)
-        except (*CALL_ERRORS, RecordError) as exc:
-            logger.bind(endpoint=msg.source_name, detail=str(exc)).info("report_failed")
-            return None
-        return report.born or None
-
     def _drop(self, msg: CopyDropped) -> None:
         path = f"{COPY_DROP_PATH}{msg.handle}"
         try:
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -20,6 +20,27 @@
 _OK = 200
 
 
+def read_born(endpoint: str, address: str) -> int | None:
+    """Return the incarnation that answers at the address of an engine.
+
+    Args:
+        endpoint: Name of the engine.
+        address: "address:port" of the engine.
+
+    Returns:
+        Start time in Unix milliseconds, 0 if nothing listens there, None if it can't be
+        found out.
+    """
+    log = logger.bind(endpoint=endpoint, address=address)
+    try:
+        answer = call_once("GET", address, REPORT_PATH, "", REPORT_TIMEOUT_S)
+        report = decode_report(endpoint, answer.data)
+    except (*CALL_ERRORS, RecordError) as exc:
+        log.bind(detail=str(exc)).info("report_failed")
+        return 0 if is_refused(exc) else None
+    return report.born or None
+
+
 class ReportSink:
     """Sink that fetches each report in its own green thread.
 
