Resume a stream from an earlier copy when its engine ends during the last one

The handle of a copy that was made while the run went on was thrown away.

The attempt keeps the newest one, and Resume uses it where no mirror can be used: when the stream breaks, when the engine is gone, or when repeated orders stay without an answer. It is not used when the engine answers that it could not copy the run, as the run may go on there. A stream is no longer given up while an order is in flight, so that a late answer never frees a copy in use.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -155,7 +155,7 @@
       | loss                          | answer                              | outcome |
       | the final copy gets no answer | the engine copies its run 1 times   | resumed |
       | the final copy gets no answer | the engine has stopped its run but could not copy it | resumed |
-      | the final copy gets no answer | the engine knows no such run        | lost    |
+      | the final copy gets no answer | the engine knows no such run        | resumed |
       | the final copy gets no answer | the engine could not copy its run   | lost    |
 
   Scenario: A run that no final copy has reached may have ended by itself
@@ -169,7 +169,7 @@
     And the connection of the stream, which has no length, ends
     Then the summary is complete
 
-  Scenario Outline: A stream whose final copy stays without an answer is given up, not left open
+  Scenario Outline: A stream whose final copy stays without an answer resumes from an earlier copy
     Given the engines engine-a
     And a summary that got the events 1 to 10
     And the engines engine-b
@@ -177,6 +177,23 @@
     And the engine copies its run 2 times
     And <end>
     And the final copies get no answers for 6 seconds
+    Then the summary is resumed
+    And it continues at the other engine from a copy up to event 10
+
+    Examples:
+      | end                                                         |
+      | the connection of the stream, which has no length, ends     |
+      | its engine breaks the connection                            |
+
+  Scenario Outline: A stream whose copies can't be used is given up, not left open
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And <end>
+    And the domain of the copy's target is out
+    And the final copies get no answers for 6 seconds
     Then the summary is lost
 
     Examples:
@@ -184,6 +201,29 @@
       | the connection of the stream, which has no length, ends     |
       | its engine breaks the connection                            |
 
+  Scenario Outline: A stream resumes from an earlier copy when its engine ends
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run <n> times
+    And <end>
+    Then it continues at the other engine from a copy up to event 10
+    And the caller has the events 1 to 20 once, when 11 to 20 follow
+
+    Examples:
+      | n | end                                                  |
+      | 1 | its engine breaks the connection                     |
+      | 2 | its engine breaks the connection and is gone         |
+
+  Scenario: A stream that breaks before its first copy is lost
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And its engine breaks the connection
+    Then the summary is lost
+
   Scenario Outline: A final copy whose engine is forgotten decides about the stream all the same
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/features/final_copies.feature
+++ b/features/final_copies.feature
@@ -13,15 +13,15 @@
     Examples:
       | answers                                       | n  |
       | soundly                                       | 10 |
-      | not at all                                    | 0  |
+      | not at all                                    | 10 |
       | not at all, then soundly                      | 10 |
       | never, then soundly                           | 10 |
       | unreadably, then soundly                      | 10 |
-      | with 503 and no handle                        | 0  |
+      | with 503 and no handle                        | 10 |
       | with 503 and no handle, then soundly          | 10 |
       | with 409, then soundly                        | 10 |
       | with 404 as the run has finished              | 10 |
-      | with 404 as another process                   | 0  |
+      | with 404 as another process                   | 1  |
 
   Scenario Outline: Streams whose engine ends and <how> are not whole
     Given a gateway process and an engine whose streams have no length
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -117,6 +117,15 @@
     context.edge.push(AttemptBroke(_last_dispatch(context).attempt_id, "reset"))
 
 
+@when("its engine breaks the connection and is gone")
+def end_engine(context: Context) -> None:
+    break_connection(context)
+    request = context.edge.last_message(CopyRequested)
+    context.edge.push(
+        CopyAnswered(request, is_done=False, is_sent=False, is_engine_gone=True)
+    )
+
+
 @when("its mirror answers with status {status:d}")
 def answer_without_stream(context: Context, status: int) -> None:
     context.edge.answer_attempt(_last_dispatch(context).attempt_id, status)
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -10,7 +10,7 @@
     Event,
 )
 from .call import Call, GenerationSize
-from .copy import CopyAnswered, CopyDropped, CopyRequested, CopySource
+from .copy import CopyAnswered, CopyDropped, CopyRequested, CopySource, RunCopy
 from .crash import EndpointEnded
 from .dispatch import Cancel, Dispatch
 from .notice import EndpointNotice, LimitChanged
@@ -91,6 +91,7 @@
     "RolloutWriteRequested",
     "RolloutWritten",
     "Routed",
+    "RunCopy",
     "StoreAnswered",
     "StoreFailed",
     "StoreRestored",
--- a/hawthornyard/edge/messages/copy.py
+++ b/hawthornyard/edge/messages/copy.py
@@ -20,6 +20,23 @@
         self.last_event = last_event
 
 
+class RunCopy(Message):
+    """A copy of a run that continued, from which its stream can resume.
+
+    Attributes:
+        endpoint: Name of the engine that holds the copy.
+        address: "address:port" of the engine that made it.
+        handle: Handle of the copy.
+    """
+
+    __slots__ = ("endpoint", "address", "handle")
+
+    def __init__(self, endpoint: str, address: str, handle: str) -> None:
+        self.endpoint = endpoint
+        self.address = address
+        self.handle = handle
+
+
 class CopyRequested(Message):
     """A request to an engine to copy a run to another engine.
 
@@ -79,6 +96,8 @@
         is_inconclusive: Whether it does not tell if the copy was or will be made: no
             answer could be read, or an earlier order is still being carried out.
         is_sent: Whether the engine may have received the request.
+        is_engine_gone: Whether nothing listens at the engine's address, or another
+            incarnation does.
         detail: The engine's answer, or the error.
         seconds: Duration of the copy.
     """
@@ -90,6 +109,7 @@
         "is_unknown",
         "is_inconclusive",
         "is_sent",
+        "is_engine_gone",
         "detail",
         "seconds",
     )
@@ -103,6 +123,7 @@
         is_unknown: bool = False,
         is_inconclusive: bool = False,
         is_sent: bool = True,
+        is_engine_gone: bool = False,
         detail: str = "",
         seconds: float = 0.0,
     ) -> None:
@@ -112,6 +133,7 @@
         self.is_unknown = is_unknown
         self.is_inconclusive = is_inconclusive
         self.is_sent = is_sent
+        self.is_engine_gone = is_engine_gone
         self.detail = detail
         self.seconds = seconds
 
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -6,7 +6,7 @@
 from ..deployment import RouteRule
 from .answer import AttemptAnswered, AttemptBroke, AttemptEnded
 from .call import Call
-from .copy import CopyRequested
+from .copy import CopyRequested, RunCopy
 
 AttemptEnd = AttemptAnswered | AttemptBroke | AttemptEnded
 """Message that ends an attempt which had begun to answer."""
@@ -28,6 +28,8 @@
         is_resumed: Whether it resumes from a copy of an earlier attempt's run.
         n_final_copies: Number of final copies that were ordered of its run and may have
             stopped it.
+        copy: Newest copy of its run, made while the run continued; None if there is
+            none.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         "n_prefill_ahead",
         "is_resumed",
         "n_final_copies",
+        "copy",
     )
 
     def __init__(
@@ -60,6 +63,7 @@
         self.n_prefill_ahead = 0
         self.is_resumed = is_resumed
         self.n_final_copies = 0
+        self.copy: RunCopy | None = None
 
 
 class Migration(Message):
--- a/hawthornyard/edge/streams/final_copy.py
+++ b/hawthornyard/edge/streams/final_copy.py
@@ -29,9 +29,9 @@
 REPEAT_DELAY_S = 0.2
 # Timeout of the orders after the first, which find most of the copy made.
 REPEAT_TIMEOUT_S = 1.0
-# Longest time for which the end of a stream waits for the answer to a final copy. It
-# covers the timeouts of the first two orders.
-MAX_HOLD_S = 4.5
+# Time after the end of a stream in which final copies may be ordered again. It covers
+# the timeout of the first order.
+MAX_HOLD_S = 3.5
 
 
 class FinalCopies:
@@ -124,6 +124,9 @@
             has_finished = msg.is_unknown and attempt.n_final_copies == 1
             if has_finished:
                 attempt.n_final_copies = 0
+            elif not (msg.is_unknown or msg.is_engine_gone):
+                # An engine that still has the run may go on with it.
+                attempt.copy = None
             request.migration = None
             if migration.end is not None:
                 yield migration.end if has_finished else _as_break(migration.end)
@@ -135,6 +138,7 @@
         request.migration = None
         if endpoint is None:
             # The engine is about to stop, and has closed the stream for the final copy.
+            attempt.copy = None
             yield AttemptBroke(
                 attempt.attempt_id,
                 "the run stopped for its final copy and can't be resumed",
@@ -206,12 +210,12 @@
     ) -> Iterator[Message]:
         """Order a final copy again if that is due, or give the stream up."""
         now = self._clock.now()
+        if migration.order is None or migration.repeat_at is None:
+            return
         if migration.end is not None and now - migration.ended_at >= MAX_HOLD_S:
             request.migration = None
             yield _as_break(migration.end)
             return
-        if migration.order is None or migration.repeat_at is None:
-            return
         if now < migration.repeat_at:
             return
         order = CopyRequested(
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -15,6 +15,7 @@
     EndpointRetired,
     Migration,
     Request,
+    RunCopy,
 )
 from .candidates import CopyCandidates
 from .departure import Departure
@@ -162,6 +163,10 @@
         endpoint = self._endpoints.get(msg.copy_request.source_name)
         if not msg.copy_request.is_final:
             target = self._endpoints.get(request.migration.target)
+            if msg.is_done and msg.handle and request.attempt is not None:
+                request.attempt.copy = RunCopy(
+                    request.migration.target, msg.copy_request.source, msg.handle
+                )
             if msg.is_done and endpoint is not None and target is not None:
                 request.migration.n_copies += 1
                 yield from self._request_copy(request, endpoint, target)
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -1,4 +1,4 @@
-"""Resume streams at their mirrors when their endpoint is lost."""
+"""Resume streams from their mirrors and copies when their endpoint is lost."""
 
 from collections.abc import Iterator
 
@@ -7,12 +7,12 @@
 from ..eligibility import Eligibility
 from ..endpoints import BROKEN_BACKOFF_S, Endpoints
 from ..inflight import InFlight
-from ..messages import AttemptBroke
+from ..messages import Attempt, AttemptBroke, Request, RunCopy
 from .resumption import Resumption
 
 
 class Resume:
-    """Filter that resumes broken streams at their mirrors.
+    """Filter that resumes broken streams at their mirrors, else from their copies.
 
     Args:
         inflight: Requests that are not answered yet.
@@ -54,24 +54,37 @@
             return
         if request.has_begun:
             self._endpoints.back_off(request.attempt.endpoint, BROKEN_BACKOFF_S)
-        mirror = self._endpoints.get(request.attempt.mirror)
-        is_accused = self._evidence.accused_part(request.shared_parts) is not None
-        if request.is_suspect or is_accused:
-            # It may end the mirror as well.
-            mirror = None
-        if mirror is None or not self._eligibility.may_resume_at(mirror):
+        source = self._find_source(request, request.attempt)
+        if source is None:
             yield msg
             return
         yield Decision(
             "stream_resumed",
             request_id=request.request_id,
             reason=msg.detail,
-            endpoint=mirror.name,
+            endpoint=source.endpoint,
             before=request.attempt.endpoint,
             n_events=request.last_event,
         )
         request.n_runs = max(1, request.n_runs)
-        address = mirror.entry.address
-        yield self._resumption.begin_attempt(
-            request, mirror, address, request.request_id
-        )
+        endpoint = self._endpoints.get(source.endpoint)
+        if endpoint is not None:
+            yield self._resumption.begin_attempt(
+                request, endpoint, source.address, source.handle
+            )
+
+    def _find_source(self, request: Request, attempt: Attempt) -> RunCopy | None:
+        """Return the copy from which a broken stream resumes, None if there is none."""
+        is_accused = self._evidence.accused_part(request.shared_parts) is not None
+        if request.is_suspect or is_accused:
+            # It may end the next engine as well.
+            return None
+        mirror = self._endpoints.get(attempt.mirror)
+        if mirror is not None and self._eligibility.may_resume_at(mirror):
+            return RunCopy(mirror.name, mirror.entry.address, request.request_id)
+        # Of a run that was being migrated, the target has what the last copy brought.
+        copy = attempt.copy
+        target = self._endpoints.get(copy.endpoint) if copy is not None else None
+        if target is not None and self._eligibility.may_resume_at(target):
+            return copy
+        return None
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -55,9 +55,9 @@
             answered = CopyAnswered(
                 msg,
                 is_done=False,
-                # Where nothing listens, the engine has ended, and its runs with it.
                 is_inconclusive=not is_refused(exc),
                 is_sent=False,
+                is_engine_gone=is_refused(exc),
                 detail=f"connection failed: {exc}",
             )
         else:
@@ -85,12 +85,14 @@
             born = read_born(msg.source_name, msg.source)
         # Another incarnation never knew the run; its answer tells nothing of it.
         is_same = bool(born) and born == msg.source_born
+        is_other = born is not None and not is_same
         return CopyAnswered(
             msg,
             is_done=answer.status == _OK,
             handle=handle,
             is_unknown=is_missing and (is_same or not msg.is_final),
             is_inconclusive=msg.is_final and not handle and born is None,
+            is_engine_gone=is_other,
             detail=f"the engine answered with status {answer.status}",
             seconds=self._notices.now() - asked_at,
         )
