--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -281,6 +281,17 @@
     And its engine answers without a length
     Then the summary is lost
 
+  Scenario: A stream that was moved and is refused by the target is not run anew
+    Given the engines engine-a
+    And a summary that was sent
+    And the engines engine-b and engine-c
+    When engine-a drains
+    And the engine copies its run 3 times
+    And the endpoint refuses the attempt
+    And 0.3 seconds go by
+    Then 2 attempts were sent for it
+    And the summary fails as outcome_unknown
+
   Scenario: A run whose final copy failed is resumed at its leaving engine only for a short time
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/hawthornyard/edge/streams/resume.py
+++ b/hawthornyard/edge/streams/resume.py
@@ -66,7 +66,6 @@
             before=request.attempt.endpoint,
             n_events=request.last_event,
         )
-        request.n_runs = max(1, request.n_runs)
         endpoint = self._endpoints.get(source.endpoint)
         if endpoint is not None:
             yield self._resumption.begin_attempt(
--- a/hawthornyard/edge/streams/resumption.py
+++ b/hawthornyard/edge/streams/resumption.py
@@ -42,6 +42,8 @@
         """
         endpoint.allowance.note_send()
         request.migration = None
+        # The copied run has begun, so the request must not be run anew.
+        request.n_runs = max(1, request.n_runs)
         mirror = self._mirroring.choose(request, endpoint)
         self._inflight.end_attempt(request)
         attempt = self._inflight.begin_attempt(
