End a migration together with the attempt whose run it moves

It was never copied when its engine left, and with a final copy its end was held until the deadline. InFlight.end_attempt forgets the migration now, in one place. The scenario orders one copy on and two with the change.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -292,6 +292,16 @@
     Then 2 attempts were sent for it
     And the summary fails as outcome_unknown
 
+  Scenario: A request that an engine refuses while its run is copied can be copied at the next
+    Given the engines engine-a
+    And a summary that was sent
+    And the engines engine-b
+    When engine-a drains
+    And the endpoint refuses the attempt
+    And 0.3 seconds go by
+    And an engine engine-c joins and engine-b drains
+    Then copies were ordered of engine-a and of the engine that runs it now
+
   Scenario: A run whose final copy failed is resumed at its leaving engine only for a short time
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -157,6 +157,12 @@
     context.edge.push(AttemptEnded(attempt_id, is_delimited=False))
 
 
+@when("an engine {new} joins and {old} drains")
+def replace_target(context: Context, new: str, old: str) -> None:
+    add_new_engine(context, new)
+    drain(context, old)
+
+
 @when("{name} drains")
 def drain(context: Context, name: str) -> None:
     if name == "the engine that runs it":
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -161,6 +161,13 @@
     assert len(asked) == n, asked
 
 
+@then("copies were ordered of {name} and of the engine that runs it now")
+def check_copy_sources(context: Context, name: str) -> None:
+    current = context.edge.dispatches(context.call_id)[-1].endpoint
+    sources = [msg.source_name for msg in context.edge.messages_of(CopyRequested)]
+    assert sources == [name, current], sources
+
+
 @then("nothing was sent to the copy's target")
 def check_not_target(context: Context) -> None:
     target = context.edge.last_message(CopyRequested).target
--- a/hawthornyard/edge/inflight.py
+++ b/hawthornyard/edge/inflight.py
@@ -82,6 +82,7 @@
         if attempt is None:
             return
         request.attempt = None
+        request.migration = None
         self._by_attempt.pop(attempt.attempt_id, None)
         endpoint = self._endpoints.get(attempt.endpoint)
         if endpoint is not None:
--- a/hawthornyard/edge/streams/resumption.py
+++ b/hawthornyard/edge/streams/resumption.py
@@ -41,7 +41,6 @@
             handle: Handle of the copy, the request id if it is a mirror's.
         """
         endpoint.allowance.note_send()
-        request.migration = None
         # The copied run has begun, so the request must not be run anew.
         request.n_runs = max(1, request.n_runs)
         mirror = self._mirroring.choose(request, endpoint)
