Take no stream that a final copy stopped for a crash or a bad response

Both listened before the end was judged. The crash filters pass over runs that a final copy may have stopped, and CountResponses comes after FinalCopies. The scenario finds endpoint_crashed on and none with the change.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -302,6 +302,15 @@
     And an engine engine-c joins and engine-b drains
     Then copies were ordered of engine-a and of the engine that runs it now
 
+  Scenario: An engine that stops a run for its final copy is not taken for one that ended
+    Given the engines engine-a
+    And a summary with shared parts whose answer began
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And its engine breaks the connection after the head
+    Then no endpoint counts as ended
+
   Scenario: A run whose final copy failed is resumed at its leaving engine only for a short time
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -100,6 +100,13 @@
     context.sent_at = _last_dispatch(context).endpoint
 
 
+@given("a summary with shared parts whose answer began")
+def begin_shared_summary(context: Context) -> None:
+    context.call_id = context.edge.call("summary", prefix=["group-1", "own"])
+    context.sent_at = _last_dispatch(context).endpoint
+    context.edge.begin_stream(_last_dispatch(context).attempt_id)
+
+
 @given("a summary that got the events {first:d} to {last:d}")
 def begin_summary(context: Context, first: int, last: int) -> None:
     send_summary(context)
@@ -163,6 +170,13 @@
     drain(context, old)
 
 
+@when("its engine breaks the connection after the head")
+def break_after_head(context: Context) -> None:
+    context.edge.push(
+        AttemptBroke(_last_dispatch(context).attempt_id, "reset", has_begun=True)
+    )
+
+
 @when("{name} drains")
 def drain(context: Context, name: str) -> None:
     if name == "the engine that runs it":
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -6,6 +6,7 @@
 from behave.runner import Context
 
 from features.support.edge import ENGINE
+from hawthornyard.core import Decision
 from hawthornyard.edge.messages import Cancel, CopyDropped, CopyRequested, Dispatch
 from hawthornyard.frames import GatewayLoads
 from hawthornyard.gateway.messages import ReplyEnded, ReplyFailed, ReplyResponse
@@ -168,6 +169,14 @@
     assert sources == [name, current], sources
 
 
+@then("no endpoint counts as ended")
+def check_none_ended(context: Context) -> None:
+    events = [msg.name for msg in context.edge.messages_of(Decision)]
+    assert "endpoint_crashed" not in events, events
+    request = context.edge.state.inflight.by_call(context.call_id)
+    assert not request.is_suspect
+
+
 @then("nothing was sent to the copy's target")
 def check_not_target(context: Context) -> None:
     target = context.edge.last_message(CopyRequested).target
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -195,7 +195,6 @@
             state.directory,
             clock,
         ),
-        CountResponses(state.rollouts, state.inflight, clock),
         Migrate(
             state.inflight,
             state.endpoints,
@@ -217,6 +216,8 @@
             resumption,
             clock,
         ),
+        # Counts a break only if the gateway has not ordered it.
+        CountResponses(state.rollouts, state.inflight, clock),
         Resume(
             state.inflight,
             state.endpoints,
--- a/hawthornyard/edge/fleet/confirm.py
+++ b/hawthornyard/edge/fleet/confirm.py
@@ -39,7 +39,7 @@
         msg: The end of its attempt.
         now: Monotonic time in seconds.
     """
-    if not request.shared_parts or not msg.has_begun:
+    if not request.shared_parts or not msg.has_begun or request.may_be_stopped:
         return False
     return request.writing_s(now) < JUST_BEGUN_S
 
@@ -115,6 +115,10 @@
         if request is None or request.writing_s(now) >= EARLY_ANSWER_S:
             yield msg
             return
+        if request.may_be_stopped:
+            # The engine closes the stream of a run that it stops for its final copy.
+            yield msg
+            return
         # What may have ended an endpoint before is not sent to another one.
         request.is_suspect = self._evidence.are_suspected(request.shared_parts)
         if request.shared_parts and not has_just_begun(request, msg, now):
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -244,6 +244,11 @@
             return 0.0
         return now - attempt.first_event_at
 
+    @property
+    def may_be_stopped(self) -> bool:
+        """Return whether a final copy was ordered that may have stopped its run."""
+        return self.attempt is not None and self.attempt.n_final_copies > 0
+
     @property
     def may_rerun(self) -> bool:
         """Return whether it may be retried after an attempt that may have run."""
