--- a/features/edge_adapter.feature
+++ b/features/edge_adapter.feature
@@ -30,6 +30,10 @@
       | the refusal of another without id | closes | 502    |
       | a status of 000               | closes | 502    |
       | a status of 600               | closes | 502    |
+      | a length that is no number    | closes | 502    |
+      | a negative length             | closes | 502    |
+      | two lengths                   | closes | 502    |
+      | a coding beside the chunks    | closes | 502    |
       | a refusal of status 600       | closes | 502    |
       | no HTTP                       | closes | 502    |
       | nothing                       | closes | 502    |
--- a/features/steps/edge_adapter.py
+++ b/features/steps/edge_adapter.py
@@ -57,6 +57,20 @@
     "an encoded answer": b"HTTP/1.1 200 OK\r\n"
     + SIGNATURE_HEADERS
     + b"Content-Encoding: gzip\r\nContent-Length: 4\r\n\r\nbody",
+    "a length that is no number": b"HTTP/1.1 200 OK\r\n"
+    + SIGNATURE_HEADERS
+    + b"Content-Length: four\r\n\r\nbody",
+    "a negative length": b"HTTP/1.1 200 OK\r\n"
+    + SIGNATURE_HEADERS
+    + b"Content-Length: -1\r\n\r\nbody",
+    "two lengths": b"HTTP/1.1 200 OK\r\n"
+    + SIGNATURE_HEADERS
+    + b"Content-Length: 4\r\nContent-Length: 2\r\n\r\nbody",
+    "a coding beside the chunks": b"HTTP/1.1 200 OK\r\n"
+    + SIGNATURE_HEADERS
+    + b"Transfer-Encoding: gzip, chunked\r\n\r\n"
+    + chunk(b"body")
+    + LAST_CHUNK,
     "a failure of its own": b"HTTP/1.1 500 Oops\r\n"
     + SIGNATURE_HEADERS
     + b"Content-Length: 4\r\n\r\nbody",
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -220,6 +220,15 @@
 def _check_response(resp: Any) -> None:
     if resp.headers.get("Content-Encoding"):
         raise EndpointError("the response has a Content-Encoding, expected none")
+    lengths = set(resp.headers.getlist("Content-Length"))
+    for length in lengths:
+        if not length.isascii() or not length.isdigit() or len(lengths) > 1:
+            raise EndpointError(f"Content-Length is {length[:100]!r}, expected digits")
+    coding = resp.headers.get("Transfer-Encoding", "chunked")
+    if coding.lower() != "chunked":
+        raise EndpointError(
+            f"Transfer-Encoding is {coding[:100]!r}, expected chunked or none"
+        )
     if resp.status < 300 and not resp.headers.get(SIGNATURE_HEADER):
         raise EndpointError("the response has no signature of the endpoint")
 
