Judge each end without length by its engine, its deadline and all its orders

A status 404 whose report came late made the order count twice, so that the next 404 lost a finished stream. The order named the incarnation of the newest entry, not the one that ran the stream. A repeated order went to a target that had left, and the copy of a run that could not be resumed was not freed. Repeats came every 0.2 s without a bound.

The adapter now only tells which incarnation answers after an end or a 404, and FinalCopies decides: an end at the deadline is left to Expire, an order that was answered 404 or was never sent stopped nothing, the attempt keeps the incarnation that it was sent to, a repeat chooses its target anew and the pause between repeats doubles up to 1.6 s.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -281,6 +281,25 @@
     And its engine answers without a length
     Then the summary is lost
 
+  Scenario: A stream without length or chunks that ends at its deadline is not complete
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    When the connection of the stream, which has no length, ends 0.01 s before its deadline
+    And 0.1 seconds go by
+    Then the summary fails as deadline_after_start
+
+  Scenario Outline: A stream without length or chunks whose engine has ended is not complete
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    When the connection of the stream, which has no length, ends and <who> answers there
+    Then the summary is <outcome>
+
+    Examples:
+      | who                 | outcome  |
+      | nobody              | lost     |
+      | another incarnation | lost     |
+      | the same            | complete |
+
   Scenario: A stream that was moved and is refused by the target is not run anew
     Given the engines engine-a
     And a summary that was sent
@@ -302,6 +321,36 @@
     And an engine engine-c joins and engine-b drains
     Then copies were ordered of engine-a and of the engine that runs it now
 
+  Scenario: The final copy is ordered of the incarnation to which the request was sent
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 1 times
+    And engine-a starts anew and drains
+    And the engine copies its run 1 times
+    Then the last copy is ordered of the first incarnation
+
+  Scenario: A final copy that is ordered again goes to another engine if the target leaves
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And an engine engine-c joins and engine-b drains
+    And the final copy gets no answer
+    Then the last copy goes to engine-c
+
+  Scenario: The copy of a stopped run that can't be resumed is freed
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And the engines engine-b
+    When engine-a drains
+    And the engine copies its run 2 times
+    And 1.2 seconds go by
+    And the engine has stopped its run but could not copy it
+    Then the copy is freed
+
   Scenario: An engine that stops a run for its final copy is not taken for one that ended
     Given the engines engine-a
     And a summary with shared parts whose answer began
--- a/features/final_copies.feature
+++ b/features/final_copies.feature
@@ -35,6 +35,13 @@
       | another one answers at its address  |
       | nothing listens at its address      |
 
+  Scenario: Streams whose engine stops at their deadline are not whole
+    Given a gateway process and an engine whose streams have no length
+    And 10 streams with a deadline of 1.5 s that have begun
+    When nothing disturbs the engine
+    Then no part of a stream passes for the whole
+    And 0 streams are whole
+
   Scenario: Streams without a length that end by themselves are whole
     Given a gateway process and an engine whose streams have no length
     And 10 streams that have begun
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -24,6 +24,7 @@
 from hawthornyard.gateway.messages import CallerGone
 
 HANDLE = "copy-1"
+BORN = 1_700_000_000_000
 
 
 def _split_names(text: str) -> list[str]:
@@ -129,7 +130,7 @@
     break_connection(context)
     request = context.edge.last_message(CopyRequested)
     context.edge.push(
-        CopyAnswered(request, is_done=False, is_sent=False, is_engine_gone=True)
+        CopyAnswered(request, is_done=False, may_have_stopped=False, born=0)
     )
 
 
@@ -164,6 +165,35 @@
     context.edge.push(AttemptEnded(attempt_id, is_delimited=False))
 
 
+@when("the connection of the stream, which has no length, ends and {who} answers there")
+def end_and_probe(context: Context, who: str) -> None:
+    born = {"nobody": 0, "another incarnation": BORN + 1, "the same": BORN}[who]
+    dispatch = _last_dispatch(context)
+    context.edge.state.inflight.by_attempt(dispatch.attempt_id).attempt.born = BORN
+    context.edge.push(
+        AttemptEnded(dispatch.attempt_id, is_delimited=False, born_after=born)
+    )
+
+
+@when(
+    "the connection of the stream, which has no length, "
+    "ends {seconds:g} s before its deadline"
+)
+def end_at_deadline(context: Context, seconds: float) -> None:
+    request = context.edge.state.inflight.by_call(context.call_id)
+    context.edge.clock.advance(request.deadline - seconds - context.edge.clock.now())
+    end_undelimited_stream(context)
+
+
+@when("{name} starts anew and drains")
+def restart_and_drain(context: Context, name: str) -> None:
+    endpoint = context.edge.state.endpoints.get(name)
+    domain = endpoint.entry.failure_domain
+    context.edge.add_endpoint(
+        name, is_draining=True, failure_domain=domain, born=BORN + 1
+    )
+
+
 @when("an engine {new} joins and {old} drains")
 def replace_target(context: Context, new: str, old: str) -> None:
     add_new_engine(context, new)
@@ -267,7 +297,7 @@
             request,
             is_done=False,
             is_inconclusive=True,
-            is_sent=False,
+            may_have_stopped=False,
             detail="timed out",
         )
     )
--- a/features/steps/edge_checks.py
+++ b/features/steps/edge_checks.py
@@ -169,6 +169,21 @@
     assert sources == [name, current], sources
 
 
+@then("the last copy is ordered of the first incarnation")
+def check_copy_born(context: Context) -> None:
+    dispatch = context.edge.dispatches(context.call_id)[-1]
+    order = context.edge.last_message(CopyRequested)
+    assert order.is_final, order
+    assert order.source_born == dispatch.born, order
+
+
+@then("the last copy goes to {name}")
+def check_last_target(context: Context, name: str) -> None:
+    asked = context.edge.messages_of(CopyRequested)
+    assert asked[-1].is_final, asked
+    assert asked[-1].target == f"{name}:80", asked
+
+
 @then("no endpoint counts as ended")
 def check_none_ended(context: Context) -> None:
     events = [msg.name for msg in context.edge.messages_of(Decision)]
--- a/features/steps/final_copies.py
+++ b/features/steps/final_copies.py
@@ -29,6 +29,12 @@
     context.world.begin_streams()
 
 
+@given("{n:d} streams with a deadline of {seconds:g} s that have begun")
+def begin_short_streams(context: Context, n: int, seconds: float) -> None:
+    context.world.deadline_ms = int(seconds * 1000)
+    begin_streams(context, n)
+
+
 @when("the engine leaves and answers the orders of final copies {answers}")
 def leave(context: Context, answers: str) -> None:
     context.world.first.answers = answers.split(", then ")
--- a/features/support/undelimited.py
+++ b/features/support/undelimited.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -19,6 +20,7 @@
     PROMPT_PREFIX_HEADER,
     REPORT_PATH,
     REQUEST_ID_HEADER,
+    TIMEOUT_MS_HEADER,
     TOKEN_COUNTS_HEADER,
 )
 from soak.deployment import operator_config
@@ -47,15 +49,15 @@
     Attributes:
         n_made: Number of the newest event.
         is_stopped: Whether it was stopped for its final copy.
-        is_hurried: Whether the rest of it is made without pauses.
+        is_unpaced: Whether the rest of it is made without pauses.
     """
 
-    __slots__ = ("is_hurried", "is_stopped", "n_made")
+    __slots__ = ("is_unpaced", "is_stopped", "n_made")
 
     def __init__(self, n_made: int) -> None:
         self.n_made = n_made
         self.is_stopped = False
-        self.is_hurried = False
+        self.is_unpaced = False
 
 
 class UndelimitedEngine:
@@ -152,14 +154,17 @@
                 return
             first = int(headers[LAST_EVENT_ID_HEADER.lower()]) + 1
         run = self.runs[request_id] = Run(first - 1)
+        deadline = time.monotonic() + int(headers[TIMEOUT_MS_HEADER.lower()]) / 1000
         sock.sendall(_STREAM_HEAD.replace(b"{id}", request_id.encode()) + b"\r\n")
         while run.n_made < N_EVENTS and not run.is_stopped:
-            if not run.is_hurried:
+            if not run.is_unpaced:
                 eventlet.sleep(STEP_S)
+            if time.monotonic() >= deadline:
+                run.is_stopped = True
             if not run.is_stopped:
                 run.n_made += 1
                 sock.sendall(event(run.n_made))
-        if run.is_stopped:
+        if run.is_stopped and time.monotonic() < deadline:
             eventlet.sleep(CLOSE_DELAY_S)
         else:
             self.runs.pop(request_id, None)
@@ -207,7 +212,7 @@
         _send_json(sock, "409 Conflict", {})
 
     def _finish_run(self, sock: Any, request_id: str, run: Run) -> None:
-        run.is_hurried = True
+        run.is_unpaced = True
         while request_id in self.runs:
             eventlet.sleep(STEP_S)
         _send_json(sock, "404 Not Found", {})
@@ -222,15 +227,17 @@
 
     Attributes:
         answers: What each client got.
+        deadline_ms: Deadline that the clients name.
         first: The engine that runs the streams until it leaves.
         second: The other engine.
         gateway: The gateway process.
     """
 
-    __slots__ = ("_threads", "answers", "first", "gateway", "second")
+    __slots__ = ("_threads", "answers", "deadline_ms", "first", "gateway", "second")
 
     def __init__(self, folder: Path) -> None:
         self.answers: list[bytes] = []
+        self.deadline_ms = 20_000
         self._threads: list[Any] = []
         copies: dict[str, int] = {}
         self.first = UndelimitedEngine(copies)
@@ -277,7 +284,7 @@
     def _read_stream(self, index: int) -> bytes:
         headers = [
             f"{REQUEST_ID_HEADER}: r-{index}",
-            "X-Hawthornyard-Deadline-Ms: 20000",
+            f"{TIMEOUT_MS_HEADER}: {self.deadline_ms}",
             f"{TOKEN_COUNTS_HEADER}: 100,{4 * N_EVENTS}",
             f"{PROMPT_PREFIX_HEADER}: {index:x}:100",
             "X-Hawthornyard-Model: m",
--- a/hawthornyard/edge/chain.py
+++ b/hawthornyard/edge/chain.py
@@ -155,6 +155,13 @@
         clock,
     )
     resumption = Resumption(state.inflight, mirroring, clock)
+    candidates = CopyCandidates(
+        state.endpoints,
+        state.eligibility,
+        sampling,
+        state.directory,
+        state.crash_evidence,
+    )
     return [
         FollowStore(clock),
         FollowDeployment(state.directory, clock),
@@ -199,19 +206,14 @@
             state.inflight,
             state.endpoints,
             state.eligibility,
-            CopyCandidates(
-                state.endpoints,
-                state.eligibility,
-                sampling,
-                state.directory,
-                state.crash_evidence,
-            ),
+            candidates,
             clock,
         ),
         FinalCopies(
             state.inflight,
             state.endpoints,
             state.eligibility,
+            candidates,
             state.pace,
             resumption,
             clock,
--- a/hawthornyard/edge/inflight.py
+++ b/hawthornyard/edge/inflight.py
@@ -70,6 +70,7 @@
         self._by_attempt[attempt.attempt_id] = request
         known_endpoint = self._endpoints.get(endpoint)
         if known_endpoint is not None:
+            attempt.born = known_endpoint.entry.born
             known_endpoint.requests[attempt.attempt_id] = request
         mirror_endpoint = self._endpoints.get(mirror)
         if mirror_endpoint is not None:
--- a/hawthornyard/edge/messages/__init__.py
+++ b/hawthornyard/edge/messages/__init__.py
@@ -4,6 +4,7 @@
     AttemptAnswered,
     AttemptBegan,
     AttemptBroke,
+    AttemptEnd,
     AttemptEnded,
     AttemptEvents,
     AttemptRefused,
@@ -17,7 +18,7 @@
 from .pace import PaceRead, ProbeRequested
 from .reply import ReplyBegan, ReplyEvents
 from .report import ReportFailed, ReportRead, ReportRequested
-from .request import Attempt, AttemptEnd, Migration, Request
+from .request import Attempt, Migration, Request
 from .rollout import (
     EndpointRetired,
     RolloutCallFailed,
--- a/hawthornyard/edge/messages/answer.py
+++ b/hawthornyard/edge/messages/answer.py
@@ -50,13 +50,22 @@
         attempt_id: Identifier of the attempt.
         is_delimited: Whether the stream told its end, by a length or a last chunk; else
             its connection ended after a whole event.
+        born_after: Incarnation that answers at the endpoint's address after the end, 0
+            if nothing listens there, None if that is not known.
     """
 
-    __slots__ = ("attempt_id", "is_delimited")
+    __slots__ = ("attempt_id", "is_delimited", "born_after")
 
-    def __init__(self, attempt_id: str, *, is_delimited: bool = True) -> None:
+    def __init__(
+        self,
+        attempt_id: str,
+        *,
+        is_delimited: bool = True,
+        born_after: int | None = None,
+    ) -> None:
         self.attempt_id = attempt_id
         self.is_delimited = is_delimited
+        self.born_after = born_after
 
 
 class AttemptAnswered(Message):
@@ -132,3 +141,7 @@
         self.attempt_id = attempt_id
         self.detail = detail
         self.has_begun = has_begun
+
+
+AttemptEnd = AttemptAnswered | AttemptBroke | AttemptEnded
+"""Message that ends an attempt whose answer had begun."""
--- a/hawthornyard/edge/messages/copy.py
+++ b/hawthornyard/edge/messages/copy.py
@@ -92,12 +92,13 @@
         is_done: Whether the target holds the copy.
         handle: Handle to resume from, empty if there is none; an engine that stopped
             the run but could not copy it also gives one.
-        is_unknown: Whether the incarnation that was asked knows no such run.
-        is_inconclusive: Whether it does not tell if the copy was or will be made: no
-            answer could be read, or an earlier order is still being carried out.
-        is_sent: Whether the engine may have received the request.
-        is_engine_gone: Whether nothing listens at the engine's address, or another
-            incarnation does.
+        is_unknown: Whether the engine knows no such run.
+        is_inconclusive: Whether it does not tell what became of the run: there is
+            neither a handle nor a known incarnation that knows no such run.
+        may_have_stopped: Whether this order may have stopped the run; not if it was not
+            sent, or if the engine knows no such run.
+        born: Incarnation that answers at the engine's address, 0 if nothing listens
+            there, None if it was not asked.
         detail: The engine's answer, or the error.
         seconds: Duration of the copy.
     """
@@ -108,8 +109,8 @@
         "handle",
         "is_unknown",
         "is_inconclusive",
-        "is_sent",
-        "is_engine_gone",
+        "may_have_stopped",
+        "born",
         "detail",
         "seconds",
     )
@@ -122,8 +123,8 @@
         handle: str = "",
         is_unknown: bool = False,
         is_inconclusive: bool = False,
-        is_sent: bool = True,
-        is_engine_gone: bool = False,
+        may_have_stopped: bool = True,
+        born: int | None = None,
         detail: str = "",
         seconds: float = 0.0,
     ) -> None:
@@ -132,8 +133,8 @@
         self.handle = handle
         self.is_unknown = is_unknown
         self.is_inconclusive = is_inconclusive
-        self.is_sent = is_sent
-        self.is_engine_gone = is_engine_gone
+        self.may_have_stopped = may_have_stopped
+        self.born = born
         self.detail = detail
         self.seconds = seconds
 
--- a/hawthornyard/edge/messages/request.py
+++ b/hawthornyard/edge/messages/request.py
@@ -4,13 +4,10 @@
 
 from ...core import Message
 from ..deployment import RouteRule
-from .answer import AttemptAnswered, AttemptBroke, AttemptEnded
+from .answer import AttemptEnd
 from .call import Call
 from .copy import CopyRequested, RunCopy
 
-AttemptEnd = AttemptAnswered | AttemptBroke | AttemptEnded
-"""Message that ends an attempt which had begun to answer."""
-
 
 class Attempt(Message):
     """One attempt to run a request at one endpoint.
@@ -18,6 +15,7 @@
     Attributes:
         attempt_id: Identifier of the attempt.
         endpoint: Name of the endpoint.
+        born: Incarnation of the endpoint, a start time in Unix milliseconds.
         mirror: Name of the endpoint that mirrors it, empty for none.
         sent_at: Monotonic time of the dispatch in seconds.
         first_event_at: Monotonic time of its first event in seconds, None before it.
@@ -35,6 +33,7 @@
     __slots__ = (
         "attempt_id",
         "endpoint",
+        "born",
         "mirror",
         "sent_at",
         "first_event_at",
@@ -56,6 +55,7 @@
     ) -> None:
         self.attempt_id = attempt_id
         self.endpoint = endpoint
+        self.born = 0
         self.mirror = mirror
         self.sent_at = sent_at
         self.first_event_at: float | None = None
--- a/hawthornyard/edge/streams/final_copy.py
+++ b/hawthornyard/edge/streams/final_copy.py
@@ -14,24 +14,31 @@
     AttemptEnded,
     Cancel,
     CopyAnswered,
+    CopyDropped,
     CopyRequested,
     Migration,
     Request,
 )
 from ..read_pace import ReadPace
+from .candidates import CopyCandidates
 from .resumption import Resumption
 
 # Longest time after an engine was seen to leave during which it may resume its own run;
 # later it is likely to stop before the run ends.
 SOURCE_RESUME_S = 1.0
-# Delay before a final copy is ordered for the third time or later. The second order
-# goes out at once, as the caller may be waiting for the next event.
+# Delay before a final copy is ordered for the third time; it doubles each further time
+# up to MAX_DOUBLINGS times. The second order goes out at once, as the caller may be
+# waiting for the next event.
 REPEAT_DELAY_S = 0.2
+MAX_DOUBLINGS = 3
 # Timeout of the orders after the first, which find most of the copy made.
 REPEAT_TIMEOUT_S = 1.0
 # Time after the end of a stream in which final copies may be ordered again. It covers
 # the timeout of the first order.
 MAX_HOLD_S = 3.5
+# An engine stops a run at the deadline that it was given, by its own clock and in whole
+# milliseconds.
+DEADLINE_MARGIN_S = 0.02
 
 
 class FinalCopies:
@@ -47,12 +54,14 @@
         inflight: Requests that are not answered yet.
         endpoints: Known endpoints.
         eligibility: Tells which endpoints may still receive streams.
+        candidates: Chooses another target when one has left.
         pace: Tells how late a gateway may learn that an endpoint leaves.
         resumption: Starts the attempts that resume from copies.
         clock: Source of time.
     """
 
     __slots__ = (
+        "_candidates",
         "_clock",
         "_eligibility",
         "_endpoints",
@@ -68,10 +77,12 @@
         inflight: InFlight,
         endpoints: Endpoints,
         eligibility: Eligibility,
+        candidates: CopyCandidates,
         pace: ReadPace,
         resumption: Resumption,
         clock: Clock,
     ) -> None:
+        self._candidates = candidates
         self._inflight = inflight
         self._endpoints = endpoints
         self._eligibility = eligibility
@@ -112,24 +123,34 @@
         attempt, migration = request.attempt, request.migration
         if attempt is None or migration is None:
             return
+        if msg.is_unknown or not msg.may_have_stopped:
+            attempt.n_final_copies -= 1
         if msg.handle:
             yield from self._resume(request, attempt, msg)
         elif msg.is_inconclusive:
-            if not msg.is_sent:
-                attempt.n_final_copies -= 1
-            delay_s = REPEAT_DELAY_S if migration.n_orders > 1 else 0.0
-            migration.repeat_at = self._clock.now() + delay_s
+            migration.repeat_at = self._clock.now() + _repeat_delay_s(migration)
             yield from self._advance(request, attempt, migration)
         else:
-            has_finished = msg.is_unknown and attempt.n_final_copies == 1
-            if has_finished:
-                attempt.n_final_copies = 0
-            elif not (msg.is_unknown or msg.is_engine_gone):
-                # An engine that still has the run may go on with it.
-                attempt.copy = None
-            request.migration = None
-            if migration.end is not None:
-                yield migration.end if has_finished else _as_break(migration.end)
+            yield from self._settle(request, attempt, migration, msg)
+
+    def _settle(
+        self,
+        request: Request,
+        attempt: Attempt,
+        migration: Migration,
+        msg: CopyAnswered,
+    ) -> Iterator[Message]:
+        """Judge the end of a stream by an answer without a handle."""
+        is_gone = _is_gone(attempt, msg.born)
+        has_finished = msg.is_unknown and not is_gone and not attempt.n_final_copies
+        if not has_finished:
+            attempt.n_final_copies = max(1, attempt.n_final_copies)
+        if not msg.is_unknown and not is_gone:
+            # An engine that still has the run may go on with it.
+            attempt.copy = None
+        request.migration = None
+        if migration.end is not None:
+            yield migration.end if has_finished else _as_break(migration.end)
 
     def _resume(
         self, request: Request, attempt: Attempt, msg: CopyAnswered
@@ -139,6 +160,7 @@
         if endpoint is None:
             # The engine is about to stop, and has closed the stream for the final copy.
             attempt.copy = None
+            yield CopyDropped(msg.copy_request.source, msg.handle)
             yield AttemptBroke(
                 attempt.attempt_id,
                 "the run stopped for its final copy and can't be resumed",
@@ -171,10 +193,18 @@
         if msg.is_delimited or request is None or request.attempt is None:
             yield msg
             return
-        yield _undelimited_end(request, request.attempt)
-        if _awaits_answer(request):
+        attempt = request.attempt
+        yield _undelimited_end(request, attempt)
+        if self._clock.now() >= request.deadline - DEADLINE_MARGIN_S:
+            # The engine stopped at the deadline, at which `Expire` fails the request.
+            return
+        born_after = msg.born_after if isinstance(msg, AttemptEnded) else None
+        if _is_gone(attempt, born_after):
+            broke = _as_break(msg, "the engine ended before its stream")
+            yield from self._on_attempt_broke(broke)
+        elif _awaits_answer(request):
             yield from self._hold(request, msg)
-        elif request.attempt.n_final_copies:
+        elif request.may_be_stopped:
             yield _as_break(msg)
         else:
             yield msg
@@ -222,7 +252,7 @@
             attempt.attempt_id,
             request.request_id,
             migration.order.source,
-            migration.order.target,
+            self._target_address(request, attempt, migration, migration.order),
             source_name=migration.order.source_name,
             source_born=migration.order.source_born,
             is_final=True,
@@ -231,19 +261,58 @@
         self._note_order(request, order)
         yield order
 
+    def _target_address(
+        self,
+        request: Request,
+        attempt: Attempt,
+        migration: Migration,
+        order: CopyRequested,
+    ) -> str:
+        """Return where a repeated copy goes, to another engine if the target left."""
+        target = self._endpoints.get(migration.target)
+        source = self._endpoints.get(attempt.endpoint)
+        if source is None or (
+            target is not None and self._eligibility.may_resume_at(target)
+        ):
+            return order.target
+        target = self._candidates.target(request, source)
+        if target is None:
+            return order.target
+        migration.target = target.name
+        return target.entry.address
+
 
 def _awaits_answer(request: Request) -> bool:
     return request.migration is not None and request.migration.is_final
 
 
-def _as_break(end: AttemptEnd) -> AttemptBroke:
+def _is_gone(attempt: Attempt, born: int | None) -> bool:
+    """Return whether the incarnation that ran an attempt has ended.
+
+    Args:
+        attempt: The attempt.
+        born: Incarnation that answers at its address, 0 if nothing listens there, None
+            if that is not known.
+    """
+    if not born:
+        return born == 0
+    return bool(attempt.born) and born != attempt.born
+
+
+def _repeat_delay_s(migration: Migration) -> float:
+    if migration.n_orders == 1:
+        return 0.0
+    delay_s: float = REPEAT_DELAY_S * 2 ** min(migration.n_orders - 2, MAX_DOUBLINGS)
+    return delay_s
+
+
+def _as_break(
+    end: AttemptEnd,
+    detail: str = "the answer ended without its length after a final copy was ordered",
+) -> AttemptBroke:
     if isinstance(end, AttemptBroke):
         return end
-    return AttemptBroke(
-        end.attempt_id,
-        "the answer ended without its length after a final copy was ordered",
-        has_begun=True,
-    )
+    return AttemptBroke(end.attempt_id, detail, has_begun=True)
 
 
 def _undelimited_end(request: Request, attempt: Attempt) -> Decision:
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -146,7 +146,7 @@
             endpoint.entry.address,
             target.entry.address,
             source_name=endpoint.name,
-            source_born=endpoint.entry.born,
+            source_born=request.attempt.born,
             is_final=request.migration.is_final,
             timeout_s=COPY_TIMEOUT_S,
         )
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -56,8 +56,8 @@
                 msg,
                 is_done=False,
                 is_inconclusive=not is_refused(exc),
-                is_sent=False,
-                is_engine_gone=is_refused(exc),
+                may_have_stopped=False,
+                born=0 if is_refused(exc) else None,
                 detail=f"connection failed: {exc}",
             )
         else:
@@ -83,16 +83,14 @@
         born = None
         if is_missing and msg.is_final:
             born = read_born(msg.source_name, msg.source)
-        # Another incarnation never knew the run; its answer tells nothing of it.
-        is_same = bool(born) and born == msg.source_born
-        is_other = born is not None and not is_same
         return CopyAnswered(
             msg,
             is_done=answer.status == _OK,
             handle=handle,
-            is_unknown=is_missing and (is_same or not msg.is_final),
+            is_unknown=is_missing,
             is_inconclusive=msg.is_final and not handle and born is None,
-            is_engine_gone=is_other,
+            may_have_stopped=not is_missing,
+            born=born,
             detail=f"the engine answered with status {answer.status}",
             seconds=self._notices.now() - asked_at,
         )
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -34,6 +34,9 @@
     log = logger.bind(endpoint=endpoint, address=address)
     try:
         answer = call_once("GET", address, REPORT_PATH, "", REPORT_TIMEOUT_S)
+        if answer.status != _OK:
+            log.bind(status=answer.status).info("report_failed")
+            return None
         report = decode_report(endpoint, answer.data)
     except (*CALL_ERRORS, RecordError) as exc:
         log.bind(detail=str(exc)).info("report_failed")
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -182,9 +182,15 @@
         is_delimited = _is_delimited(resp)
         if not is_delimited and not has_events:
             raise EndpointError("the stream ended before its first event")
-        if not is_delimited:
-            _check_alive(msg)
-        self._inbox.put(AttemptEnded(msg.attempt_id, is_delimited=is_delimited))
+        if is_delimited:
+            self._inbox.put(AttemptEnded(msg.attempt_id))
+            return
+        # The system closes the connections of a process that ends, which looks like the
+        # end of a stream without length.
+        born = read_born(msg.endpoint, msg.address)
+        self._inbox.put(
+            AttemptEnded(msg.attempt_id, is_delimited=False, born_after=born)
+        )
 
 
 def _request_headers(msg: Dispatch) -> urllib3.HTTPHeaderDict:
@@ -233,16 +239,6 @@
         raise EndpointError("the response has no signature of the endpoint")
 
 
-def _check_alive(msg: Dispatch) -> None:
-    # The system closes the connections of a process that ends, which looks like the end
-    # of a stream without length.
-    born = read_born(msg.endpoint, msg.address)
-    has_ended = born == 0
-    has_restarted = bool(born and msg.born) and born != msg.born
-    if has_ended or has_restarted:
-        raise EndpointError("the engine ended before its stream")
-
-
 def _is_delimited(resp: Any) -> bool:
     return resp.chunked or "Content-Length" in resp.headers
 
