Play clients that cause much work against a gateway process

Crowds that stay and connect again when they are cut off: chunked bodies in one-byte and in large chunks, with extensions, endless lines and trailers, a byte a second, after 100 Continue; heads of legal size whose lines are short, empty, folded or of one name, at the port for callers and at the one for probes; several of these at once. While a crowd is there, an ordinary request gets one attempt of 5 s, memory stays under 96 MB, descriptors under 900, and all is answered once the crowd has left.

The file is its own feature, run alone, as costly_callers measures memory as well.

--- a/features/steps/costly_callers.py
+++ b/features/steps/costly_callers.py
@@ -5,16 +5,34 @@
 from behave import given, then, when
 from behave.runner import Context
 
-from features.support.crowd import MAX_FDS, MEMORY_MB, ORDINARY, CrowdWorld
+from features.support.crowd import (
+    MAX_BODY_BYTES,
+    MAX_FDS,
+    MEMORY_MB,
+    ORDINARY,
+    CrowdWorld,
+)
 from features.support.processes import temporary_folder
+from features.support.uncontrolled import UncontrolledClients, byte_chunks
 
 
 @given("a gateway process of little memory")
 def start_gateway(context: Context) -> None:
+    _start_gateway(context, MAX_BODY_BYTES)
+
+
+@given("a gateway process that takes bodies of {n_bytes:d} bytes")
+def start_limited_gateway(context: Context, n_bytes: int) -> None:
+    _start_gateway(context, n_bytes)
+
+
+def _start_gateway(context: Context, max_body_bytes: int) -> None:
     folder = temporary_folder()
     context.add_cleanup(folder.cleanup)
-    context.crowd = CrowdWorld(Path(folder.name))
+    context.crowd = CrowdWorld(Path(folder.name), max_body_bytes=max_body_bytes)
     context.add_cleanup(context.crowd.close)
+    context.clients = UncontrolledClients(*context.crowd.ports)
+    context.add_cleanup(context.clients.leave)
 
 
 @when("a crowd sends {kind}")
@@ -28,6 +46,35 @@
     context.response = context.crowd.send(data)
 
 
+@when("uncontrolled clients send {kind}")
+def join_clients(context: Context, kind: str) -> None:
+    context.clients.join(kind)
+
+
+@when("a client posts a badge in {n:d} chunks of one byte")
+def post_chunks(context: Context, n: int) -> None:
+    context.response = context.crowd.send(byte_chunks(n))
+
+
+@then("an ordinary client is answered at its only attempt")
+def check_single_attempt(context: Context) -> None:
+    # The request times out after 5 s (`features.support.scripted.TIMEOUT_S`).
+    response = context.crowd.send(ORDINARY)
+    assert response.startswith(b"HTTP/1.1 200"), response
+
+
+@then("the readiness port answers")
+def check_readiness(context: Context) -> None:
+    crowd = context.crowd
+    assert crowd.await_answer(crowd.is_ready), "the readiness port is silent"
+
+
+@then("all is answered once the clients have left")
+def check_afterwards(context: Context) -> None:
+    context.clients.leave()
+    check_answers(context)
+
+
 @then("the client gets its badge")
 def check_badge(context: Context) -> None:
     assert context.response.startswith(b"HTTP/1.1 200"), context.response
--- a/features/support/crowd.py
+++ b/features/support/crowd.py
@@ -23,6 +23,7 @@
 
 MEMORY_MB = 96
 MAX_FDS = 900
+MAX_BODY_BYTES = 4_194_304
 N_CLIENTS = 400
 HOLD_S = 9.0
 ANSWER_TIMEOUT_S = 30.0
@@ -41,7 +42,7 @@
     "services": [{"name": "desk", "max_connections": 1000, "health_check_path": "/h"}],
     "limits": {
         "max_header_bytes": 16_384,
-        "max_body_bytes": 4_194_304,
+        "max_body_bytes": MAX_BODY_BYTES,
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15_000,
     },
@@ -77,13 +78,15 @@
 
     __slots__ = ("_endpoint", "_gateway", "_socks", "n_running")
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, *, max_body_bytes: int = MAX_BODY_BYTES) -> None:
         self.n_running = 0
         self._socks: list[Any] = []
         self._endpoint = eventlet.listen((LOOPBACK, 0))
         eventlet.spawn_n(self._run_endpoint)
         limits = {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS}
-        self._gateway = GatewayProcess(folder, CONFIG, limits=limits)
+        config = {**CONFIG, "limits": {**CONFIG["limits"]}}
+        config["limits"]["max_body_bytes"] = max_body_bytes
+        self._gateway = GatewayProcess(folder, config, limits=limits)
         address = f"{LOOPBACK}:{self._endpoint.getsockname()[1]}"
         self._gateway.add_entry("i-1", address, service="desk", slots=1000)
         self._gateway.start()
@@ -93,6 +96,11 @@
         """Return the process of the gateway."""
         return self._gateway.process
 
+    @property
+    def ports(self) -> tuple[int, int]:
+        """Return the ports for callers and for probes."""
+        return self._gateway.port, self._gateway.ready_port
+
     def is_ready(self) -> bool:
         """Return whether the readiness port answers with status 200."""
         return self._gateway.is_ready()
--- a/features/support/gateway_process.py
+++ b/features/support/gateway_process.py
@@ -65,6 +65,11 @@
         """Return the port for callers."""
         return self._ports[0].number
 
+    @property
+    def ready_port(self) -> int:
+        """Return the port for probes."""
+        return self._ports[1].number
+
     def add_entry(self, name: str, address: str, **fields: Any) -> None:
         """Write the entry of an endpoint, as the endpoint does."""
         entry = {"address": address, "zone": "domain-1", "state": "ready", "born": 1}
--- /dev/null
+++ b/features/uncontrolled_clients.feature
@@ -0,0 +1,36 @@
+Feature: Work that uncontrolled clients cause keeps nobody from being served
+
+  Scenario: A body of the largest size that comes in chunks of one byte is served in calm
+    Given a gateway process that takes bodies of 150000 bytes
+    When a client posts a badge in 150000 chunks of one byte
+    Then the client gets its badge
+
+  Scenario Outline: Clients that are not controlled keep nobody from being served
+    Given a gateway process of little memory
+    When uncontrolled clients send <kind>
+    Then an ordinary client is answered at its only attempt
+    And the readiness port answers
+    And the gateway lives within its memory and descriptors
+    And all is answered once the clients have left
+    And the gateway lives within its memory and descriptors
+
+    Examples:
+      | kind                          |
+      | bodies in one-byte chunks     |
+      | bodies in large chunks        |
+      | chunk extensions              |
+      | an endless chunk extension    |
+      | trailers                      |
+      | a byte a second               |
+      | bodies after 100 Continue     |
+      | heads of short lines          |
+      | heads of empty fields         |
+      | heads of folded lines         |
+      | heads of one name             |
+      | probes of short lines         |
+      | probes of empty fields        |
+      | probes of folded lines        |
+      | probes of one name            |
+      | probes with a long chunk size |
+      | probes in one-byte chunks     |
+      | several kinds                 |
--- a/tools/run_features.py
+++ b/tools/run_features.py
@@ -16,7 +16,7 @@
 REPORTS = ROOT / "reports"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 N_WORKERS = 4
-ALONE = frozenset({"costly_callers"})
+ALONE = frozenset({"costly_callers", "uncontrolled_clients"})
 """Features that measure the memory of processes; they run one at a time, last."""
 FEATURE_TIMEOUT_S = 900
 
