Grant costly work to the client that caused the least of it

A hundred bodies in one-byte chunks left an ordinary request without a byte of an answer in 5 s. Cause: a connection let others run after each 16 KiB that it read, but nothing bounded the work of all connections in one pass of the hub; with a slice for each of them a pass took seconds, and a request needs some twenty passes. A faster decoder would only have moved the number of clients.

The lines of chunked bodies and of heads are units of work now. The work of a request counts for that request, so that a connection in long use does not fall behind. Who goes next is decided in TurnQueue, without I/O. A body that misses its time since others had their turns is refused as overloaded, not as malformed; an evicted connection leaves its wait at once.

--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -8,14 +8,16 @@
 
 from ..errors import ErrorKind, OversizedMessageError, RequestError
 from ..net import (
+    PROCESS_TURNS,
     READ_BYTES,
     ChunkDecoder,
     ChunkError,
     FairSocket,
     Holding,
+    Workload,
     limit_body,
 )
-from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, Environ
+from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, WORKLOAD_KEY, Environ
 
 MAX_BODY_BYTES = 1024 * 1024
 BODY_TIMEOUT_S = 30.0
@@ -26,6 +28,13 @@
 take 100 KiB each; calls that wait have no attempt. It is counted before the body is
 read, when a call without room can still be refused as not run."""
 
+SLICE_LINES = 256
+"""Lines of a chunked body's framing that are decoded before others get their turn."""
+
+BYTES_PER_UNIT = 4096
+"""Bytes of a chunked body that take as long to copy as a line of its framing to
+decode."""
+
 
 def read_body(
     environ: Environ,
@@ -55,8 +64,15 @@
 def _read_within_time(environ: Environ, max_bytes: int, timeout_s: float) -> bytes:
     sock: FairSocket = environ["wsgi.input"].get_socket()
     holding: Holding = environ[HOLDING_KEY]
-    # The caller can still be sent the refusal.
-    holding.on_evict = lambda: sock.abort(socket.SHUT_RD)
+    workload: Workload = environ[WORKLOAD_KEY]
+    on_evict = holding.on_evict
+
+    def refuse() -> None:
+        # The caller can still be sent the refusal.
+        sock.abort(socket.SHUT_RD)
+        PROCESS_TURNS.cancel(workload)
+
+    holding.on_evict = refuse
     # Bounds what comes between the chunks of a body, too.
     limit_body(sock, max_bytes)
     try:
@@ -75,7 +91,7 @@
     except eventlet.Timeout as exc:
         raise RequestError(f"the body did not arrive within {timeout_s:g} s") from exc
     finally:
-        holding.on_evict = sock.abort
+        holding.on_evict = on_evict
         sock.limit_bytes(None)
     if len(body) > max_bytes:
         _refuse_large_body(max_bytes)
@@ -120,6 +136,7 @@
     if stream.should_send_hundred_continue:
         stream.send_hundred_continue_response()
         stream.is_hundred_continue_response_sent = True
+    workload: Workload = environ[WORKLOAD_KEY]
     decoder = ChunkDecoder()
     body = bytearray()
     while not decoder.is_complete and len(body) <= max_bytes:
@@ -127,15 +144,26 @@
         data = stream.rfile.peek(READ_BYTES)
         if not data:
             raise RequestError("the chunked body is cut")
-        body += decoder.feed(data)
-        stream.rfile.read(len(data) - decoder.n_excess)
+        body += decoder.feed(data, SLICE_LINES)
+        n_decoded = len(data) - decoder.n_excess
+        stream.rfile.read(n_decoded)
         holding.resize(len(body))
         holding.check()
+        _pay(workload, decoder.n_lines + n_decoded // BYTES_PER_UNIT)
+        holding.check()
     # Tells the server that nothing of the body is left to read.
     stream.chunk_length = 0
     return bytes(body)
 
 
+def _pay(workload: Workload, n_units: int) -> None:
+    try:
+        PROCESS_TURNS.pay(workload, n_units)
+    except eventlet.Timeout as exc:
+        detail = "the body was not decoded in time, as other requests had their turns"
+        raise RequestError(detail, kind=ErrorKind.OVERLOADED) from exc
+
+
 def _decode_content_length(environ: Environ, max_bytes: int) -> int:
     text = environ.get("CONTENT_LENGTH") or "0"
     if not text.isascii() or not text.isdigit():
--- a/hawthornyard/front/exchange.py
+++ b/hawthornyard/front/exchange.py
@@ -16,6 +16,9 @@
 HOLDING_KEY = "hawthornyard.holding"
 """Key in the WSGI environment of what the request and its answer hold in memory."""
 
+WORKLOAD_KEY = "hawthornyard.workload"
+"""Key in the WSGI environment of the work that the request has caused so far."""
+
 
 class Exchange:
     """One HTTP request, with the identifiers of its answer.
--- a/hawthornyard/front/head.py
+++ b/hawthornyard/front/head.py
@@ -2,10 +2,8 @@
 
 from typing import Any
 
-import eventlet
-
 from ..errors import OversizedMessageError
-from ..net import MAX_HEAD_BYTES, Holding
+from ..net import MAX_HEAD_BYTES, PROCESS_TURNS, Holding, Workload
 
 LINE_COST_BYTES = 640
 """Memory that a line takes beside its bytes: as read, as parsed, and in the WSGI
@@ -16,6 +14,12 @@
 """Lines after which a head that is being read is counted. An ordinary head has fewer
 and is counted once."""
 
+READ_UNITS = 1
+"""Units of work to read a line of a head."""
+
+PARSE_UNITS = 3
+"""Units of work to parse a line and to put it into the WSGI environment."""
+
 _ENDS = (b"\r\n", b"\n", b"")
 
 
@@ -25,6 +29,7 @@
     Args:
         fp: File of the connection.
         holding: What the connection holds in memory, to which the head is added.
+        workload: Work that the request causes, to which its lines are added.
         max_bytes: Largest head, without the first line and the empty one.
 
     Attributes:
@@ -38,12 +43,18 @@
         "_n_bytes",
         "_n_lines",
         "_n_overhead",
+        "_n_paid",
+        "_workload",
         "is_cut",
     )
 
-    def __init__(self, fp: Any, holding: Holding, max_bytes: int) -> None:
+    def __init__(
+        self, fp: Any, holding: Holding, workload: Workload, max_bytes: int
+    ) -> None:
         self._fp = fp
         self._holding = holding
+        self._workload = workload
+        self._n_paid = 0
         self._max_bytes = max_bytes
         self._n_overhead = holding.n_overhead
         self._n_bytes = 0
@@ -63,6 +74,8 @@
         if line in _ENDS:
             self.is_cut = not line
             self._count()
+            # The standard library parses the head in one piece after this line.
+            self._pay(PARSE_UNITS * self._n_lines)
             return line
         self._n_bytes += len(line)
         if self._n_bytes > self._max_bytes:
@@ -72,8 +85,7 @@
             )
         if not self._n_lines % LINES_PER_COUNT:
             self._count()
-            # What was evicted to make room is given back when its green thread runs.
-            eventlet.sleep(0)
+            self._pay()
         return line
 
     def _count(self) -> None:
@@ -82,6 +94,12 @@
         self._holding.resize_overhead(self._n_overhead + n_bytes)
         self._holding.check()
 
+    def _pay(self, n_units: int = 0) -> None:
+        n_lines = self._n_lines - self._n_paid
+        self._n_paid = self._n_lines
+        PROCESS_TURNS.pay(self._workload, READ_UNITS * n_lines + n_units)
+        self._holding.check()
+
     def _skip_rest(self) -> None:
         while self._n_bytes <= MAX_HEAD_BYTES:
             line = self._fp.readline(MAX_HEAD_BYTES)
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -13,9 +13,21 @@
 
 from ..errors import OversizedMessageError
 from ..io import listen
-from ..net import MAX_HEAD_BYTES, PROCESS_BUDGET, total_bytes
+from ..net import (
+    MAX_HEAD_BYTES,
+    PROCESS_BUDGET,
+    PROCESS_TURNS,
+    Workload,
+    total_bytes,
+)
 from .connections import ConnectionPool
-from .exchange import CLOSE_CONNECTION_KEY, HOLDING_KEY, Environ, StartResponse
+from .exchange import (
+    CLOSE_CONNECTION_KEY,
+    HOLDING_KEY,
+    WORKLOAD_KEY,
+    Environ,
+    StartResponse,
+)
 from .head import HeadReader
 
 MAX_CONNECTIONS = 10_000
@@ -104,7 +116,14 @@
         self._pool = pool
         self._is_open = False
         (host, port), sock = conn_state[0][:2], conn_state[1]
-        self._holding = PROCESS_BUDGET.hold(f"{host}:{port}", sock.abort)
+        workload = self._workload = Workload()
+
+        # A method of this object would keep it in a cycle with its holding.
+        def on_evict() -> None:
+            sock.abort()
+            PROCESS_TURNS.cancel(workload)
+
+        self._holding = PROCESS_BUDGET.hold(f"{host}:{port}", on_evict)
         sock.limit_stall(STALL_TIMEOUT_S, self._on_stall)
         pool.add(self._holding)
         try:
@@ -127,6 +146,7 @@
             self.environ = None
             self._holding.resize(0)
             self._holding.resize_overhead(CONNECTION_BYTES)
+            self._workload.n_units = 0
             if self._is_open:
                 self._is_open = False
                 self._exchanges.end()
@@ -139,7 +159,7 @@
         """
         self.connection.limit_time(self.head_timeout_s)
         fp: Any = self.rfile
-        reader = HeadReader(fp, self._holding, self.max_head_bytes)
+        reader = HeadReader(fp, self._holding, self._workload, self.max_head_bytes)
         self.rfile: Any = reader
         try:
             is_valid: bool = super().parse_request()
@@ -160,6 +180,7 @@
         """Return the WSGI environment, with the keys that `exchange` defines."""
         environ: dict[str, Any] = super().get_environ()
         environ[HOLDING_KEY] = self._holding
+        environ[WORKLOAD_KEY] = self._workload
         environ[CLOSE_CONNECTION_KEY] = self._close_after_response
         return environ
 
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -19,11 +19,14 @@
     read_body,
 )
 from .status_line import StatusLine, parse_status_line, read_final_status
+from .turn_queue import Turn, TurnQueue, Workload
+from .turns import PROCESS_TURNS, Turns
 
 __all__ = [
     "BLOCK_END",
     "MAX_HEAD_BYTES",
     "PROCESS_BUDGET",
+    "PROCESS_TURNS",
     "READ_BYTES",
     "BlockSplitter",
     "BoundedConnection",
@@ -33,6 +36,10 @@
     "FairSocket",
     "Holding",
     "StatusLine",
+    "Turn",
+    "TurnQueue",
+    "Turns",
+    "Workload",
     "connect",
     "limit_body",
     "max_held_bytes",
--- a/hawthornyard/net/chunks.py
+++ b/hawthornyard/net/chunks.py
@@ -1,6 +1,7 @@
 """Decode chunked HTTP bodies strictly (RFC 9112, section 7.1)."""
 
 import re
+import sys
 from collections.abc import Callable
 from http.client import HTTPException
 
@@ -10,6 +11,9 @@
 MAX_TRAILER_BYTES = 65_536
 """Largest trailer section."""
 
+MAX_FEED_LINES = sys.maxsize
+"""Lines that a feed decodes if no bound is asked for."""
+
 _LINE_END = b"\r\n"
 _SIZE = re.compile(rb"([0-9A-Fa-f]+)(?:[ \t]*;[^\r\n]*)?\r\n")
 
@@ -26,7 +30,9 @@
 
     Attributes:
         is_complete: Whether the whole body has been fed.
-        n_excess: Bytes of the last feed that are behind the end of the body.
+        n_excess: Bytes of the last feed that were not decoded, behind the end of the
+            body or beyond the lines that were asked for.
+        n_lines: Lines of the framing that the last feed decoded.
     """
 
     __slots__ = (
@@ -36,27 +42,35 @@
         "_take_line",
         "is_complete",
         "n_excess",
+        "n_lines",
     )
 
     def __init__(self) -> None:
         self.is_complete = False
         self.n_excess = 0
+        self.n_lines = 0
         self._line = bytearray()
         self._n_data_left = 0
         self._n_trailer_bytes = 0
         self._take_line: Callable[[bytes], None] = self._take_size
 
-    def feed(self, data: bytes) -> bytes:
+    def feed(self, data: bytes, max_lines: int = MAX_FEED_LINES) -> bytes:
         """Add bytes from the wire and return the bytes of the body that they hold.
 
         Bytes behind the end of the body are only counted.
 
+        Args:
+            data: Bytes from the wire.
+            max_lines: Lines of the framing after which to stop. Their number decides
+                how long the call takes, as data is copied at once.
+
         Raises:
             ChunkError: If the body is malformed.
         """
         body = bytearray()
         start = 0
-        while start < len(data) and not self.is_complete:
+        self.n_lines = 0
+        while start < len(data) and not self.is_complete and self.n_lines < max_lines:
             if self._n_data_left:
                 piece = data[start : start + self._n_data_left]
                 body += piece
@@ -74,6 +88,7 @@
             if line_end:
                 line = bytes(self._line)
                 self._line.clear()
+                self.n_lines += 1
                 self._take_line(line)
         self.n_excess = len(data) - start
         return bytes(body)
