Bound bodies that no application reads

A chunk size line of 8 MB, sent by 32 clients to the port for probes, took 318 MB of a process that may have 96. Cause: the application there reads no body, so that the WSGI server reads the rest with its own reader before the next request; that one has no bound on a line, on the body or on the time, and is lenient about sizes. Listeners of metrics and of probes were affected, and the paths of the front that answer without a body.

Such bodies are now read by the same strict and bounded reader as all others, and the connection ends if that fails.

--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -1,5 +1,6 @@
 """Serve a WSGI application on eventlet."""
 
+import contextlib
 import functools
 import resource
 import socket
@@ -11,7 +12,7 @@
 import greenlet
 from loguru import logger
 
-from ..errors import OversizedMessageError
+from ..errors import OversizedMessageError, RequestError
 from ..io import listen
 from ..net import (
     MAX_HEAD_BYTES,
@@ -20,6 +21,7 @@
     Workload,
     total_bytes,
 )
+from .body import read_body
 from .connections import ConnectionPool
 from .exchange import (
     CLOSE_CONNECTION_KEY,
@@ -102,6 +104,7 @@
         max_head_bytes: Largest head of a request, without its first line.
     """
 
+    environ: Any
     head_timeout_s = SOCKET_TIMEOUT_S
     max_head_bytes = MAX_HEAD_BYTES
 
@@ -182,8 +185,18 @@
         environ[HOLDING_KEY] = self._holding
         environ[WORKLOAD_KEY] = self._workload
         environ[CLOSE_CONNECTION_KEY] = self._close_after_response
+        # The reader of the base class has no bound on size and time, and takes sizes
+        # such as "+0" for the last chunk.
+        environ["wsgi.input"].discard = self._discard_body
         return environ
 
+    def _discard_body(self) -> None:
+        stream = self.environ["wsgi.input"]
+        if not (stream.chunked_input and stream.chunk_length == 0):
+            # The connection of a body that can't be read ends.
+            with contextlib.suppress(RequestError):
+                read_body(self.environ)
+
     def _on_stall(self) -> None:
         self._exchanges.n_stalled += 1
         logger.bind(
