Drop messages that never end before one that grows beyond them

400 clients that sent their bodies a byte a second got an ordinary request refused with 503 for as long as they stayed. Cause: all of them held alike, and of the messages in the budget the largest is dropped, which was the newcomer's with a header line more than theirs.

If others hold half as much or more for messages that are incomplete, the oldest of these is dropped instead. A client that ends its message is no longer among them, so that its call or its stream is not cut for newcomers that send slowly. Without incomplete messages of that size all is as before; the scenarios of memory on that stay as they are.

--- a/features/memory.feature
+++ b/features/memory.feature
@@ -18,6 +18,20 @@
     When a message of f grows to 21 bytes
     Then only the message of 21 bytes of f is dropped
 
+  Scenario: Messages that never end cost their peers, not one that grows beyond them
+    Given a budget of 105 bytes
+    And messages of 20 bytes of a, b, c, d and e
+    And messages of b and d are incomplete
+    When a message of f grows to 25 bytes
+    Then only the message of 20 bytes of b is dropped
+
+  Scenario: An incomplete message that holds little is not dropped for a large one
+    Given a budget of 105 bytes
+    And messages of 20 bytes of a, b, c, d and e
+    And messages of b and d are incomplete
+    When a message of f grows to 60 bytes
+    Then only the message of 60 bytes of f is dropped
+
   Scenario: A body in chunks of some bytes holds little more than these bytes
     Given a server that sends a head of a chunked body, then chunks of 4 bytes without end
     When the memory is watched while it is called as an endpoint
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -69,6 +69,13 @@
         _hold(context, owner, 20)
 
 
+@given("messages of b and d are incomplete")
+def begin_messages(context: Context) -> None:
+    for held, _ in context.holdings:
+        if held.owner in "bd":
+            held.begin_message()
+
+
 @when("a message of {owner} grows to {n:d} bytes")
 def grow(context: Context, owner: str, n: int) -> None:
     _hold(context, owner, n)
--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -95,6 +95,7 @@
         sock.limit_bytes(None)
     if len(body) > max_bytes:
         _refuse_large_body(max_bytes)
+    holding.end_message()
     return body
 
 
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -147,6 +147,7 @@
             # The environment refers to this object. In this cycle, heads and bodies
             # would stay until a full garbage collection.
             self.environ = None
+            self._holding.end_message()
             self._holding.resize(0)
             self._holding.resize_overhead(CONNECTION_BYTES)
             self._workload.n_units = 0
@@ -212,6 +213,7 @@
         if line:
             self._is_open = True
             self._pool.use(self._holding)
+            self._holding.begin_message()
             self._exchanges.begin()
         return line
 
--- a/hawthornyard/net/byte_budget.py
+++ b/hawthornyard/net/byte_budget.py
@@ -89,9 +89,18 @@
 
     def release(self) -> None:
         """Stop counting the message and its overhead."""
+        self.end_message()
         if not self.is_evicted:
             self._budget.resize(self, 0, 0)
 
+    def begin_message(self) -> None:
+        """Note that a message arrives, of which the end has not been read."""
+        self._budget.add_incomplete(self)
+
+    def end_message(self) -> None:
+        """Note that the message has been read whole or is given up."""
+        self._budget.remove_incomplete(self)
+
     def check(self) -> None:
         """Check that the message may be held.
 
@@ -115,7 +124,9 @@
 
     Over the budget, the peer that holds the most loses its largest message, also if
     it holds a small part: many peers that hold much alike must not cost those that
-    hold little their messages.
+    hold little their messages. If others hold half as much or more for messages that
+    are still incomplete, the oldest of these is dropped instead: peers that never end
+    their messages must not cost those that do.
 
     Args:
         max_bytes: Bytes that all messages may hold together.
@@ -126,7 +137,14 @@
         n_evicted: Messages that were evicted so far.
     """
 
-    __slots__ = ("_holdings", "_owners", "max_bytes", "n_bytes", "n_evicted")
+    __slots__ = (
+        "_holdings",
+        "_incomplete",
+        "_owners",
+        "max_bytes",
+        "n_bytes",
+        "n_evicted",
+    )
 
     def __init__(self, max_bytes: int) -> None:
         self.max_bytes = max_bytes
@@ -134,6 +152,8 @@
         self.n_evicted = 0
         self._owners: dict[str, int] = {}
         self._holdings: set[Holding] = set()
+        # In the order in which the messages began.
+        self._incomplete: dict[Holding, None] = {}
 
     def hold(self, owner: str, on_evict: Callable[[], None]) -> Holding:
         """Return an empty holding of a message; see `Holding` for the arguments."""
@@ -145,8 +165,20 @@
         while self.n_bytes > self.max_bytes:
             self.evict(self._victim())
 
+    def add_incomplete(self, holding: Holding) -> None:
+        """Register a message of which the end has not been read."""
+        self._incomplete[holding] = None
+
+    def remove_incomplete(self, holding: Holding) -> None:
+        """Leave out a message that has been read whole or is given up."""
+        self._incomplete.pop(holding, None)
+
     def _victim(self) -> Holding:
         owner = max(self._owners, key=self._owners.__getitem__)
+        n_most = self._owners[owner]
+        for held in self._incomplete:
+            if held in self._holdings and 2 * total_bytes(held) >= n_most:
+                return held
         return max(
             (held for held in self._holdings if held.owner == owner), key=total_bytes
         )
