Release the head of a request with its response

32 idle connections at the port for probes held 118 MB of a process that may have 96. Each had sent one head of 10,900 short lines, was answered and stayed open. Cause: the standard library keeps the parsed head until the next request on the connection, some 2 MB of objects, while the budget counts an idle connection as 28 KiB.

The head is dropped when the request has been answered.

--- a/features/steps/costly_callers.py
+++ b/features/steps/costly_callers.py
@@ -3,10 +3,12 @@
 import random
 from pathlib import Path
 
+import eventlet
 from behave import given, then, when
 from behave.runner import Context
 
 from features.support.crowd import (
+    HOLD_S,
     MAX_BODY_BYTES,
     MAX_FDS,
     MEMORY_MB,
@@ -56,6 +58,11 @@
     context.clients.join(kind)
 
 
+@when("they stay until their requests have been answered")
+def stay(context: Context) -> None:
+    eventlet.sleep(HOLD_S)
+
+
 @when("a client posts a badge in {n:d} chunks of one byte")
 def post_chunks(context: Context, n: int) -> None:
     context.response = context.crowd.send(byte_chunks(n))
--- a/features/support/uncontrolled.py
+++ b/features/support/uncontrolled.py
@@ -104,6 +104,9 @@
     "heads of one name": Kind(400, _head("named alike")),
     "probes of short lines": Kind(32, _probe_head("short"), is_for_probes=True),
     "probes of empty fields": Kind(32, _probe_head("empty"), is_for_probes=True),
+    "probes that are answered": Kind(
+        32, _once(_PROBE + b"aa:bb\n" * 10_900 + b"\r\n"), is_for_probes=True
+    ),
     "probes of folded lines": Kind(32, _probe_head("folded"), is_for_probes=True),
     "probes of one name": Kind(32, _probe_head("named alike"), is_for_probes=True),
     "probes with a long chunk size": Kind(
--- a/features/uncontrolled_clients.feature
+++ b/features/uncontrolled_clients.feature
@@ -19,6 +19,13 @@
       | small     | 100000  |
       | odd       | 100000  |
 
+  Scenario: Idle connections do not keep the heads of requests that were answered
+    Given a gateway process of little memory
+    When uncontrolled clients send probes that are answered
+    And they stay until their requests have been answered
+    Then the gateway lives within its memory and descriptors
+    And the readiness port and an ordinary client get answers
+
   Scenario Outline: Clients that are not controlled keep nobody from being served
     Given a gateway process of little memory
     When uncontrolled clients send <kind>
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -105,6 +105,7 @@
     """
 
     environ: Any
+    headers: Any
     head_timeout_s = SOCKET_TIMEOUT_S
     max_head_bytes = MAX_HEAD_BYTES
 
@@ -147,6 +148,8 @@
             # The environment refers to this object. In this cycle, heads and bodies
             # would stay until a full garbage collection.
             self.environ = None
+            # An idle connection would hold its last head, which is not counted.
+            self.headers = None
             self._holding.end_message()
             self._holding.resize(0)
             self._holding.resize_overhead(CONNECTION_BYTES)
