--- a/hawthornyard/front/body.py
+++ b/hawthornyard/front/body.py
@@ -2,6 +2,7 @@
 
 import json
 import socket
+import sys
 from typing import Any, NoReturn
 
 import eventlet
@@ -152,7 +153,8 @@
         body += decoder.feed(data, SLICE_LINES)
         n_decoded = len(data) - decoder.n_excess
         stream.rfile.read(n_decoded)
-        holding.resize(len(body))
+        # A buffer that grows is allocated ahead of its length.
+        holding.resize(sys.getsizeof(body))
         holding.check()
         _pay(workload, decoder.n_lines + n_decoded // BYTES_PER_UNIT)
         holding.check()
