--- a/hawthornyard/edge/messages/notice.py
+++ b/hawthornyard/edge/messages/notice.py
@@ -17,6 +17,8 @@
             if it names no limit.
         pace_factor: Time that work takes there at this moment, relative to the usual
             time, None if it reports none.
+        pause_s: Seconds for which it wants no request from this gateway, None if it
+            does not ask for a pause.
     """
 
     __slots__ = (
@@ -26,6 +28,7 @@
         "is_signed",
         "limit_per_s",
         "pace_factor",
+        "pause_s",
     )
 
     def __init__(
@@ -37,6 +40,7 @@
         is_signed: bool,
         limit_per_s: float | None = None,
         pace_factor: float | None = None,
+        pause_s: float | None = None,
     ) -> None:
         self.endpoint = endpoint
         self.born = born
@@ -44,6 +48,7 @@
         self.is_signed = is_signed
         self.limit_per_s = limit_per_s
         self.pace_factor = pace_factor
+        self.pause_s = pause_s
 
 
 class LimitChanged(Message):
