Send nothing to an endpoint for the time that its 503 names

Cause: nothing read the header of an endpoint; a refusal held a request up for 0.1 s whatever was asked. So first attempts, retries, mirrors and copies' targets keep to it; may_resume_at and the probes of paces, which take a slot, ask for it as well.

Reports and copy orders are no requests and go on: they serve the streams that run there.

--- a/hawthornyard/edge/allowance.py
+++ b/hawthornyard/edge/allowance.py
@@ -5,6 +5,7 @@
 
 from ..core import Clock
 from .named_limit import NamedLimit
+from .requested_pause import RequestedPause
 
 # Window over which the requests to a cold endpoint are counted.
 COLD_WINDOW_S = 1.0
@@ -103,18 +104,21 @@
         backoff: Time for which this gateway sends it nothing.
         cold: Its request rate while it is cold.
         limit: The limit that it named.
+        pause: The pause that it asked for.
     """
 
-    __slots__ = ("_restrictions", "backoff", "cold", "limit")
+    __slots__ = ("_restrictions", "backoff", "cold", "limit", "pause")
 
     def __init__(self, clock: Clock) -> None:
         self.backoff = Backoff(clock)
         self.cold = ColdRate(clock)
         self.limit = NamedLimit(clock)
+        self.pause = RequestedPause(clock)
         self._restrictions: tuple[Restriction, ...] = (
             self.backoff,
             self.cold,
             self.limit,
+            self.pause,
         )
 
     def wait_s(self) -> float:
--- a/hawthornyard/edge/eligibility.py
+++ b/hawthornyard/edge/eligibility.py
@@ -69,7 +69,9 @@
 
     def may_resume_at(self, endpoint: Endpoint) -> bool:
         """Return whether an endpoint may get a stream that resumes from a copy."""
-        return self.may_receive(endpoint) and endpoint.allowance.limit.may_resume()
+        if not self.may_receive(endpoint) or endpoint.allowance.pause.is_in_force:
+            return False
+        return endpoint.allowance.limit.may_resume()
 
     def is_limited(self, service: str) -> bool:
         """Return whether some endpoint of a service is at the limit that it named."""
--- a/hawthornyard/edge/fleet/notices.py
+++ b/hawthornyard/edge/fleet/notices.py
@@ -8,7 +8,7 @@
 
 
 class FollowNotices:
-    """Filter that records the limits and the paces that endpoints report.
+    """Filter that records the limits, paces and pauses that endpoints tell of.
 
     Args:
         endpoints: Known endpoints.
@@ -28,11 +28,30 @@
         if endpoint is None or endpoint.entry.born != msg.born:
             # A new incarnation starts without the notices of the one before it.
             return
+        if msg.pause_s is not None:
+            yield self._learn_pause(endpoint, msg.pause_s, msg.asked_at)
         if msg.pace_factor is not None:
             yield from self._learn_pace(endpoint, msg.pace_factor)
         if msg.limit_per_s is not None or msg.is_signed:
             yield from self._learn_limit(endpoint, msg)
 
+    def _learn_pause(
+        self, endpoint: Endpoint, asked_s: float, asked_at: float
+    ) -> Decision:
+        pause = endpoint.allowance.pause
+        before_s = pause.wait_s()
+        is_longer = pause.extend(asked_s)
+        return Decision(
+            "endpoint_pause",
+            reason="asked by the endpoint" if is_longer else "no longer than before",
+            endpoint=endpoint.name,
+            service=endpoint.entry.service,
+            asked_s=asked_s,
+            seconds=round(pause.wait_s(), 3),
+            before_s=round(before_s, 3),
+            age_s=round(self._clock.now() - asked_at, 3),
+        )
+
     def _learn_pace(self, endpoint: Endpoint, factor: float) -> Iterator[Message]:
         service = endpoint.entry.service
         was_slow = endpoint.pace.is_slow
--- a/hawthornyard/edge/fleet/probe.py
+++ b/hawthornyard/edge/fleet/probe.py
@@ -112,6 +112,9 @@
     def _is_due(self, endpoint: Endpoint, now: float) -> bool:
         if endpoint.leaving_since is not None or endpoint.pace.age_s < PROBE_AFTER_S:
             return False
+        # A probe takes a slot, as a request does.
+        if endpoint.allowance.pause.is_in_force:
+            return False
         last = self._last.get(endpoint.name)
         if last is not None and now < last.at + self._interval_s(endpoint, last, now):
             return False
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -17,6 +17,8 @@
 PRIORITY_HEADER = "X-Hawthornyard-Request-Priority"
 # Requests a second that the endpoint takes from all gateways together.
 LIMIT_HEADER = "Server-Limit"
+# On a 503 of an endpoint: seconds for which it wants no request from this gateway.
+RETRY_AFTER_HEADER = "Retry-After"
 # "running,waiting,slots,pace"; the pace is 100 if work takes as long as usual.
 SERVER_LOAD_HEADER = "X-Hawthornyard-Server-Load"
 BACKUP_HEADER = "X-Hawthornyard-Kv-Backup"
--- a/hawthornyard/platform/program.py
+++ b/hawthornyard/platform/program.py
@@ -344,6 +344,13 @@
                 for endpoint in state.endpoints
             ),
         )
+        add_gauge(
+            "endpoints_paused",
+            "Endpoints that asked for a pause that has not ended.",
+            lambda: sum(
+                endpoint.allowance.pause.is_in_force for endpoint in state.endpoints
+            ),
+        )
         add_gauge(
             "endpoints_with_pace",
             "Endpoints whose reported pace is recent enough to be used.",
