Hold or refuse requests by the end of the endpoints' pauses

Cause: the queue knew only that no endpoint was eligible. A request waits now if the first pause ends within half of its time and no more wait than the endpoints have slots; the most urgent start first, and the wait for capacity begins at the end of the pause, so that they do not all go out at once. Others are refused at once as overloaded and not run, with the end of the first pause as Retry-After. Services admitted by forecast did the former already; their refusals name the pause now. A pause no longer hides the time that a limit asks for.

--- a/hawthornyard/edge/eligibility.py
+++ b/hawthornyard/edge/eligibility.py
@@ -88,18 +88,45 @@
             n_ahead: Requests that wait for the same endpoints and go first.
 
         Returns:
-            Seconds, None if some endpoint of the service is not at its limit, or if
-            there are no endpoints.
+            Seconds, None if some endpoint of the service is neither at its limit nor
+            paused, or if there are no endpoints.
         """
-        limits = [
-            endpoint.allowance.limit
+        allowances = [
+            endpoint.allowance
             for endpoint in self._endpoints.of_service(service)
             if self.may_receive(endpoint)
         ]
-        waits_s = [limit.wait_s() for limit in limits]
+        waits_s = [max(each.limit.wait_s(), each.pause.wait_s()) for each in allowances]
         if not waits_s or not all(waits_s):
             return None
-        return min(waits_s) + n_ahead / sum(limit.rate_per_s for limit in limits)
+        rates = [
+            each.limit.rate_per_s for each in allowances if not each.pause.is_in_force
+        ]
+        return min(waits_s) + (n_ahead / sum(rates) if rates else 0.0)
+
+    def pauses_end_at(self, service: str) -> float:
+        """Return when the first endpoint ends the pause that it asked for.
+
+        Returns:
+            Monotonic time in seconds, minus infinity if some endpoint of the service
+            asked for none, or if there are no endpoints.
+        """
+        return min(
+            (
+                endpoint.allowance.pause.ends_at
+                for endpoint in self._endpoints.of_service(service)
+                if self.may_receive(endpoint)
+            ),
+            default=float("-inf"),
+        )
+
+    def n_slots(self, service: str) -> int:
+        """Return how many requests the endpoints of a service run concurrently."""
+        return sum(
+            endpoint.entry.n_slots
+            for endpoint in self._endpoints.of_service(service)
+            if self.may_receive(endpoint)
+        )
 
     def _n_cold_requests(self, endpoint: Endpoint) -> float | None:
         # Requests that this gateway may send to a cold endpoint in COLD_WINDOW_S.
--- a/hawthornyard/edge/request/admission.py
+++ b/hawthornyard/edge/request/admission.py
@@ -228,6 +228,11 @@
         now = self._clock.now()
         self._remove(waiting)
         left_s = max(0.0, request.deadline - now)
+        detail = f"{request.service} has no capacity before the deadline"
+        reason = "no capacity is forecast before the deadline"
+        if now < self._eligibility.pauses_end_at(request.service):
+            detail = f"endpoints of {request.service} asked for a pause"
+            reason = "the endpoints asked for a pause"
         retry_after_s = self._returns.promise(
             waiting.lane,
             (request.team, request.route.name),
@@ -240,7 +245,7 @@
         yield Decision(
             "admission_refused",
             request_id=request.request_id,
-            reason="no capacity is forecast before the deadline",
+            reason=reason,
             forecast_s=round(forecast_s, 3),
             left_s=round(left_s, 3),
             n_ahead=n_ahead,
@@ -252,7 +257,7 @@
         yield ReplyFailed(
             request.call_id,
             ErrorKind.OVERLOADED,
-            f"{request.service} has no capacity before the deadline",
+            detail,
             retry_after_s=retry_after_s,
         )
 
--- a/hawthornyard/edge/request/queue.py
+++ b/hawthornyard/edge/request/queue.py
@@ -29,6 +29,10 @@
 # Longest wait for the limits that endpoints named, as a share of the route's target
 # latency; the rest is for the answer.
 MAX_LIMIT_WAIT_SHARE = 0.5
+# Latest end of the pauses for which a request waits, as a share of the time between
+# its arrival in the queue and its deadline. A caller that waits is served no later than
+# one that is refused and comes back; the rest of the time is for the answer.
+MAX_PAUSE_WAIT_SHARE = 0.5
 # Window over which the throughput of a service is measured.
 THROUGHPUT_WINDOW_S = 2.0
 # Retry-After as a share of the request's time limit; callers wait for at most a
@@ -142,7 +146,9 @@
             yield from self._admission.refuse_unservable()
         now = self._clock.now()
         for request in self._queue.discard(lambda item: self._is_wait_over(item, now)):
-            if self._eligibility.is_limited(request.service):
+            if self._is_paused(request.service):
+                yield self._refuse_for_pause(request)
+            elif self._eligibility.is_limited(request.service):
                 # Endpoints without a limit would be overloaded by what is over it.
                 yield self._refuse_for_limit(request, self._limit_wait_s(request))
             elif self._eligibility.for_request(request):
@@ -202,7 +208,12 @@
             )
 
     def _is_wait_over(self, request: Request, now: float) -> bool:
-        waited_s = now - self._queued_at[request.call_id]
+        if self._is_paused(request.service):
+            return self._is_outlasted(request)
+        # What has waited for the end of a pause waits for capacity from then on: all
+        # at once would be too much for an endpoint that had none.
+        pauses_end_at = self._eligibility.pauses_end_at(request.service)
+        waited_s = now - max(self._queued_at[request.call_id], pauses_end_at)
         if self._eligibility.is_limited(request.service):
             return waited_s >= MAX_LIMIT_WAIT_SHARE * request.route.target_s
         allowed_s = MAX_WAIT_SHARE * request.route.target_s
@@ -210,7 +221,23 @@
             allowed_s = min(allowed_s, NO_ENDPOINT_WAIT_S)
         return waited_s >= allowed_s
 
+    def _is_paused(self, service: str) -> bool:
+        return self._clock.now() < self._eligibility.pauses_end_at(service)
+
+    def _is_outlasted(self, request: Request) -> bool:
+        # Whether all endpoints pause for longer than the request may wait.
+        queued_at = self._queued_at[request.call_id]
+        allowed_s = MAX_PAUSE_WAIT_SHARE * (request.deadline - queued_at)
+        return self._eligibility.pauses_end_at(request.service) > queued_at + allowed_s
+
     def _refuse_if_hopeless(self, request: Request) -> Iterator[Message]:
+        if self._is_paused(request.service):
+            # More than the endpoints run at once would wait beyond the pause.
+            n_slots = self._eligibility.n_slots(request.service)
+            if self._is_outlasted(request) or self._n_ahead(request) >= n_slots:
+                self._queue.discard(lambda item: item is request)
+                yield self._refuse_for_pause(request)
+            return
         wait_s = self._limit_wait_s(request)
         if wait_s is None or wait_s <= MAX_LIMIT_WAIT_SHARE * request.route.target_s:
             return
@@ -221,12 +248,7 @@
         # None if nothing tells how long the limits will hold up the request.
         if not self._eligibility.is_limited(request.service):
             return None
-        n_ahead = sum(
-            item.service == request.service
-            and item is not request
-            and item.priority <= request.priority
-            for item in self._queue
-        )
+        n_ahead = self._n_ahead(request)
         wait_s = self._eligibility.limit_wait_s(request.service, n_ahead)
         if wait_s is not None:
             return wait_s
@@ -234,6 +256,20 @@
         per_s = self._service_throughput(request.service).per_s
         return (n_ahead + 1) / per_s if per_s else None
 
+    def _n_ahead(self, request: Request) -> int:
+        return sum(
+            item.service == request.service
+            and item is not request
+            and item.priority <= request.priority
+            for item in self._queue
+        )
+
+    def _refuse_for_pause(self, request: Request) -> ReplyFailed:
+        detail = f"endpoints of {request.service} asked for a pause"
+        pauses_end_at = self._eligibility.pauses_end_at(request.service)
+        wait_s = pauses_end_at - self._clock.now()
+        return self._refuse(request, ErrorKind.OVERLOADED, detail, wait_s)
+
     def _refuse_for_limit(self, request: Request, wait_s: float | None) -> ReplyFailed:
         detail = f"endpoints of {request.service} are at the limit that they named"
         return self._refuse(request, ErrorKind.OVERLOADED, detail, wait_s)
