Prove the wait after a pause, and list a stream that resumes within one

A trial that counted the wait for capacity from the arrival, as before a pause, failed none of the 50 scenarios; the new one fails it.

--- a/features/requested_pauses.feature
+++ b/features/requested_pauses.feature
@@ -162,6 +162,16 @@
     When 0.5 seconds go by
     Then desk-a got 6 requests
 
+  @fixture.edge
+  Scenario: After a pause requests wait for capacity before they go to a full endpoint
+    Given an engine of one slot that runs a summary
+    When engine-a asks for a pause of 1 s
+    And a draft is sent
+    And 1.2 seconds go by
+    Then 0 attempts were sent for it
+    When 0.4 seconds go by
+    Then 1 attempts were sent for it
+
   @fixture.edge
   Scenario: The pause of one endpoint does not hide the limit of the other
     Given the plain endpoints desk-a and desk-b
@@ -207,6 +217,17 @@
     And the engine copies its run 3 times
     Then nothing was sent to the copy's target
 
+  @fixture.edge
+  Scenario: A stream does not resume at its own engine that asked for a pause
+    Given the engines engine-a
+    And a summary that got the events 1 to 10
+    And an engine engine-b that has just joined
+    When engine-a drains
+    And engine-a asks for a pause of 5 s
+    And the engine copies its run 2 times
+    And the engine has stopped its run but could not copy it
+    Then engine-a got 1 requests
+
   # A probe takes a slot, as a request does.
   @fixture.edge
   Scenario: An engine is not probed during its pause
