--- a/hawthornyard/edge/streams/final_copy.py
+++ b/hawthornyard/edge/streams/final_copy.py
@@ -158,7 +158,8 @@
         endpoint = self._choose_resume_endpoint(request, attempt, msg)
         request.migration = None
         if endpoint is None:
-            # The engine is about to stop, and has closed the stream for the final copy.
+            # The engine is about to stop or wants no request, and has closed the stream
+            # for the final copy.
             attempt.copy = None
             yield CopyDropped(msg.copy_request.source, msg.handle)
             yield AttemptBroke(
@@ -181,7 +182,9 @@
                 return target
         # Without a copy at the target, the run resumes at the engine that stopped it.
         source = self._endpoints.get(attempt.endpoint)
-        if source is None or source.leaving_since is None:
+        if source is None or source.allowance.pause.is_in_force:
+            return None
+        if source.leaving_since is None:
             return source
         left_for_s = self._clock.now() - source.leaving_since
         if left_for_s > SOURCE_RESUME_S or self._pace.send_time_left_s(left_for_s) < 0:
