--- a/features/steps/cut_answers.py
+++ b/features/steps/cut_answers.py
@@ -20,9 +20,9 @@
 from hawthornyard.edge.messages import Dispatch as EdgeDispatch
 from hawthornyard.errors import PlatformError
 from hawthornyard.frames import Dispatch, Generation, ServiceCall, Work
+from hawthornyard.io.endpoint_calls import CALL_ERRORS, call_once
 from hawthornyard.io.engine import EngineClient
 from hawthornyard.io.service import ServiceClient
-from hawthornyard.platform.connections import CALL_ERRORS, call_once
 from hawthornyard.platform.notices import NoticeReader
 from hawthornyard.platform.runner import RunnerSink
 from hawthornyard.platform.store import PlatformStore
--- a/features/steps/endless.py
+++ b/features/steps/endless.py
@@ -29,8 +29,8 @@
 from hawthornyard.codec.msgpack import MsgpackDecoder
 from hawthornyard.errors import PlatformError
 from hawthornyard.io import freeze_startup_objects
+from hawthornyard.io.endpoint_calls import CALL_ERRORS, call_once
 from hawthornyard.net import ChunkDecoder
-from hawthornyard.platform.connections import CALL_ERRORS, call_once
 from hawthornyard.platform.events import EventSplitter
 from hawthornyard.platform.reports import REPORT_TIMEOUT_S
 from hawthornyard.platform.store import PlatformStore
--- a/features/steps/late_bytes.py
+++ b/features/steps/late_bytes.py
@@ -24,9 +24,9 @@
 from hawthornyard.demo.deployment import LOOPBACK
 from hawthornyard.frames import Dispatch, Generation
 from hawthornyard.front import HttpServer
+from hawthornyard.io.endpoint_calls import call_once
 from hawthornyard.io.engine import EngineClient
 from hawthornyard.io.orders import EngineOrderClient
-from hawthornyard.platform.connections import call_once
 from hawthornyard.platform.store import PlatformStore
 from hawthornyard.sidecar.messages import (
     Attempt,
--- a/hawthornyard/platform/connections.py
+++ b/hawthornyard/io/endpoint_calls.py
@@ -7,8 +7,8 @@
 import urllib3
 
 from ..core import Message
-from ..io import split_address
 from ..net import BoundedConnection
+from .peer_links import split_address
 
 CONNECT_TIMEOUT_S = 0.25
 """Connect timeout, many round-trip times long. After a longer wait for a dead host or a
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -8,8 +8,14 @@
 from ..core import Consumers, Inbox
 from ..edge.messages import CopyAnswered, CopyDropped, CopyRequested
 from ..errors import RecordError
+from ..io.endpoint_calls import (
+    CALL_ERRORS,
+    call_on,
+    call_once,
+    is_refused,
+    open_connection,
+)
 from ..net import BoundedConnection
-from .connections import CALL_ERRORS, call_on, call_once, is_refused, open_connection
 from .fields import decode_object
 from .names import COPY_DROP_PATH, COPY_PATH
 from .notices import NoticeReader
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -20,7 +20,7 @@
 )
 from ..errors import PlatformError, RecordError
 from ..io import repeat
-from .connections import CONNECT_TIMEOUT_S
+from ..io.endpoint_calls import CONNECT_TIMEOUT_S
 from .deployment import decode_deployment
 from .endpoint import decode_endpoint_entry
 from .names import (
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -6,7 +6,7 @@
 from ..core import Consumers, Inbox
 from ..edge.messages import ProbeRequested, ReportFailed, ReportRequested
 from ..errors import RecordError
-from .connections import CALL_ERRORS, call_once, is_refused
+from ..io.endpoint_calls import CALL_ERRORS, call_once, is_refused
 from .endpoint import decode_report
 from .names import REPORT_PATH
 from .notices import NoticeReader
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -19,8 +19,8 @@
     Event,
 )
 from ..errors import EndpointError
+from ..io.endpoint_calls import CALL_ERRORS, CONNECT_TIMEOUT_S, open_connection
 from ..net import READ_BYTES, BoundedConnection, Holding
-from .connections import CALL_ERRORS, CONNECT_TIMEOUT_S, open_connection
 from .events import EventSplitter
 from .names import (
     BACKUP_HEADER,
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -12,7 +12,7 @@
 
 from ...errors import RecordError
 from ...front.exchange import Environ, StartResponse
-from ..connections import CALL_ERRORS, call_once
+from ...io.endpoint_calls import CALL_ERRORS, call_once
 from ..fields import decode_object
 from ..names import (
     BACKUP_HEADER,
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -9,8 +9,8 @@
 
 from ..core import Message
 from ..errors import PlatformError, RecordError
+from ..io.endpoint_calls import CONNECT_TIMEOUT_S
 from ..stores.http import HttpResponse, HttpService
-from .connections import CONNECT_TIMEOUT_S
 from .fields import get_number
 from .names import STORE_ERA_HEADER
 
--- a/soak/endpoint.py
+++ b/soak/endpoint.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from hawthornyard.io import ReservedPort
-from hawthornyard.platform.connections import CALL_ERRORS, call_once
+from hawthornyard.io.endpoint_calls import CALL_ERRORS, call_once
 from hawthornyard.platform.standins.endpoint import BEHAVIOUR_PATH
 
 from .deployment import DEADLY_PART
