Pass a plain answer without length on at the deadline

The rule for ends at the deadline, added with the judgement of ends without length, held for plain answers as well: one that came whole in the last 20 ms was dropped, and its caller got deadline_after_start. An engine stops streams at the deadline; a plain service answers in full or fails. The two kinds of end have a handler each now.

--- a/features/edge_streams.feature
+++ b/features/edge_streams.feature
@@ -288,6 +288,12 @@
     And 0.1 seconds go by
     Then the summary fails as deadline_after_start
 
+  Scenario: A plain answer without length that comes at the deadline goes out
+    Given the plain endpoints desk-a
+    And a lookup that was sent
+    When its endpoint answers without a length 0.01 s before its deadline
+    Then the request ends as 200
+
   Scenario Outline: A stream without length or chunks whose engine has ended is not complete
     Given the engines engine-a
     And a summary that got the events 1 to 10
--- a/features/steps/edge.py
+++ b/features/steps/edge.py
@@ -229,6 +229,18 @@
     context.edge.state.endpoints.forget(name)
 
 
+@given("a lookup that was sent")
+def send_lookup(context: Context) -> None:
+    context.call_id = context.edge.call("lookup")
+
+
+@when("its endpoint answers without a length {seconds:g} s before its deadline")
+def answer_undelimited_late(context: Context, seconds: float) -> None:
+    request = context.edge.state.inflight.by_call(context.call_id)
+    context.edge.clock.advance(request.deadline - seconds - context.edge.clock.now())
+    answer_undelimited(context)
+
+
 @when("its engine answers without a length")
 def answer_undelimited(context: Context) -> None:
     attempt_id = _last_dispatch(context).attempt_id
--- a/hawthornyard/edge/streams/final_copy.py
+++ b/hawthornyard/edge/streams/final_copy.py
@@ -94,9 +94,9 @@
         self.handlers: Handlers = {
             CopyRequested: self._on_copy_requested,
             CopyAnswered: self._on_copy_answered,
-            AttemptAnswered: self._on_attempt_end,
+            AttemptAnswered: self._on_attempt_answered,
             AttemptBroke: self._on_attempt_broke,
-            AttemptEnded: self._on_attempt_end,
+            AttemptEnded: self._on_attempt_ended,
             Tick: self._on_tick,
         }
 
@@ -191,21 +191,32 @@
             return None
         return source
 
-    def _on_attempt_end(self, msg: AttemptAnswered | AttemptEnded) -> Iterator[Message]:
+    def _on_attempt_ended(self, msg: AttemptEnded) -> Iterator[Message]:
         request = self._inflight.by_attempt(msg.attempt_id)
         if msg.is_delimited or request is None or request.attempt is None:
             yield msg
-            return
-        attempt = request.attempt
-        yield _undelimited_end(request, attempt)
-        if self._clock.now() >= request.deadline - DEADLINE_MARGIN_S:
+        elif self._clock.now() >= request.deadline - DEADLINE_MARGIN_S:
             # The engine stopped at the deadline, at which `Expire` fails the request.
-            return
-        born_after = msg.born_after if isinstance(msg, AttemptEnded) else None
-        if _is_gone(attempt, born_after):
+            yield _undelimited_end(request, request.attempt)
+        elif _is_gone(request.attempt, msg.born_after):
+            yield _undelimited_end(request, request.attempt)
             broke = _as_break(msg, "the engine ended before its stream")
             yield from self._on_attempt_broke(broke)
-        elif _awaits_answer(request):
+        else:
+            yield from self._judge_undelimited(request, request.attempt, msg)
+
+    def _on_attempt_answered(self, msg: AttemptAnswered) -> Iterator[Message]:
+        request = self._inflight.by_attempt(msg.attempt_id)
+        if msg.is_delimited or request is None or request.attempt is None:
+            yield msg
+        else:
+            yield from self._judge_undelimited(request, request.attempt, msg)
+
+    def _judge_undelimited(
+        self, request: Request, attempt: Attempt, msg: AttemptAnswered | AttemptEnded
+    ) -> Iterator[Message]:
+        yield _undelimited_end(request, attempt)
+        if _awaits_answer(request):
             yield from self._hold(request, msg)
         elif request.may_be_stopped:
             yield _as_break(msg)
