--- a/hawthornyard/net/turns.py
+++ b/hawthornyard/net/turns.py
@@ -9,7 +9,7 @@
 
 UNITS_PER_PASS = 512
 """Units that all peers together get in a pass of the hub, below a millisecond of work.
-An ordinary request takes some twenty passes from its arrival to its response."""
+An ordinary request takes many passes from its arrival to its response."""
 
 
 class Turns:
