--- a/Makefile
+++ b/Makefile
@@ -29,6 +29,7 @@
 	$(BIN)/lint-imports
 	$(BIN)/python tools/error_table.py --check
 	$(BIN)/python tools/configuration_tables.py --check
+	$(BIN)/python tools/tracked_links.py
 
 bench: $(VENV)/.dev
 	$(BIN)/python -m benchmarks
