--- a/features/steps/odd_rows.py
+++ b/features/steps/odd_rows.py
@@ -2,7 +2,6 @@
 
 import errno
 import json
-from collections.abc import Sequence
 from typing import Any
 from unittest import mock
 
@@ -23,7 +22,7 @@
 from hawthornyard.io.datagrams import DatagramTransport
 from hawthornyard.platform.endpoint import decode_report
 from hawthornyard.platform.feeds import EndpointTableDecoder
-from hawthornyard.platform.store import PlatformStore, StoredRow
+from hawthornyard.platform.store import PlatformStore
 from hawthornyard.stores import Page, Row
 
 DEEP_LISTS = b"[" * 100_000
@@ -112,14 +111,12 @@
     decode = EndpointTableDecoder.decode
     has_failed = False
 
-    def decode_or_fail(
-        self: EndpointTableDecoder, rows: Sequence[StoredRow], *, is_complete: bool
-    ) -> None:
+    def decode_or_fail(self: EndpointTableDecoder, rows: Any, **kwargs: Any) -> None:
         nonlocal has_failed
         if rows and not has_failed:
             has_failed = True
             raise OverflowError("a fault of the decoder")
-        decode(self, rows, is_complete=is_complete)
+        decode(self, rows, **kwargs)
 
     patch = mock.patch.object(EndpointTableDecoder, "decode", decode_or_fail)
     patch.start()
--- a/features/support/edge.py
+++ b/features/support/edge.py
@@ -288,6 +288,7 @@
         *,
         key: str = KEY,
         revision: int = 0,
+        answered_at: float | None = None,
         engine: EngineRule = ENGINE,
     ) -> None:
         deployment = Deployment(
@@ -305,7 +306,7 @@
             [TeamRule("kiosk", [key]), TeamRule("ferry", [OTHER_KEY])],
             INITIAL_LIMITS,
         )
-        self.push(DeploymentRead(deployment, revision))
+        self.push(DeploymentRead(deployment, revision, answered_at))
         self.push(DomainsRead(frozenset()))
         self.confirm_operator_feed()
 
--- a/hawthornyard/edge/fleet/deployment.py
+++ b/hawthornyard/edge/fleet/deployment.py
@@ -56,6 +56,9 @@
         is_new = self._directory.replace(msg.deployment)
         if is_new:
             is_newer = msg.deployment.version > before
+            applied_s = None
+            if msg.answered_at is not None:
+                applied_s = round(self._clock.now() - msg.answered_at, 3)
             yield Decision(
                 "deployment",
                 reason="newer version" if is_newer else "same version, other content",
@@ -63,6 +66,7 @@
                 before=before,
                 n_routes=len(msg.deployment.routes),
                 n_teams=len(msg.deployment.teams),
+                applied_s=applied_s,
             )
         elif msg.deployment.version < before:
             yield Decision(
--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -14,18 +14,25 @@
 STORE_RECOVERY_S = 2.0
 
 
+# Least time between two log lines of failed calls of one feed.
+FAILED_CALL_LOG_INTERVAL_S = 1.0
+
+
 class FollowStore:
     """Filter that logs when a feed of the store is lost and when it is back.
 
+    Further failed calls of an outage are logged at a bounded rate.
+
     Args:
         clock: Source of time.
     """
 
-    __slots__ = ("_clock", "_lost_at", "handlers")
+    __slots__ = ("_clock", "_logged_at", "_lost_at", "handlers")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._lost_at: dict[str, float] = {}
+        self._logged_at: dict[str, float] = {}
         self.handlers: Handlers = {
             StoreAnswered: self._on_store_answered,
             StoreFailed: self._on_store_failed,
@@ -40,11 +47,20 @@
         yield msg
 
     def _on_store_failed(self, msg: StoreFailed) -> Iterator[Message]:
-        if msg.feed not in self._lost_at:
-            self._lost_at[msg.feed] = self._clock.now()
-            waited_s = round(self._clock.now() - msg.sent_at, 3)
+        now = self._clock.now()
+        is_first = msg.feed not in self._lost_at
+        if is_first:
+            self._lost_at[msg.feed] = now
+        if is_first or now - self._logged_at[msg.feed] >= FAILED_CALL_LOG_INTERVAL_S:
+            self._logged_at[msg.feed] = now
             yield Decision(
-                "store_lost", reason=msg.detail, feed=msg.feed, waited_s=waited_s
+                "store_lost" if is_first else "store_call_failed",
+                reason=msg.detail,
+                feed=msg.feed,
+                waited_s=round(now - msg.sent_at, 3),
+                lost_s=round(now - self._lost_at[msg.feed], 3),
+                after_version=msg.after_version,
+                n_received=msg.n_received,
             )
         yield msg
 
--- a/hawthornyard/edge/messages/updates.py
+++ b/hawthornyard/edge/messages/updates.py
@@ -21,13 +21,21 @@
     Attributes:
         deployment: The deployment.
         revision: Number that the store gave to the write, 0 if unknown.
+        answered_at: Monotonic time in seconds at which the store's answer began, None
+            if unknown.
     """
 
-    __slots__ = ("deployment", "revision")
+    __slots__ = ("deployment", "revision", "answered_at")
 
-    def __init__(self, deployment: Deployment, revision: int = 0) -> None:
+    def __init__(
+        self,
+        deployment: Deployment,
+        revision: int = 0,
+        answered_at: float | None = None,
+    ) -> None:
         self.deployment = deployment
         self.revision = revision
+        self.answered_at = answered_at
 
 
 class DomainsRead(Message):
@@ -188,11 +196,24 @@
         detail: Description of the failure.
         sent_at: Monotonic time in seconds at which the failed call was sent; the store
             may have been reachable again from then on.
+        after_version: Version of the store after which changes were requested, None if
+            the whole table was.
+        n_received: Bytes of the answer that had arrived.
     """
 
-    __slots__ = ("feed", "detail", "sent_at")
+    __slots__ = ("feed", "detail", "sent_at", "after_version", "n_received")
 
-    def __init__(self, feed: str, detail: str, sent_at: float) -> None:
+    def __init__(
+        self,
+        feed: str,
+        detail: str,
+        sent_at: float,
+        *,
+        after_version: int | None = None,
+        n_received: int = 0,
+    ) -> None:
         self.feed = feed
         self.detail = detail
         self.sent_at = sent_at
+        self.after_version = after_version
+        self.n_received = n_received
--- a/hawthornyard/errors.py
+++ b/hawthornyard/errors.py
@@ -227,10 +227,18 @@
 
 
 class PlatformError(HawthornyardError):
-    """A platform service that did not respond."""
+    """A platform service that did not respond.
+
+    Attributes:
+        n_received: Bytes of the response that had arrived.
+    """
 
     kind = ErrorKind.PLATFORM_UNAVAILABLE
 
+    def __init__(self, detail: str = "", *, n_received: int = 0) -> None:
+        super().__init__(detail)
+        self.n_received = n_received
+
 
 class EndpointError(HawthornyardError):
     """An endpoint that failed to respond."""
--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -14,6 +14,7 @@
 from .http_connection import (
     READ_BYTES,
     BoundedConnection,
+    get_connection,
     limit_body,
     new_pool,
     read_body,
@@ -41,6 +42,7 @@
     "Turns",
     "Workload",
     "connect",
+    "get_connection",
     "limit_body",
     "max_held_bytes",
     "new_pool",
--- a/hawthornyard/net/fair_socket.py
+++ b/hawthornyard/net/fair_socket.py
@@ -51,11 +51,13 @@
 
     Attributes:
         has_ended: Whether a read has met the end of the peer's bytes.
+        n_received: Bytes that were read so far.
     """
 
     def __init__(self, family: Any = socket.AF_INET, *args: Any, **kwargs: Any) -> None:
         super().__init__(family, *args, **kwargs)
         self.has_ended = False
+        self.n_received = 0
         self._n_turn_bytes = 0
         self._n_bytes_left: int | None = None
         self._deadline: float | None = None
@@ -162,6 +164,7 @@
         """
         if not n_bytes:
             return
+        self.n_received += n_bytes
         self._n_turn_bytes += max(n_bytes, MIN_BYTES_PER_READ)
         if self._n_turn_bytes >= BYTES_PER_TURN:
             self._n_turn_bytes = 0
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -128,6 +128,11 @@
     response_class = _BoundedResponse
     _reader: FairSocket
 
+    @property
+    def n_received(self) -> int:
+        """Return how many bytes of the response have been read, with its head."""
+        return self._reader.n_received
+
     def getresponse(self) -> Any:
         """Return the response, of which the head has been read.
 
@@ -231,6 +236,14 @@
         urllib3.exceptions.HTTPError: If the body does not arrive whole.
         OSError: If the connection breaks.
     """
+    return get_connection(resp).read_body(resp, max_bytes)
+
+
+def get_connection(resp: Any) -> BoundedConnection:
+    """Return the connection of a response from a `new_pool`.
+
+    A response that has been read, or has failed, no longer has it.
+    """
     conn = resp.connection
     assert isinstance(conn, BoundedConnection)
-    return conn.read_body(resp, max_bytes)
+    return conn
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -49,12 +49,15 @@
 class TableDecoder(Protocol):
     """Decoder of the rows of one table."""
 
-    def decode(self, rows: Sequence[StoredRow], *, is_complete: bool) -> None:
+    def decode(
+        self, rows: Sequence[StoredRow], *, is_complete: bool, answered_at: float
+    ) -> None:
         """Decode rows and put the resulting messages into the inbox.
 
         Args:
             rows: New, changed and removed rows.
             is_complete: Whether `rows` is the whole table, not only its changes.
+            answered_at: Monotonic time in seconds at which the store's answer began.
         """
         ...
 
@@ -72,15 +75,17 @@
         self._inbox = inbox
         self._domains_out: set[str] = set()
 
-    def decode(self, rows: Sequence[StoredRow], *, is_complete: bool) -> None:
+    def decode(
+        self, rows: Sequence[StoredRow], *, is_complete: bool, answered_at: float
+    ) -> None:
         """Decode rows into messages; see `TableDecoder.decode`."""
         if is_complete:
             self._domains_out.clear()
         for row in rows:
-            self._decode_row(row)
+            self._decode_row(row, answered_at)
         self._inbox.put(DomainsRead(frozenset(self._domains_out)))
 
-    def _decode_row(self, row: StoredRow) -> None:
+    def _decode_row(self, row: StoredRow, answered_at: float) -> None:
         if row.key.startswith(DOMAIN_OUT_KEY_PREFIX):
             domain = row.key.removeprefix(DOMAIN_OUT_KEY_PREFIX)
             if row.value is None:
@@ -91,9 +96,8 @@
             self._inbox.put(decode_order(row))
         elif row.key == DEPLOYMENT_KEY and row.value is not None:
             try:
-                self._inbox.put(
-                    DeploymentRead(decode_deployment(row.value), row.version)
-                )
+                deployment = decode_deployment(row.value)
+                self._inbox.put(DeploymentRead(deployment, row.version, answered_at))
             except RecordError as exc:
                 logger.bind(detail=str(exc)).error("deployment_unreadable")
 
@@ -110,7 +114,9 @@
     def __init__(self, inbox: Inbox) -> None:
         self._inbox = inbox
 
-    def decode(self, rows: Sequence[StoredRow], *, is_complete: bool) -> None:
+    def decode(
+        self, rows: Sequence[StoredRow], *, is_complete: bool, answered_at: float
+    ) -> None:
         """Decode rows into messages; see `TableDecoder.decode`."""
         entries = []
         removed = []
@@ -202,7 +208,15 @@
             self._has_failed = False
         except PlatformError as exc:
             self._has_failed = True
-            self._inbox.put(StoreFailed(self._name, str(exc), sent_at))
+            self._inbox.put(
+                StoreFailed(
+                    self._name,
+                    str(exc),
+                    sent_at,
+                    after_version=self._version,
+                    n_received=exc.n_received,
+                )
+            )
             eventlet.sleep(RETRY_DELAY_S)
 
     def _poll(self, requested_at: float) -> None:
@@ -216,7 +230,7 @@
         if self._version is None or self._store.era != self._era:
             page = self._store.read(self._table)
             self._note_era(page)
-            self._decoder.decode(page.rows, is_complete=True)
+            self._decode(page, is_complete=True)
             self._next_wait_s = self._random_source.random() * self._wait_s
         else:
             changes = self._store.read_changes(
@@ -232,7 +246,7 @@
                 return
             page = changes
             if page.rows:
-                self._decoder.decode(page.rows, is_complete=False)
+                self._decode(page, is_complete=False)
                 self._confirm(page.version, as_of)
                 # A change wakes all gateways at once. Without jitter their long polls
                 # would stay in step, and all would notice an outage equally late.
@@ -244,6 +258,12 @@
                 as_of = min(self._clock.now(), requested_at + wait_s)
         self._confirm(page.version, as_of)
 
+    def _decode(self, page: RowPage, *, is_complete: bool) -> None:
+        answered_at = self._clock.now() - page.read_s
+        self._decoder.decode(
+            page.rows, is_complete=is_complete, answered_at=answered_at
+        )
+
     def _note_era(self, page: RowPage) -> None:
         # A feed that has just begun can't know when the restore was.
         if page.era != self._era:
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 import json
 import re
+import time
 from collections.abc import Sequence
 from typing import Any
 
@@ -55,9 +56,11 @@
         version: Version up to which the rows are complete.
         now_ms: Time of the store's monotonic clock, in milliseconds.
         era: Era of the store; versions of different eras can't be compared.
+        n_bytes: Bytes of the responses that held the rows.
+        read_s: Seconds since the head of the first of these responses arrived.
     """
 
-    __slots__ = ("rows", "version", "now_ms", "era")
+    __slots__ = ("rows", "version", "now_ms", "era", "n_bytes", "read_s")
 
     def __init__(
         self,
@@ -65,11 +68,16 @@
         version: int,
         now_ms: float = 0.0,
         era: int = FIRST_ERA,
+        *,
+        n_bytes: int = 0,
+        read_s: float = 0.0,
     ) -> None:
         self.rows = rows
         self.version = version
         self.now_ms = now_ms
         self.era = era
+        self.n_bytes = n_bytes
+        self.read_s = read_s
 
 
 class PlatformStore:
@@ -106,11 +114,16 @@
         version: int | None = None
         era = FIRST_ERA
         start = ""
+        n_bytes = 0
+        answered_at: float | None = None
         while True:
             fields = {"table_name": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             if start:
                 fields["from"] = start
             answer = self._call("GET", "/rows-get", fields=fields)
+            n_bytes += len(answer.data)
+            if answered_at is None:
+                answered_at = time.monotonic() - answer.read_s
             body = _decode_body(answer.data)
             page = _decode_rows(body)
             # Keep the version of the first page, so that the feed returns the rows
@@ -122,7 +135,14 @@
                 raise PlatformError(f"store: it was restored while {table} was read")
             rows += page
             if not body.get("has_more") or not page:
-                return RowPage(rows, version, _decode_now_ms(body), era)
+                return RowPage(
+                    rows,
+                    version,
+                    _decode_now_ms(body),
+                    era,
+                    n_bytes=n_bytes,
+                    read_s=time.monotonic() - answered_at,
+                )
             # Continue at the smallest key that sorts after the last row.
             start = page[-1].key + "\0"
 
@@ -165,7 +185,12 @@
             return None
         body = _decode_body(answer.data)
         return RowPage(
-            _decode_rows(body), _decode_version(body), _decode_now_ms(body), self.era
+            _decode_rows(body),
+            _decode_version(body),
+            _decode_now_ms(body),
+            self.era,
+            n_bytes=len(answer.data),
+            read_s=answer.read_s,
         )
 
     def write(self, table: str, key: str, value: bytes) -> None:
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -1,6 +1,7 @@
 """Call a platform service over HTTP, with limits on the time and size of responses."""
 
 import json
+import time
 from collections.abc import Mapping
 from typing import Any
 
@@ -8,7 +9,7 @@
 
 from ..core import Message
 from ..errors import PlatformError
-from ..net import new_pool, read_body
+from ..net import BoundedConnection, get_connection, new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
@@ -22,14 +23,18 @@
         status: HTTP status code, below 300 or one that the caller expects.
         data: Body.
         headers: Headers.
+        read_s: Seconds from the end of the head to that of the body.
     """
 
-    __slots__ = ("status", "data", "headers")
+    __slots__ = ("status", "data", "headers", "read_s")
 
-    def __init__(self, status: int, data: bytes, headers: Mapping[str, str]) -> None:
+    def __init__(
+        self, status: int, data: bytes, headers: Mapping[str, str], read_s: float
+    ) -> None:
         self.status = status
         self.data = data
         self.headers = headers
+        self.read_s = read_s
 
 
 class HttpService:
@@ -88,6 +93,7 @@
         timeout = self._timeout
         if timeout_s is not None:
             timeout = urllib3.Timeout(connect=timeout.connect_timeout, read=timeout_s)
+        conn: BoundedConnection | None = None
         try:
             resp = self._pool.request(
                 method,
@@ -99,10 +105,14 @@
                 redirect=False,
                 preload_content=False,
             )
+            conn = get_connection(resp)
+            started_at = time.monotonic()
             body = read_body(resp, self._max_response_bytes)
-            response = HttpResponse(resp.status, body, resp.headers)
+            read_s = time.monotonic() - started_at
+            response = HttpResponse(resp.status, body, resp.headers, read_s)
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise PlatformError(f"{self._name}: {exc}") from exc
+            n_received = conn.n_received if conn is not None else 0
+            raise PlatformError(f"{self._name}: {exc}", n_received=n_received) from exc
         if response.status >= 300 and response.status not in expected_statuses:
             raise PlatformError(f"{self._name} answered with status {response.status}")
         return response
