--- a/features/store_feeds.feature
+++ b/features/store_feeds.feature
@@ -12,3 +12,65 @@
     Given the plain endpoints desk-a
     When version 2 comes into force 0.75 s after the store's answer began
     Then the log tells that it was applied after 0.75 s
+
+  @fixture.platform_world
+  Scenario Outline: A deployment that arrives slowly after an outage comes into force
+    Given version 8 with <before> routes is in force over a link of <rate> KB/s
+    When version 9 with <after> routes is written in an outage of the store
+    Then version 9 is in force within <seconds> s of the store's return
+
+    Examples:
+      | before | after | rate | seconds |
+      | 10     | 900   | 150  | 4       |
+      | 900    | 910   | 150  | 4       |
+      | 10     | 900   | 60   | 9       |
+
+  @fixture.platform_world
+  Scenario Outline: A gateway that missed a storm reads the newest deployment only
+    Given version 8 with 100 routes is in force over a link of 200 KB/s
+    When <n> versions with 100 routes are written in an outage of the store
+    Then the last of them is in force within 2 s of the store's return
+
+    Examples:
+      | n  |
+      | 20 |
+      | 80 |
+
+  @fixture.platform_world
+  Scenario: A gateway keeps up with a storm that its link can't carry whole
+    Given version 8 with 100 routes is in force over a link of 200 KB/s
+    When a storm writes a version with 100 routes every 0.05 s for 6 s
+    Then the version in force was never more than 1.5 s old
+
+  @fixture.platform_world
+  Scenario: A storm that is read in time is read as changes
+    Given version 8 with 100 routes is in force over a link of 100000 KB/s
+    When a storm writes a version with 100 routes every 0.05 s for 1 s
+    Then the version in force was never more than 0.5 s old
+    And no whole table was read meanwhile
+
+  Scenario Outline: A response that goes on arriving is not given up
+    Given a server whose body of 40 pieces comes every 0.1 s
+    When it is read by the <client>
+    Then the read succeeds
+
+    Examples:
+      | client        |
+      | table service |
+      | host list     |
+
+  Scenario Outline: A response that stops arriving is given up
+    Given a server that sends <part> and then nothing
+    When it is read by the platform's client
+    Then the read fails within 1.5 s
+
+    Examples:
+      | part          |
+      | nothing       |
+      | a head        |
+      | half a body   |
+
+  Scenario: A response that was cut at its time limit gets more time at the next call
+    Given a server whose body of 50 pieces comes every 0.1 s
+    When it is read again and again by the platform's client
+    Then at most 3 reads failed
--- a/hawthornyard/platform/standins/store.py
+++ b/hawthornyard/platform/standins/store.py
@@ -16,11 +16,15 @@
 MAX_PAGE_ROWS = 500
 """Rows per response, the maximum of the platform's store."""
 
+PIECE_S = 0.02
+"""Time between two pieces of a response over a narrow link."""
+
 
 class PlatformStoreApp:
     """WSGI application with versioned rows that can be read, written and followed.
 
     Attributes:
+        bytes_per_s: Bandwidth of each response.
         delay_s: Delay of each response in seconds.
         era: Number of the era, which rises with each restore.
         is_down: Whether all calls are refused with status 503.
@@ -33,7 +37,9 @@
 
     __slots__ = (
         "_changed",
+        "_changes",
         "_copy",
+        "bytes_per_s",
         "delay_s",
         "era",
         "is_down",
@@ -52,8 +58,12 @@
         self.n_calls = 0
         self.is_down = False
         self.delay_s = 0.0
+        self.bytes_per_s = float("inf")
         self.era = 1
-        self._copy = (self.rows, self.version)
+        # Each change with its table, in order: readers of changes get all versions of a
+        # row, not only its newest.
+        self._changes: list[tuple[str, dict[str, Any]]] = []
+        self._copy = (self.rows, self._changes, self.version)
         self._changed = Event()
 
     def put(self, table: str, key: str, value: bytes | dict[str, Any]) -> None:
@@ -72,12 +82,13 @@
 
     def take_copy(self) -> None:
         """Keep the rows and the version as they are, for `restore`."""
-        self._copy = (dict(self.rows), self.version)
+        self._copy = (dict(self.rows), list(self._changes), self.version)
 
     def restore(self) -> None:
         """Go back to the copy that was taken last, in a new era."""
-        rows, self.version = self._copy
+        rows, changes, self.version = self._copy
         self.rows = dict(rows)
+        self._changes = list(changes)
         self.era += 1
         self._wake_waiters()
 
@@ -104,7 +115,7 @@
         first_key = query.get("from", "")
         limit = min(MAX_PAGE_ROWS, int(query.get("limit", MAX_PAGE_ROWS)))
         self.tables_read.add(query["table_name"])
-        rows = self._select_rows(query["table_name"], 0, include_removed=False)
+        rows = self._select_rows(query["table_name"])
         found = sorted(
             (row for row in rows if row["key"] >= first_key), key=lambda row: row["key"]
         )
@@ -122,14 +133,12 @@
         if not self._has_history(after):
             start("410 Gone", self._era_headers())
             return [b""]
-        return self._answer(
-            start, self._select_rows(table, after, include_removed=True)
-        )
+        return self._answer(start, self._select_changes(table, after))
 
     def _must_wait(self, table: str, after: int) -> bool:
         if self.is_down or not self._has_history(after):
             return False
-        return not self._select_rows(table, after, include_removed=True)
+        return not self._select_changes(table, after)
 
     def _has_history(self, after: int) -> bool:
         return self.oldest_version <= after <= self.version
@@ -153,29 +162,24 @@
     def _write(self, table: str, key: str, value: bytes | None) -> None:
         self.version += 1
         self.rows[table, key] = (value, self.version)
+        self._changes.append((table, _encode_row(table, key, value, self.version)))
         self._wake_waiters()
 
     def _wake_waiters(self) -> None:
         changed, self._changed = self._changed, Event()
         changed.send()
 
-    def _select_rows(
-        self, table: str, after: int, *, include_removed: bool
-    ) -> list[dict[str, Any]]:
-        found = []
-        for (name, key), (value, version) in self.rows.items():
-            if name != table or version <= after:
-                continue
-            if value is None and not include_removed:
-                continue
-            row: dict[str, Any] = {"table_name": table, "part": "", "key": key}
-            row["ver"] = version
-            if value is None:
-                row["tombstone"] = True
-            else:
-                row["value"] = base64.b64encode(value).decode()
-            found.append(row)
-        return sorted(found, key=lambda row: int(row["ver"]))
+    def _select_rows(self, table: str) -> list[dict[str, Any]]:
+        return [
+            _encode_row(table, key, value, version)
+            for (name, key), (value, version) in self.rows.items()
+            if name == table and value is not None
+        ]
+
+    def _select_changes(self, table: str, after: int) -> list[dict[str, Any]]:
+        return [
+            row for name, row in self._changes if name == table and row["ver"] > after
+        ]
 
     def _answer(
         self,
@@ -191,5 +195,28 @@
             "now_ms": now_ms,
             "has_more": has_more,
         }
-        start("200 OK", [("Content-Type", "application/json"), *self._era_headers()])
-        return [json.dumps(body).encode()]
+        data = json.dumps(body).encode()
+        headers = [
+            ("Content-Type", "application/json"),
+            ("Content-Length", str(len(data))),
+        ]
+        start("200 OK", [*headers, *self._era_headers()])
+        return self._pace(data)
+
+    def _pace(self, data: bytes) -> Iterable[bytes]:
+        n_piece = max(1, int(min(len(data), self.bytes_per_s * PIECE_S)))
+        for start in range(0, len(data), n_piece):
+            if start:
+                eventlet.sleep(PIECE_S)
+            yield data[start : start + n_piece]
+
+
+def _encode_row(
+    table: str, key: str, value: bytes | None, version: int
+) -> dict[str, Any]:
+    row: dict[str, Any] = {"table_name": table, "part": "", "key": key, "ver": version}
+    if value is None:
+        row["tombstone"] = True
+    else:
+        row["value"] = base64.b64encode(value).decode()
+    return row
