--- a/hawthornyard/net/fair_socket.py
+++ b/hawthornyard/net/fair_socket.py
@@ -61,6 +61,8 @@
         self._n_turn_bytes = 0
         self._n_bytes_left: int | None = None
         self._deadline: float | None = None
+        self._next_read_s: float | None = None
+        self._next_read_by = 0.0
         self._stall_s: float | None = None
         self._on_stall: Callable[[], None] | None = None
 
@@ -102,6 +104,20 @@
         this time runs from now on, whatever arrives.
         """
         self._deadline = None if seconds is None else time.monotonic() + seconds
+        self._next_read_s = None
+
+    def limit_progress(self, stall_s: float, seconds: float) -> None:
+        """Set how long reads may take while bytes arrive.
+
+        The time that this process takes until it reads on does not count as a stall.
+
+        Args:
+            stall_s: Longest time until the next bytes arrive.
+            seconds: Time from now on in which all reads must be done.
+        """
+        self.limit_time(seconds)
+        self._next_read_s = stall_s
+        self._next_read_by = time.monotonic() + stall_s
 
     def abort(self, how: int = socket.SHUT_RDWR) -> None:
         """Shut the connection down, which wakes a thread that waits for it.
@@ -118,7 +134,10 @@
         timeout_s: float | None = super().gettimeout()
         if self._deadline is None:
             return timeout_s
-        left_s = max(0.0, self._deadline - time.monotonic())
+        until = self._deadline
+        if self._next_read_s is not None:
+            until = min(until, self._next_read_by)
+        left_s = max(0.0, until - time.monotonic())
         return left_s if timeout_s is None else min(timeout_s, left_s)
 
     def recv(self, bufsize: int, flags: int = 0) -> bytes:
@@ -171,6 +190,8 @@
             eventlet.sleep(0)
         if self._deadline is not None and time.monotonic() > self._deadline:
             raise TimeoutError("the peer did not finish its message in time")
+        if self._next_read_s is not None:
+            self._next_read_by = time.monotonic() + self._next_read_s
         if self._n_bytes_left is None:
             return
         self._n_bytes_left -= n_bytes
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -122,7 +122,8 @@
     """HTTP connection that bounds each response as a whole.
 
     The timeout of reading, which urllib3 gives to each read, is here also the time
-    within which the whole response must arrive.
+    within which the whole response must arrive, unless `limit_progress` is called after
+    its head.
     """
 
     response_class = _BoundedResponse
@@ -188,6 +189,10 @@
         """Set in how many seconds the rest of the response must arrive."""
         self._reader.limit_time(seconds)
 
+    def limit_progress(self, stall_s: float, seconds: float) -> None:
+        """Set how long the rest of the response may take; see `FairSocket`."""
+        self._reader.limit_progress(stall_s, seconds)
+
     def _new_conn(self) -> Any:
         sock = super()._new_conn()
         reader = FairSocket(sock.family, sock.type, fileno=sock.detach())
--- a/hawthornyard/operator/status.py
+++ b/hawthornyard/operator/status.py
@@ -8,10 +8,13 @@
 
 from ..core import Message
 from ..errors import PlatformError
-from ..net import new_pool, read_body
+from ..net import get_connection, new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
+"""Time until the head of a status arrives, and after it each next part."""
+RESPONSE_TIMEOUT_S = 30.0
+"""Time from its head until a status has arrived whole."""
 
 
 class EndpointStatus(Message):
@@ -124,6 +127,7 @@
         redirect=False,
         preload_content=False,
     )
+    get_connection(resp).limit_progress(READ_TIMEOUT_S, RESPONSE_TIMEOUT_S)
     body = read_body(resp)
     if resp.status != 200:
         raise PlatformError(f"unexpected HTTP status {resp.status}")
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -11,13 +11,21 @@
 from ..core import Message
 from ..errors import PlatformError, RecordError
 from ..io.endpoint_calls import CONNECT_TIMEOUT_S
+from ..policy import GrowingTimeout
 from ..stores.http import HttpResponse, HttpService
 from .fields import get_number
 from .names import STORE_ERA_HEADER
 
 READ_TIMEOUT_S = 1.0
-"""Read timeout, on top of the long poll if there is one. The store answers in 4 ms, and
-in about 0.3 s when it is slow."""
+"""Time until a response begins, on top of the long poll if there is one, and then until
+each next part. The store answers in 4 ms, and in about 0.3 s when it is slow."""
+
+RESPONSE_TIMEOUT_S = 2.0
+"""Time in which a response arrives whole at the first try. It is short, as a store in
+trouble may send without end."""
+
+MAX_RESPONSE_TIMEOUT_S = 32.0
+"""Longest time in which a response may arrive, after tries that were cut off."""
 
 MAX_PAGE_ROWS = 500
 """Rows requested per page, the maximum of the store."""
@@ -93,7 +101,7 @@
         era: Latest era that an answer had.
     """
 
-    __slots__ = ("_service", "era")
+    __slots__ = ("_response_timeouts", "_service", "era")
 
     def __init__(self, address: str) -> None:
         self._service = HttpService(
@@ -102,6 +110,7 @@
             connect_timeout_s=CONNECT_TIMEOUT_S,
             read_timeout_s=READ_TIMEOUT_S,
         )
+        self._response_timeouts: dict[tuple[str, str], GrowingTimeout] = {}
         self.era = FIRST_ERA
 
     def read(self, table: str) -> RowPage:
@@ -120,7 +129,7 @@
             fields = {"table_name": table, "part": "", "limit": str(MAX_PAGE_ROWS)}
             if start:
                 fields["from"] = start
-            answer = self._call("GET", "/rows-get", fields=fields)
+            answer = self._get("/rows-get", fields)
             n_bytes += len(answer.data)
             if answered_at is None:
                 answered_at = time.monotonic() - answer.read_s
@@ -161,7 +170,7 @@
             after_version: Version that the caller has already read.
             wait_s: Long-poll timeout in seconds; without a change until then, the page
                 has no rows.
-            timeout_s: Seconds beyond `wait_s` within which the store must answer.
+            timeout_s: Seconds beyond `wait_s` within which the answer must begin.
 
         Returns:
             The changes, or None if the store no longer keeps changes that far back.
@@ -174,10 +183,9 @@
             "after": str(after_version),
             "wait_ms": str(round(wait_s * 1000)),
         }
-        answer = self._call(
-            "GET",
+        answer = self._get(
             "/rows-feed",
-            fields=fields,
+            fields,
             expected_statuses=frozenset({_GONE}),
             timeout_s=wait_s + timeout_s,
         )
@@ -262,6 +270,26 @@
             "POST", "/rows-tx", data=data, expected_statuses=frozenset({_CONFLICT})
         )
 
+    def _get(self, path: str, fields: dict[str, str], **arguments: Any) -> HttpResponse:
+        timeout = self._response_timeouts.setdefault(
+            (path, fields["table_name"]),
+            GrowingTimeout(RESPONSE_TIMEOUT_S, MAX_RESPONSE_TIMEOUT_S),
+        )
+        try:
+            answer = self._call(
+                "GET",
+                path,
+                fields=fields,
+                response_timeout_s=timeout.seconds,
+                **arguments,
+            )
+        except PlatformError as exc:
+            if exc.n_received:
+                timeout.note_cut()
+            raise
+        timeout.note_success(answer.read_s)
+        return answer
+
     def _call(self, method: str, path: str, **arguments: Any) -> HttpResponse:
         answer = self._service.call(method, path, **arguments)
         era = _decode_era(answer, self.era)
--- a/hawthornyard/policy/__init__.py
+++ b/hawthornyard/policy/__init__.py
@@ -14,6 +14,7 @@
     WaitingWork,
     forecast_starts,
 )
+from .growing_timeout import GrowingTimeout
 from .length_ratios import LengthRatios
 from .lengths import (
     BackoffPredictor,
@@ -47,6 +48,7 @@
     "ExpectedMemory",
     "FairQueue",
     "ForecastError",
+    "GrowingTimeout",
     "LengthHistogram",
     "LengthPredictor",
     "LengthRatios",
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -13,6 +13,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 2.0
+RESPONSE_TIMEOUT_S = 30.0
+"""The largest response takes 27 s over a link of 5 Mbit/s, the narrowest expected."""
 MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 
 
@@ -44,11 +46,22 @@
         name: Name of the service in error messages.
         url: Base URL of the service.
         connect_timeout_s: Timeout of connecting, in seconds.
-        read_timeout_s: Seconds within which a whole response must arrive.
+        read_timeout_s: Seconds within which the head of a response must arrive, and
+            after it each next part.
+        response_timeout_s: Seconds from its head within which a response must arrive
+            whole.
         max_response_bytes: Largest body that is accepted.
     """
 
-    __slots__ = ("_max_response_bytes", "_name", "_pool", "_timeout", "_url")
+    __slots__ = (
+        "_max_response_bytes",
+        "_name",
+        "_pool",
+        "_read_timeout_s",
+        "_response_timeout_s",
+        "_timeout",
+        "_url",
+    )
 
     def __init__(
         self,
@@ -57,12 +70,15 @@
         *,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
         read_timeout_s: float = READ_TIMEOUT_S,
+        response_timeout_s: float = RESPONSE_TIMEOUT_S,
         max_response_bytes: int = MAX_RESPONSE_BYTES,
     ) -> None:
         self._name = name
         self._url = url.rstrip("/")
         self._pool = new_pool()
         self._timeout = urllib3.Timeout(connect=connect_timeout_s, read=read_timeout_s)
+        self._read_timeout_s = read_timeout_s
+        self._response_timeout_s = response_timeout_s
         self._max_response_bytes = max_response_bytes
 
     def call(
@@ -74,6 +90,7 @@
         data: bytes | None = None,
         expected_statuses: frozenset[int] = frozenset(),
         timeout_s: float | None = None,
+        response_timeout_s: float | None = None,
     ) -> HttpResponse:
         """Send one request, without retries or redirects.
 
@@ -83,8 +100,10 @@
             fields: Query fields.
             data: Request body.
             expected_statuses: Statuses from 300 up that are returned, not raised.
-            timeout_s: Seconds within which the whole response must arrive, None for
-                the default.
+            timeout_s: Seconds within which the head of the response must arrive, None
+                for the default.
+            response_timeout_s: Seconds from its head within which the response must
+                arrive whole, None for the default.
 
         Raises:
             PlatformError: If there was no response, or one with an unexpected status
@@ -106,6 +125,9 @@
                 preload_content=False,
             )
             conn = get_connection(resp)
+            conn.limit_progress(
+                self._read_timeout_s, response_timeout_s or self._response_timeout_s
+            )
             started_at = time.monotonic()
             body = read_body(resp, self._max_response_bytes)
             read_s = time.monotonic() - started_at
--- a/hawthornyard/stores/http_table.py
+++ b/hawthornyard/stores/http_table.py
@@ -15,7 +15,7 @@
     Args:
         url: Base URL of the service.
         connect_timeout_s: Timeout of connecting, in seconds.
-        read_timeout_s: Timeout of waiting for data of a response, in seconds.
+        read_timeout_s: Seconds until a response begins, and until each next part.
     """
 
     __slots__ = ("_service",)
