--- a/hawthornyard/errors.py
+++ b/hawthornyard/errors.py
@@ -240,6 +240,10 @@
         self.n_received = n_received
 
 
+class OversizedResponseError(PlatformError):
+    """A response of a platform service that is larger than its client wants."""
+
+
 class EndpointError(HawthornyardError):
     """An endpoint that failed to respond."""
 
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -164,12 +164,18 @@
             max_bytes: Largest body that is accepted.
 
         Raises:
-            OversizedMessageError: If the body is larger, or if all messages of this
-                process together are too large and this one is dropped.
+            OversizedMessageError: If the body is larger, which its length may tell
+                before it is read, or if all messages of this process together are too
+                large and this one is dropped.
             urllib3.exceptions.HTTPError: If the body does not arrive whole.
             OSError: If the connection breaks.
         """
         limit_body(self._reader, max_bytes)
+        if (resp.length_remaining or 0) > max_bytes:
+            raise OversizedMessageError(
+                f"the body has {resp.length_remaining} bytes, the largest allowed "
+                f"has {max_bytes}"
+            )
         # One buffer: an object for each chunk of a few bytes would take many times
         # their size.
         body = bytearray()
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -18,7 +18,7 @@
     StoreFailed,
     StoreRestored,
 )
-from ..errors import PlatformError, RecordError
+from ..errors import OversizedResponseError, PlatformError, RecordError
 from ..io import repeat
 from ..io.endpoint_calls import CONNECT_TIMEOUT_S
 from .deployment import decode_deployment
@@ -45,6 +45,13 @@
 AFTER_RECOVERY_S = 0.02
 """Delay of the first answer that confirms what is known after a restore."""
 
+MIN_CHANGES_BYTES = 65_536
+"""Changes up to this size are always read, however small the table is."""
+
+CHANGES_PER_TABLE_BYTE = 2
+"""Largest size of changes relative to the whole table. They hold each version of a row
+since the last answer, the table only the newest."""
+
 
 class TableDecoder(Protocol):
     """Decoder of the rows of one table."""
@@ -138,13 +145,16 @@
 class Feed:
     """Reader of one whole table and then of its changes.
 
+    The whole table is read again if the store no longer has the changes, or if they are
+    much larger: a storm of changes may go on faster than a narrow link carries them.
+
     Args:
         name: Name of the feed.
         table: Name of the table.
         store: The platform's store.
         decoder: Decodes rows into messages.
         inbox: Receives `StoreAnswered` or `StoreFailed` after each call, neither if the
-            store no longer has the changes and the whole table is read again.
+            whole table is read next.
         clock: Source of time.
         random_source: Source of randomness.
         wait_s: Long-poll timeout in seconds.
@@ -165,6 +175,7 @@
         "_recovered_at",
         "_store",
         "_table",
+        "_table_bytes",
         "_version",
         "_wait_s",
     )
@@ -193,6 +204,7 @@
         self._next_wait_s = wait_s
         self._pause_s = pause_s
         self._version: int | None = None
+        self._table_bytes = 0
         self._era = FIRST_ERA
         self._recovered_at = float("-inf")
         self._has_failed = False
@@ -229,19 +241,13 @@
             wait_s, timeout_s = 0.0, PROBE_TIMEOUT_S
         if self._version is None or self._store.era != self._era:
             page = self._store.read(self._table)
+            self._table_bytes = page.n_bytes
             self._note_era(page)
             self._decode(page, is_complete=True)
             self._next_wait_s = self._random_source.random() * self._wait_s
         else:
-            changes = self._store.read_changes(
-                self._table, self._version, wait_s, timeout_s=timeout_s
-            )
+            changes = self._read_changes(self._version, wait_s, timeout_s)
             if changes is None:
-                logger.bind(feed=self._name).info("history_gone")
-                self._version = None
-                return
-            if changes.era != self._era:
-                # Changes below the version asked for would be missing.
                 self._version = None
                 return
             page = changes
@@ -258,6 +264,31 @@
                 as_of = min(self._clock.now(), requested_at + wait_s)
         self._confirm(page.version, as_of)
 
+    def _read_changes(
+        self, after_version: int, wait_s: float, timeout_s: float
+    ) -> RowPage | None:
+        # Returns None if the whole table must be read.
+        log = logger.bind(feed=self._name, after_version=after_version)
+        try:
+            changes = self._store.read_changes(
+                self._table,
+                after_version,
+                wait_s,
+                timeout_s=timeout_s,
+                max_bytes=max(
+                    MIN_CHANGES_BYTES, CHANGES_PER_TABLE_BYTE * self._table_bytes
+                ),
+            )
+        except OversizedResponseError as exc:
+            log.bind(detail=str(exc)).info("changes_too_large")
+            return None
+        if changes is None:
+            log.info("history_gone")
+        elif changes.era != self._era:
+            # Changes below the version asked for would be missing.
+            return None
+        return changes
+
     def _decode(self, page: RowPage, *, is_complete: bool) -> None:
         answered_at = self._clock.now() - page.read_s
         self._decoder.decode(
--- a/hawthornyard/platform/store.py
+++ b/hawthornyard/platform/store.py
@@ -162,6 +162,7 @@
         wait_s: float,
         *,
         timeout_s: float = READ_TIMEOUT_S,
+        max_bytes: int | None = None,
     ) -> RowPage | None:
         """Return the changes of a table, waiting until there are some.
 
@@ -171,11 +172,13 @@
             wait_s: Long-poll timeout in seconds; without a change until then, the page
                 has no rows.
             timeout_s: Seconds beyond `wait_s` within which the answer must begin.
+            max_bytes: Largest answer that is read, None for no bound.
 
         Returns:
             The changes, or None if the store no longer keeps changes that far back.
 
         Raises:
+            OversizedResponseError: If the answer is larger than `max_bytes`.
             PlatformError: If the store gives no valid response.
         """
         fields = {
@@ -188,6 +191,7 @@
             fields,
             expected_statuses=frozenset({_GONE}),
             timeout_s=wait_s + timeout_s,
+            max_response_bytes=max_bytes,
         )
         if answer.status == _GONE:
             return None
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -8,7 +8,11 @@
 import urllib3
 
 from ..core import Message
-from ..errors import PlatformError
+from ..errors import (
+    OversizedMessageError,
+    OversizedResponseError,
+    PlatformError,
+)
 from ..net import BoundedConnection, get_connection, new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
@@ -91,6 +95,7 @@
         expected_statuses: frozenset[int] = frozenset(),
         timeout_s: float | None = None,
         response_timeout_s: float | None = None,
+        max_response_bytes: int | None = None,
     ) -> HttpResponse:
         """Send one request, without retries or redirects.
 
@@ -104,10 +109,12 @@
                 for the default.
             response_timeout_s: Seconds from its head within which the response must
                 arrive whole, None for the default.
+            max_response_bytes: Largest body that is accepted, None for the default.
 
         Raises:
-            PlatformError: If there was no response, or one with an unexpected status
-                or over the size limit.
+            OversizedResponseError: If the response is over the size limit, or was
+                dropped as all messages of this process together are.
+            PlatformError: If there was no response, or one with an unexpected status.
         """
         timeout = self._timeout
         if timeout_s is not None:
@@ -129,9 +136,11 @@
                 self._read_timeout_s, response_timeout_s or self._response_timeout_s
             )
             started_at = time.monotonic()
-            body = read_body(resp, self._max_response_bytes)
+            body = read_body(resp, max_response_bytes or self._max_response_bytes)
             read_s = time.monotonic() - started_at
             response = HttpResponse(resp.status, body, resp.headers, read_s)
+        except OversizedMessageError as exc:
+            raise OversizedResponseError(f"{self._name}: {exc}") from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             n_received = conn.n_received if conn is not None else 0
             raise PlatformError(f"{self._name}: {exc}", n_received=n_received) from exc
