--- a/features/memory.feature
+++ b/features/memory.feature
@@ -32,6 +32,17 @@
     When a message of f grows to 60 bytes
     Then only the message of 60 bytes of f is dropped
 
+  Scenario Outline: Reserved messages are dropped only above their share
+    Given a budget of 100 bytes
+    And messages of 20 bytes of a, b, c, d and e
+    When a reserved message of f grows to <n> bytes
+    Then only the message of <dropped> is dropped
+
+    Examples:
+      | n  | dropped       |
+      | 10 | 20 bytes of a |
+      | 26 | 26 bytes of f |
+
   Scenario: A body in chunks of some bytes holds little more than these bytes
     Given a server that sends a head of a chunked body, then chunks of 4 bytes without end
     When the memory is watched while it is called as an endpoint
--- a/features/steps/memory.py
+++ b/features/steps/memory.py
@@ -81,6 +81,11 @@
     _hold(context, owner, n)
 
 
+@when("a reserved message of {owner} grows to {n:d} bytes")
+def grow_reserved(context: Context, owner: str, n: int) -> None:
+    _hold(context, owner, n, is_reserved=True)
+
+
 @then("only the message of {n:d} bytes of {owner} is dropped")
 def check_dropped(context: Context, n: int, owner: str) -> None:
     dropped = [(held.owner, size) for held, size in context.holdings if held.is_evicted]
@@ -206,8 +211,10 @@
     assert context.response.startswith(b"HTTP/1.1 %d " % status), context.response
 
 
-def _hold(context: Context, owner: str, n_bytes: int) -> None:
-    held: Holding = context.budget.hold(owner, lambda: None)
+def _hold(
+    context: Context, owner: str, n_bytes: int, *, is_reserved: bool = False
+) -> None:
+    held: Holding = context.budget.hold(owner, lambda: None, is_reserved=is_reserved)
     context.holdings.append((held, n_bytes))
     held.resize(n_bytes)
     try:
--- a/features/store_feeds.feature
+++ b/features/store_feeds.feature
@@ -74,3 +74,10 @@
     Given a server whose body of 50 pieces comes every 0.1 s
     When it is read again and again by the platform's client
     Then at most 3 reads failed
+
+  @fixture.platform_world
+  Scenario: What callers hold does not cost a gateway its deployment
+    Given version 8 with 10 routes is in force over a link of 100000 KB/s
+    And messages of others that fill the budget
+    When version 9 with 900 routes is written in an outage of the store
+    Then version 9 is in force within 4 s of the store's return
--- a/hawthornyard/net/byte_budget.py
+++ b/hawthornyard/net/byte_budget.py
@@ -21,6 +21,10 @@
 between two owners, and for what the allocator can't give back."""
 
 
+RESERVED_SHARE = 0.25
+"""Share of the budget in which reserved messages are not evicted."""
+
+
 def max_held_bytes(memory_bytes: int) -> int:
     """Return the budget of a process.
 
@@ -37,10 +41,14 @@
         budget: Budget that counts the bytes.
         owner: Peer that sends the message or is slow to take it.
         on_evict: Called when the message must go; closes its connection.
+        is_reserved: Whether it is evicted only if all reserved messages together exceed
+            their share of the budget.
 
     Attributes:
         owner: Peer that sends the message or is slow to take it.
         on_evict: Called when the message must go; closes its connection.
+        is_reserved: Whether it is evicted only if all reserved messages together exceed
+            their share of the budget.
         n_bytes: Bytes of the message that are counted.
         n_overhead: Bytes that are counted for what the message needs, such as its
             connection and its parsed head.
@@ -50,6 +58,7 @@
     __slots__ = (
         "_budget",
         "is_evicted",
+        "is_reserved",
         "n_bytes",
         "n_overhead",
         "on_evict",
@@ -57,11 +66,17 @@
     )
 
     def __init__(
-        self, budget: "ByteBudget", owner: str, on_evict: Callable[[], None]
+        self,
+        budget: "ByteBudget",
+        owner: str,
+        on_evict: Callable[[], None],
+        *,
+        is_reserved: bool = False,
     ) -> None:
         self._budget = budget
         self.owner = owner
         self.on_evict = on_evict
+        self.is_reserved = is_reserved
         self.n_bytes = 0
         self.n_overhead = 0
         self.is_evicted = False
@@ -126,7 +141,8 @@
     it holds a small part: many peers that hold much alike must not cost those that
     hold little their messages. If others hold half as much or more for messages that
     are still incomplete, the oldest of these is dropped instead: peers that never end
-    their messages must not cost those that do.
+    their messages must not cost those that do. What callers hold must not cost a
+    process its configuration either: reserved messages have a share of the budget.
 
     Args:
         max_bytes: Bytes that all messages may hold together.
@@ -140,6 +156,7 @@
     __slots__ = (
         "_holdings",
         "_incomplete",
+        "_n_reserved_bytes",
         "_owners",
         "max_bytes",
         "n_bytes",
@@ -150,14 +167,18 @@
         self.max_bytes = max_bytes
         self.n_bytes = 0
         self.n_evicted = 0
+        self._n_reserved_bytes = 0
+        # Without those of reserved messages.
         self._owners: dict[str, int] = {}
         self._holdings: set[Holding] = set()
         # In the order in which the messages began.
         self._incomplete: dict[Holding, None] = {}
 
-    def hold(self, owner: str, on_evict: Callable[[], None]) -> Holding:
+    def hold(
+        self, owner: str, on_evict: Callable[[], None], *, is_reserved: bool = False
+    ) -> Holding:
         """Return an empty holding of a message; see `Holding` for the arguments."""
-        return Holding(self, owner, on_evict)
+        return Holding(self, owner, on_evict, is_reserved=is_reserved)
 
     def resize(self, holding: Holding, n_bytes: int, n_overhead: int = 0) -> None:
         """Count a message and its overhead with other sizes."""
@@ -174,13 +195,23 @@
         self._incomplete.pop(holding, None)
 
     def _victim(self) -> Holding:
+        max_reserved_bytes = RESERVED_SHARE * self.max_bytes
+        if self._n_reserved_bytes > max_reserved_bytes or not self._owners:
+            return max(
+                (held for held in self._holdings if held.is_reserved), key=total_bytes
+            )
         owner = max(self._owners, key=self._owners.__getitem__)
         n_most = self._owners[owner]
         for held in self._incomplete:
             if held in self._holdings and 2 * total_bytes(held) >= n_most:
                 return held
         return max(
-            (held for held in self._holdings if held.owner == owner), key=total_bytes
+            (
+                held
+                for held in self._holdings
+                if held.owner == owner and not held.is_reserved
+            ),
+            key=total_bytes,
         )
 
     def evict(self, holding: Holding) -> None:
@@ -198,16 +229,22 @@
         holding.n_bytes = n_bytes
         holding.n_overhead = n_overhead
         self.n_bytes += change
-        owned = self._owners.get(holding.owner, 0) + change
-        if owned:
-            self._owners[holding.owner] = owned
+        if holding.is_reserved:
+            self._n_reserved_bytes += change
         else:
-            self._owners.pop(holding.owner, None)
+            self._add_owned(holding.owner, change)
         if n_bytes or n_overhead:
             self._holdings.add(holding)
         else:
             self._holdings.discard(holding)
 
+    def _add_owned(self, owner: str, change: int) -> None:
+        owned = self._owners.get(owner, 0) + change
+        if owned:
+            self._owners[owner] = owned
+        else:
+            self._owners.pop(owner, None)
+
 
 PROCESS_BUDGET = ByteBudget(MAX_HELD_BYTES)
 """Budget of all connections of this process."""
--- a/hawthornyard/net/http_connection.py
+++ b/hawthornyard/net/http_connection.py
@@ -149,19 +149,31 @@
         self._reader.limit_time(self.timeout)
         return super().getresponse()
 
-    def hold(self) -> Holding:
+    def hold(self, *, is_reserved: bool = False) -> Holding:
         """Return a holding of the response that is being read.
 
         If it is evicted, the connection is shut down.
-        """
-        return PROCESS_BUDGET.hold(f"{self.host}:{self.port}", self._reader.abort)
 
-    def read_body(self, resp: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+        Args:
+            is_reserved: See `Holding`.
+        """
+        return PROCESS_BUDGET.hold(
+            f"{self.host}:{self.port}", self._reader.abort, is_reserved=is_reserved
+        )
+
+    def read_body(
+        self,
+        resp: Any,
+        max_bytes: int = MAX_BODY_BYTES,
+        *,
+        is_reserved: bool = False,
+    ) -> bytes:
         """Return the whole body of a response of this connection, as it was sent.
 
         Args:
             resp: The response.
             max_bytes: Largest body that is accepted.
+            is_reserved: See `Holding`.
 
         Raises:
             OversizedMessageError: If the body is larger, which its length may tell
@@ -179,7 +191,7 @@
         # One buffer: an object for each chunk of a few bytes would take many times
         # their size.
         body = bytearray()
-        with self.hold() as holding:
+        with self.hold(is_reserved=is_reserved) as holding:
             while data := resp.read1(READ_BYTES, decode_content=False):
                 body += data
                 holding.resize(len(body))
@@ -235,19 +247,22 @@
     return pool
 
 
-def read_body(resp: Any, max_bytes: int = MAX_BODY_BYTES) -> bytes:
+def read_body(
+    resp: Any, max_bytes: int = MAX_BODY_BYTES, *, is_reserved: bool = False
+) -> bytes:
     """Return the whole body of a response from a `new_pool`.
 
     Args:
         resp: The response, of which the body has not been read.
         max_bytes: Largest body that is accepted.
+        is_reserved: See `Holding`.
 
     Raises:
         OversizedMessageError: See `BoundedConnection.read_body`.
         urllib3.exceptions.HTTPError: If the body does not arrive whole.
         OSError: If the connection breaks.
     """
-    return get_connection(resp).read_body(resp, max_bytes)
+    return get_connection(resp).read_body(resp, max_bytes, is_reserved=is_reserved)
 
 
 def get_connection(resp: Any) -> BoundedConnection:
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -136,7 +136,9 @@
                 self._read_timeout_s, response_timeout_s or self._response_timeout_s
             )
             started_at = time.monotonic()
-            body = read_body(resp, max_response_bytes or self._max_response_bytes)
+            body = read_body(
+                resp, max_response_bytes or self._max_response_bytes, is_reserved=True
+            )
             read_s = time.monotonic() - started_at
             response = HttpResponse(resp.status, body, resp.headers, read_s)
         except OversizedMessageError as exc:
