--- a/features/steps/store_feeds.py
+++ b/features/steps/store_feeds.py
@@ -10,13 +10,15 @@
 from behave import given, then, when
 from behave.runner import Context
 
+from features.support.peers import RecordingInbox
 from features.support.platform_world import CONFIG, route
 from features.support.scripted import read_message
 from hawthornyard.core import Decision
 from hawthornyard.demo.deployment import LOOPBACK
-from hawthornyard.edge.messages import StoreFailed
+from hawthornyard.edge.messages import EndpointsRead, StoreFailed
 from hawthornyard.errors import PlatformError
-from hawthornyard.platform.store import PlatformStore
+from hawthornyard.platform.feeds import EndpointTableDecoder
+from hawthornyard.platform.store import PlatformStore, StoredRow
 from hawthornyard.stores import HttpHostList, HttpTableStore
 
 FEED = "operator"
@@ -31,6 +33,14 @@
     "table service": lambda url: HttpTableStore(url).scan("records/"),
     "host list": lambda url: HttpHostList(url).read(),
 }
+ENTRY = {
+    "service": "desk",
+    "address": "127.0.0.1:80",
+    "zone": "domain-1",
+    "slots": 6,
+    "state": "ready",
+}
+ENTRIES = {"ready": json.dumps(ENTRY).encode(), "removed": None, "malformed": b"{"}
 BODY = {"rows": [], "head": 1, "ver": 1, "now_ms": 1, "revision": 1, "hosts": []}
 
 
@@ -272,3 +282,32 @@
 @then("at most {n:d} reads failed")
 def check_n_failed(context: Context, n: int) -> None:
     assert context.n_failed <= n, context.n_failed
+
+
+@given("an answer in which desk-a is {states}")
+def answer_entries(context: Context, states: str) -> None:
+    context.rows = [
+        StoredRow("desk-a", ENTRIES[state], number)
+        for number, state in enumerate(_items(states))
+    ]
+
+
+def _items(text: str) -> list[str]:
+    return text.replace(" and then ", ", ").replace(" and ", ", ").split(", ")
+
+
+@when("the endpoints' rows are decoded")
+def decode_endpoint_rows(context: Context) -> None:
+    _decode(context, EndpointTableDecoder)
+
+
+def _decode(context: Context, decoder: Callable[[RecordingInbox], Any]) -> None:
+    context.inbox = RecordingInbox()
+    decoder(context.inbox).decode(context.rows, is_complete=False, answered_at=0.0)
+
+
+@then("{n:d} of its endpoints are gone")
+def check_gone(context: Context, n: int) -> None:
+    (read,) = context.inbox.messages
+    assert isinstance(read, EndpointsRead)
+    assert len(set(read.gone)) == n, read
--- a/features/store_feeds.feature
+++ b/features/store_feeds.feature
@@ -81,3 +81,17 @@
     And messages of others that fill the budget
     When version 9 with 900 routes is written in an outage of the store
     Then version 9 is in force within 4 s of the store's return
+
+  Scenario Outline: An endpoint is gone only if its newest row in an answer is removed
+    Given an answer in which desk-a is <rows>
+    When the endpoints' rows are decoded
+    Then <gone> of its endpoints are gone
+
+    Examples:
+      | rows                                  | gone |
+      | removed                               | 1    |
+      | ready and then removed                | 1    |
+      | removed and then ready                | 0    |
+      | removed and then malformed            | 1    |
+      | ready, removed and ready              | 0    |
+      | removed, ready and removed            | 1    |
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -126,20 +126,25 @@
     ) -> None:
         """Decode rows into messages; see `TableDecoder.decode`."""
         entries = []
-        removed = []
+        # Changes hold each version of a row in order: only the newest tells whether the
+        # endpoint is gone.
+        removed: set[str] = set()
         for row in rows:
             if row.value is None:
-                removed.append(row.key)
+                removed.add(row.key)
                 continue
             try:
                 entries.append(decode_endpoint_entry(row.key, row.value))
+                removed.discard(row.key)
             except RecordError as exc:
                 logger.bind(endpoint=row.key, detail=str(exc)).warning(
                     "endpoint_unreadable"
                 )
                 # Reading the whole table would not find it either.
-                removed.append(row.key)
-        self._inbox.put(EndpointsRead(entries, removed, is_complete=is_complete))
+                removed.add(row.key)
+        self._inbox.put(
+            EndpointsRead(entries, sorted(removed), is_complete=is_complete)
+        )
 
 
 class Feed:
