--- a/features/steps/store_feeds.py
+++ b/features/steps/store_feeds.py
@@ -15,9 +15,9 @@
 from features.support.scripted import read_message
 from hawthornyard.core import Decision
 from hawthornyard.demo.deployment import LOOPBACK
-from hawthornyard.edge.messages import EndpointsRead, StoreFailed
+from hawthornyard.edge.messages import DeploymentRead, EndpointsRead, StoreFailed
 from hawthornyard.errors import PlatformError
-from hawthornyard.platform.feeds import EndpointTableDecoder
+from hawthornyard.platform.feeds import EndpointTableDecoder, OperatorTableDecoder
 from hawthornyard.platform.store import PlatformStore, StoredRow
 from hawthornyard.stores import HttpHostList, HttpTableStore
 
@@ -284,6 +284,16 @@
     assert context.n_failed <= n, context.n_failed
 
 
+@given("an answer with the versions {versions} of the deployment")
+def answer_versions(context: Context, versions: str) -> None:
+    context.rows = []
+    for number, name in enumerate(_items(versions)):
+        value = b"{"
+        if name != "malformed":
+            value = json.dumps({**CONFIG, "version": int(name)}).encode()
+        context.rows.append(StoredRow("config", value, number))
+
+
 @given("an answer in which desk-a is {states}")
 def answer_entries(context: Context, states: str) -> None:
     context.rows = [
@@ -296,6 +306,11 @@
     return text.replace(" and then ", ", ").replace(" and ", ", ").split(", ")
 
 
+@when("the operators' rows are decoded")
+def decode_operator_rows(context: Context) -> None:
+    _decode(context, OperatorTableDecoder)
+
+
 @when("the endpoints' rows are decoded")
 def decode_endpoint_rows(context: Context) -> None:
     _decode(context, EndpointTableDecoder)
@@ -306,6 +321,12 @@
     decoder(context.inbox).decode(context.rows, is_complete=False, answered_at=0.0)
 
 
+@then("only version {version:d} is passed on")
+def check_passed_on(context: Context, version: int) -> None:
+    read = [msg for msg in context.inbox.messages if isinstance(msg, DeploymentRead)]
+    assert [msg.deployment.version for msg in read] == [version], read
+
+
 @then("{n:d} of its endpoints are gone")
 def check_gone(context: Context, n: int) -> None:
     (read,) = context.inbox.messages
--- a/features/store_feeds.feature
+++ b/features/store_feeds.feature
@@ -82,6 +82,16 @@
     When version 9 with 900 routes is written in an outage of the store
     Then version 9 is in force within 4 s of the store's return
 
+  Scenario Outline: Only the newest readable deployment of an answer is put in force
+    Given an answer with the versions <versions> of the deployment
+    When the operators' rows are decoded
+    Then only version <version> is passed on
+
+    Examples:
+      | versions           | version |
+      | 8, 9 and 10        | 10      |
+      | 8, 9 and malformed | 9       |
+
   Scenario Outline: An endpoint is gone only if its newest row in an answer is removed
     Given an answer in which desk-a is <rows>
     When the endpoints' rows are decoded
--- a/hawthornyard/platform/feeds.py
+++ b/hawthornyard/platform/feeds.py
@@ -88,11 +88,27 @@
         """Decode rows into messages; see `TableDecoder.decode`."""
         if is_complete:
             self._domains_out.clear()
+        self._decode_newest_deployment(rows, answered_at)
         for row in rows:
-            self._decode_row(row, answered_at)
+            self._decode_row(row)
         self._inbox.put(DomainsRead(frozenset(self._domains_out)))
 
-    def _decode_row(self, row: StoredRow, answered_at: float) -> None:
+    def _decode_newest_deployment(
+        self, rows: Sequence[StoredRow], answered_at: float
+    ) -> None:
+        # Changes hold each version of a row; older ones would be replaced at once.
+        for row in reversed(rows):
+            if row.key != DEPLOYMENT_KEY or row.value is None:
+                continue
+            try:
+                deployment = decode_deployment(row.value)
+            except RecordError as exc:
+                logger.bind(detail=str(exc)).error("deployment_unreadable")
+            else:
+                self._inbox.put(DeploymentRead(deployment, row.version, answered_at))
+                return
+
+    def _decode_row(self, row: StoredRow) -> None:
         if row.key.startswith(DOMAIN_OUT_KEY_PREFIX):
             domain = row.key.removeprefix(DOMAIN_OUT_KEY_PREFIX)
             if row.value is None:
@@ -101,12 +117,6 @@
                 self._domains_out.add(domain)
         elif row.key.startswith(ROLLOUT_KEY_PREFIX):
             self._inbox.put(decode_order(row))
-        elif row.key == DEPLOYMENT_KEY and row.value is not None:
-            try:
-                deployment = decode_deployment(row.value)
-                self._inbox.put(DeploymentRead(deployment, row.version, answered_at))
-            except RecordError as exc:
-                logger.bind(detail=str(exc)).error("deployment_unreadable")
 
 
 class EndpointTableDecoder:
