--- a/hawthornyard/edge/fleet/store.py
+++ b/hawthornyard/edge/fleet/store.py
@@ -12,8 +12,6 @@
 # Time after the store's return in which what it lost, or what expired meanwhile, is
 # published again.
 STORE_RECOVERY_S = 2.0
-
-
 # Least time between two log lines of failed calls of one feed.
 FAILED_CALL_LOG_INTERVAL_S = 1.0
 
--- a/hawthornyard/net/byte_budget.py
+++ b/hawthornyard/net/byte_budget.py
@@ -20,7 +20,6 @@
 """Share of the other memory that is budgeted. The rest is for messages in transit
 between two owners, and for what the allocator can't give back."""
 
-
 RESERVED_SHARE = 0.25
 """Share of the budget in which reserved messages are not evicted."""
 
--- a/hawthornyard/platform/standins/store.py
+++ b/hawthornyard/platform/standins/store.py
@@ -78,6 +78,7 @@
     def forget_history(self) -> None:
         """Discard the changes so far, so that readers must read the tables anew."""
         self.oldest_version = self.version
+        self._changes.clear()
         self._wake_waiters()
 
     def take_copy(self) -> None:
@@ -177,9 +178,13 @@
         ]
 
     def _select_changes(self, table: str, after: int) -> list[dict[str, Any]]:
-        return [
-            row for name, row in self._changes if name == table and row["ver"] > after
-        ]
+        found = []
+        for name, row in reversed(self._changes):
+            if row["ver"] <= after:
+                break
+            if name == table:
+                found.append(row)
+        return found[::-1]
 
     def _answer(
         self,
--- a/hawthornyard/stores/http.py
+++ b/hawthornyard/stores/http.py
@@ -8,11 +8,7 @@
 import urllib3
 
 from ..core import Message
-from ..errors import (
-    OversizedMessageError,
-    OversizedResponseError,
-    PlatformError,
-)
+from ..errors import OversizedMessageError, OversizedResponseError, PlatformError
 from ..net import BoundedConnection, get_connection, new_pool, read_body
 
 CONNECT_TIMEOUT_S = 1.0
