--- a/features/support/wait_recording_store.py
+++ b/features/support/wait_recording_store.py
@@ -17,7 +17,7 @@
     Attributes:
         era: Era of the store.
         failing_call: Number of the poll that fails, 0 for none.
-        longest_s: Seconds that each poll may take before it fails.
+        longest_s: Seconds within which the answer to each poll must begin.
         waits: Requested waits in seconds.
         all_recorded: Event sent at the poll numbered N_RECORDED_CALLS.
     """
@@ -35,7 +35,13 @@
         return RowPage([], 1)
 
     def read_changes(
-        self, table: str, after_version: int, wait_s: float, *, timeout_s: float
+        self,
+        table: str,
+        after_version: int,
+        wait_s: float,
+        *,
+        timeout_s: float,
+        max_bytes: int,
     ) -> RowPage:
         self.waits.append(wait_s)
         self.longest_s.append(wait_s + timeout_s)
