Send nothing to an endpoint that says in an answer that it leaves

Cause: nothing read the header Server-Leaving. Only entries of the store and engines' reports told of a leaving, and a notice that came ahead of the entry of its incarnation was dropped.

Change: NoticeReader reads it in the sound heads of attempts, reports, probes and copy orders; FollowEndpoints applies it as it applies a report, so that streams move and the other gateways are told. Announced leavings are remembered by name and incarnation, also ahead of the entry and after the endpoint was forgotten. A run is not copied further to an engine that leaves. The line endpoint_leaving names origin, incarnation, answer, age.

--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -27,6 +27,8 @@
 MAX_ABSENT_BACKOFF_S = 8.0
 # Backoff after a broken stream, which is often the first sign of a lost endpoint.
 BROKEN_BACKOFF_S = 0.3
+# Announced leavings that are remembered; the oldest are forgotten first.
+MAX_ANNOUNCED_LEAVINGS = 4096
 
 
 class Endpoint:
@@ -219,12 +221,21 @@
         paced_services: Services of which some endpoint has reported a pace.
     """
 
-    __slots__ = ("_by_name", "_clock", "_peers", "is_loaded", "paced_services")
+    __slots__ = (
+        "_announced_leavings",
+        "_by_name",
+        "_clock",
+        "_peers",
+        "is_loaded",
+        "paced_services",
+    )
 
     def __init__(self, peers: Peers, clock: Clock) -> None:
         self._peers = peers
         self._clock = clock
         self._by_name: dict[str, Endpoint] = {}
+        # Names and incarnations, in order of their announcement.
+        self._announced_leavings: dict[tuple[str, int], None] = {}
         self.is_loaded = False
         self.paced_services: set[str] = set()
 
@@ -243,7 +254,8 @@
 
         A new endpoint or incarnation starts without measurements or requests. An entry
         of an incarnation that has announced its leaving never brings it back: the
-        announcement may have come from the endpoint itself, ahead of an older entry.
+        announcement may have come from the endpoint itself, ahead of an older entry or
+        of the first one.
         """
         now = self._clock.now()
         endpoint = self._by_name.get(entry.name)
@@ -254,11 +266,41 @@
         if entry.cold_s > 0:
             endpoint.allowance.cold.set_remaining(entry.cold_s)
         if entry.is_draining:
+            self._remember_leaving(entry.name, entry.born)
+        if entry.is_draining or self._has_announced_leaving(entry):
             endpoint.note_leaving(now, is_announced=True)
         elif not endpoint.has_announced_leaving:
             endpoint.leaving_since = None
         return endpoint
 
+    def note_announced_leaving(self, name: str, born: int) -> Endpoint | None:
+        """Record that an incarnation of an endpoint announced that it leaves.
+
+        Args:
+            name: Name of the endpoint.
+            born: Incarnation, whose entry may not have been read yet.
+
+        Returns:
+            The endpoint if it has this incarnation and was not known to leave, else
+            None.
+        """
+        self._remember_leaving(name, born)
+        endpoint = self._by_name.get(name)
+        if endpoint is None or endpoint.entry.born != born:
+            return None
+        is_news = endpoint.note_leaving(self._clock.now(), is_announced=True)
+        return endpoint if is_news else None
+
+    def _remember_leaving(self, name: str, born: int) -> None:
+        self._announced_leavings[name, born] = None
+        if len(self._announced_leavings) > MAX_ANNOUNCED_LEAVINGS:
+            del self._announced_leavings[next(iter(self._announced_leavings))]
+
+    def _has_announced_leaving(self, entry: EndpointEntry) -> bool:
+        # Entries without a start time do not tell one incarnation from the next.
+        is_known = (entry.name, entry.born) in self._announced_leavings
+        return bool(entry.born) and is_known
+
     def forget(self, name: str) -> None:
         """Remove an endpoint that is gone."""
         self._by_name.pop(name, None)
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -8,6 +8,7 @@
 from ..messages import (
     EndpointEntry,
     EndpointLeaving,
+    EndpointNotice,
     EndpointsRead,
     Origin,
     ReportRead,
@@ -58,6 +59,7 @@
         self._copied_until = float("-inf")
         self.handlers: Handlers = {
             EndpointsRead: self._on_endpoints_read,
+            EndpointNotice: self._on_endpoint_notice,
             ReportRead: self._on_report_read,
             LeavingNotice: self._on_leaving_notice,
             StoreAnswered: self._on_store_answered,
@@ -92,7 +94,8 @@
         known = self._endpoints.get(entry.name)
         was_leaving = known is not None and known.leaving_since is not None
         endpoint = self._endpoints.update(entry)
-        if endpoint is not known:
+        is_new = endpoint is not known
+        if is_new:
             yield Decision(
                 "endpoint_found",
                 endpoint=entry.name,
@@ -101,8 +104,9 @@
                 failure_domain=entry.failure_domain,
                 cold_s=entry.cold_s,
             )
-        if endpoint.leaving_since is not None and not was_leaving:
-            yield from self._announce_leaving(endpoint, "draining", Origin.STORE)
+        if endpoint.leaving_since is not None and (is_new or not was_leaving):
+            reason = "draining" if entry.is_draining else "announced before"
+            yield from self._announce_leaving(endpoint, reason, Origin.STORE)
 
     def _may_be_copied(self, entry: EndpointEntry) -> bool:
         known = self._endpoints.get(entry.name)
@@ -127,38 +131,53 @@
         if endpoint.note_leaving(self._clock.now(), is_announced=False):
             yield from self._announce_leaving(endpoint, "entry removed", Origin.STORE)
 
+    def _on_endpoint_notice(self, msg: EndpointNotice) -> Iterator[Message]:
+        if msg.is_leaving:
+            endpoint = self._endpoints.note_announced_leaving(msg.endpoint, msg.born)
+            if endpoint is not None:
+                yield from self._announce_leaving(
+                    endpoint,
+                    "said in an answer",
+                    Origin.ENDPOINT,
+                    call=msg.call,
+                    age_s=self._clock.now() - msg.asked_at,
+                )
+        yield msg
+
     def _on_report_read(self, msg: ReportRead) -> Iterator[Message]:
-        endpoint = (
-            self._mark_leaving(msg.endpoint, msg.born) if msg.is_leaving else None
-        )
-        if endpoint is not None:
-            yield from self._announce_leaving(
-                endpoint, "reported by the endpoint", Origin.ENDPOINT
-            )
+        if msg.is_leaving:
+            endpoint = self._endpoints.note_announced_leaving(msg.endpoint, msg.born)
+            if endpoint is not None:
+                yield from self._announce_leaving(
+                    endpoint, "reported by the endpoint", Origin.ENDPOINT
+                )
         yield msg
 
     def _on_leaving_notice(self, msg: LeavingNotice) -> Iterator[Message]:
-        endpoint = self._mark_leaving(msg.endpoint, msg.started_at)
+        endpoint = self._endpoints.note_announced_leaving(msg.endpoint, msg.started_at)
         if endpoint is not None:
             yield from self._announce_leaving(
                 endpoint, "reported by another gateway", Origin.GATEWAY
             )
 
-    def _mark_leaving(self, name: str, born: int) -> Endpoint | None:
-        endpoint = self._endpoints.get(name)
-        if endpoint is None or endpoint.entry.born != born:
-            return None
-        is_news = endpoint.note_leaving(self._clock.now(), is_announced=True)
-        return endpoint if is_news else None
-
     def _announce_leaving(
-        self, endpoint: Endpoint, reason: str, origin: Origin
+        self,
+        endpoint: Endpoint,
+        reason: str,
+        origin: Origin,
+        *,
+        call: str = "",
+        age_s: float = 0.0,
     ) -> Iterator[Message]:
         yield Decision(
             "endpoint_leaving",
             reason=reason,
             endpoint=endpoint.name,
+            born=endpoint.entry.born,
+            origin=origin.value,
             n_running=len(endpoint.requests),
+            call=call,
+            age_s=round(age_s, 3),
         )
         yield EndpointLeaving(endpoint.name, origin)
 
--- a/hawthornyard/edge/messages/notice.py
+++ b/hawthornyard/edge/messages/notice.py
@@ -19,6 +19,10 @@
             time, None if it reports none.
         pause_s: Seconds for which it wants no request from this gateway, None if it
             does not ask for a pause.
+        is_leaving: Whether the endpoint is about to leave; an answer that does not say
+            so takes nothing back.
+        call: What was answered: the identifier of a caller's request, or the path of a
+            call of the gateway's own.
     """
 
     __slots__ = (
@@ -29,6 +33,8 @@
         "limit_per_s",
         "pace_factor",
         "pause_s",
+        "is_leaving",
+        "call",
     )
 
     def __init__(
@@ -41,6 +47,8 @@
         limit_per_s: float | None = None,
         pace_factor: float | None = None,
         pause_s: float | None = None,
+        is_leaving: bool = False,
+        call: str = "",
     ) -> None:
         self.endpoint = endpoint
         self.born = born
@@ -49,6 +57,8 @@
         self.limit_per_s = limit_per_s
         self.pace_factor = pace_factor
         self.pause_s = pause_s
+        self.is_leaving = is_leaving
+        self.call = call
 
 
 class LimitChanged(Message):
--- a/hawthornyard/edge/streams/migrate.py
+++ b/hawthornyard/edge/streams/migrate.py
@@ -167,7 +167,12 @@
                 request.attempt.copy = RunCopy(
                     request.migration.target, msg.copy_request.source, msg.handle
                 )
-            if msg.is_done and endpoint is not None and target is not None:
+            if (
+                msg.is_done
+                and endpoint is not None
+                and target is not None
+                and self._eligibility.may_receive(target)
+            ):
                 request.migration.n_copies += 1
                 yield from self._request_copy(request, endpoint, target)
                 return
--- a/hawthornyard/platform/copies.py
+++ b/hawthornyard/platform/copies.py
@@ -80,7 +80,12 @@
             detail = f"{type(exc).__name__}: {exc}"
             return CopyAnswered(msg, is_done=False, is_inconclusive=True, detail=detail)
         self._notices.read(
-            answer.status, answer.headers, msg.source_name, msg.source_born, asked_at
+            answer.status,
+            answer.headers,
+            msg.source_name,
+            msg.source_born,
+            asked_at,
+            COPY_PATH,
         )
         # An engine that stopped the run but failed to deliver the copy returns a handle
         # too.
@@ -88,7 +93,9 @@
         is_missing = answer.status == _NOT_FOUND
         born = None
         if is_missing and msg.is_final:
-            born = read_born(msg.source_name, msg.source)
+            born = read_born(
+                self._notices, msg.source_name, msg.source, msg.source_born
+            )
         return CopyAnswered(
             msg,
             is_done=answer.status == _OK,
--- a/hawthornyard/platform/names.py
+++ b/hawthornyard/platform/names.py
@@ -19,6 +19,10 @@
 LIMIT_HEADER = "Server-Limit"
 # On a 503 of an endpoint: seconds for which it wants no request from this gateway.
 RETRY_AFTER_HEADER = "Retry-After"
+# "1" in all answers of an endpoint that is about to leave.
+LEAVING_HEADER = "Server-Leaving"
+# Name of the endpoint that answers.
+ENDPOINT_HEADER = "X-Hawthornyard-Instance-Id"
 # "running,waiting,slots,pace"; the pace is 100 if work takes as long as usual.
 SERVER_LOAD_HEADER = "X-Hawthornyard-Server-Load"
 BACKUP_HEADER = "X-Hawthornyard-Kv-Backup"
--- a/hawthornyard/platform/notices.py
+++ b/hawthornyard/platform/notices.py
@@ -12,6 +12,8 @@
 from ..errors import RecordError
 from .fields import shorten
 from .names import (
+    ENDPOINT_HEADER,
+    LEAVING_HEADER,
     LIMIT_HEADER,
     RETRY_AFTER_HEADER,
     SERVER_LOAD_HEADER,
@@ -59,6 +61,7 @@
         endpoint: str,
         born: int,
         asked_at: float,
+        call: str,
     ) -> None:
         """Put the notices of one answer into the inbox.
 
@@ -68,8 +71,9 @@
             endpoint: Name of the endpoint that was asked.
             born: Incarnation that was asked, in Unix milliseconds.
             asked_at: Monotonic time in seconds at which the request was sent.
+            call: Identifier of the caller's request, or the path of another call.
         """
-        if status == _MISDIRECTED:
+        if status == _MISDIRECTED or headers.get(ENDPOINT_HEADER, endpoint) != endpoint:
             # Another endpoint answers at the address.
             return
         limit_text = headers.get(LIMIT_HEADER)
@@ -77,9 +81,7 @@
         if limit_text is not None:
             limit_per_s = decode_decimal(limit_text)
             if limit_per_s is None:
-                logger.bind(
-                    endpoint=endpoint, header=LIMIT_HEADER, value=limit_text[:100]
-                ).warning("notice_unreadable")
+                _log_unreadable(endpoint, LIMIT_HEADER, limit_text)
         self._inbox.put(
             EndpointNotice(
                 endpoint,
@@ -91,10 +93,24 @@
                 limit_per_s=limit_per_s,
                 pace_factor=_read_pace(headers, endpoint),
                 pause_s=_read_pause(status, headers, endpoint),
+                is_leaving=_read_leaving(headers, endpoint),
+                call=call,
             )
         )
 
 
+def _log_unreadable(endpoint: str, header: str, text: str) -> None:
+    log = logger.bind(endpoint=endpoint, header=header, value=text[:100])
+    log.warning("notice_unreadable")
+
+
+def _read_leaving(headers: Mapping[str, str], endpoint: str) -> bool:
+    text = headers.get(LEAVING_HEADER, "0").strip()
+    if text not in ("0", "1"):
+        _log_unreadable(endpoint, LEAVING_HEADER, text)
+    return text == "1"
+
+
 def _read_pace(headers: Mapping[str, str], endpoint: str) -> float | None:
     text = headers.get(SERVER_LOAD_HEADER)
     if text is None:
@@ -115,9 +131,7 @@
         return None
     pause_s = decode_retry_after(text, headers.get("Date", ""))
     if pause_s is None:
-        logger.bind(
-            endpoint=endpoint, header=RETRY_AFTER_HEADER, value=text[:100]
-        ).warning("notice_unreadable")
+        _log_unreadable(endpoint, RETRY_AFTER_HEADER, text)
     return pause_s
 
 
--- a/hawthornyard/platform/reports.py
+++ b/hawthornyard/platform/reports.py
@@ -4,7 +4,12 @@
 from loguru import logger
 
 from ..core import Consumers, Inbox
-from ..edge.messages import ProbeRequested, ReportFailed, ReportRequested
+from ..edge.messages import (
+    ProbeRequested,
+    ReportFailed,
+    ReportRead,
+    ReportRequested,
+)
 from ..errors import RecordError
 from ..io.endpoint_calls import CALL_ERRORS, call_once, is_refused
 from .endpoint import decode_report
@@ -20,28 +25,58 @@
 _OK = 200
 
 
-def read_born(endpoint: str, address: str) -> int | None:
+def read_born(
+    notices: NoticeReader, endpoint: str, address: str, born: int
+) -> int | None:
     """Return the incarnation that answers at the address of an engine.
 
     Args:
+        notices: Reads what the engine says of itself beside its report.
         endpoint: Name of the engine.
         address: "address:port" of the engine.
+        born: Incarnation that was there, in Unix milliseconds.
 
     Returns:
         Start time in Unix milliseconds, 0 if nothing listens there, None if it can't be
         found out.
     """
+    try:
+        report = _fetch_report(notices, endpoint, address, born)
+    except CALL_ERRORS as exc:
+        return 0 if is_refused(exc) else None
+    return report.born or None if report is not None else None
+
+
+def _fetch_report(
+    notices: NoticeReader, endpoint: str, address: str, born: int
+) -> ReportRead | None:
+    """Return the report of an engine, None if its answer is no report.
+
+    Raises:
+        urllib3.exceptions.HTTPError: If there is no answer.
+        http.client.HTTPException: If the answer is not HTTP.
+        OSError: If the engine can't be reached.
+        ValueError: If the address has no numeric port.
+    """
     log = logger.bind(endpoint=endpoint, address=address)
+    asked_at = notices.now()
     try:
         answer = call_once("GET", address, REPORT_PATH, "", REPORT_TIMEOUT_S)
-        if answer.status != _OK:
-            log.bind(status=answer.status).info("report_failed")
-            return None
-        report = decode_report(endpoint, answer.data)
-    except (*CALL_ERRORS, RecordError) as exc:
+    except CALL_ERRORS as exc:
         log.bind(detail=str(exc)).info("report_failed")
-        return 0 if is_refused(exc) else None
-    return report.born or None
+        raise
+    report = None
+    if answer.status == _OK:
+        try:
+            report = decode_report(endpoint, answer.data)
+        except RecordError as exc:
+            log.bind(detail=str(exc)).warning("report_unreadable")
+            return None
+        born = report.born or born
+    else:
+        log.bind(status=answer.status).info("report_failed")
+    notices.read(answer.status, answer.headers, endpoint, born, asked_at, REPORT_PATH)
+    return report
 
 
 class ReportSink:
@@ -76,32 +111,18 @@
             ).info("probe_failed")
             return
         self._notices.read(
-            answer.status, answer.headers, msg.endpoint, msg.born, asked_at
+            answer.status, answer.headers, msg.endpoint, msg.born, asked_at, msg.path
         )
 
     def _on_report_requested(self, msg: ReportRequested) -> None:
         eventlet.spawn_n(self._fetch, msg)
 
     def _fetch(self, msg: ReportRequested) -> None:
-        log = logger.bind(endpoint=msg.endpoint, address=msg.address)
-        asked_at = self._notices.now()
         try:
-            answer = call_once("GET", msg.address, REPORT_PATH, "", REPORT_TIMEOUT_S)
+            report = _fetch_report(self._notices, msg.endpoint, msg.address, msg.born)
         except CALL_ERRORS as exc:
-            log.bind(detail=str(exc)).info("report_failed")
-            self._inbox.put(
-                ReportFailed(msg.endpoint, msg.born, is_refused=is_refused(exc))
-            )
-            return
-        self._notices.read(
-            answer.status, answer.headers, msg.endpoint, msg.born, asked_at
-        )
-        if answer.status != _OK:
-            log.bind(status=answer.status).info("report_failed")
-            return
-        try:
-            report = decode_report(msg.endpoint, answer.data)
-        except RecordError as exc:
-            log.bind(detail=str(exc)).warning("report_unreadable")
+            failed = ReportFailed(msg.endpoint, msg.born, is_refused=is_refused(exc))
+            self._inbox.put(failed)
             return
-        self._inbox.put(report)
+        if report is not None:
+            self._inbox.put(report)
--- a/hawthornyard/platform/runner.py
+++ b/hawthornyard/platform/runner.py
@@ -112,9 +112,14 @@
         )
         resp = conn.getresponse()
         try:
-            _check_request_id(resp, msg)
+            _check_head(resp, msg)
             self._notices.read(
-                resp.status, resp.headers, msg.endpoint, msg.born, asked_at
+                resp.status,
+                resp.headers,
+                msg.endpoint,
+                msg.born,
+                asked_at,
+                call.request_id,
             )
             self._handle_response(conn, resp, msg)
         finally:
@@ -123,9 +128,7 @@
     def _handle_response(
         self, conn: BoundedConnection, resp: Any, msg: Dispatch
     ) -> None:
-        if resp.status == _MISDIRECTED or resp.headers.get(NOT_RUN_HEADER):
-            if REQUEST_ID_HEADER not in resp.headers:
-                raise EndpointError("a refusal does not tell which request it is for")
+        if _is_refusal(resp):
             self._inbox.put(
                 AttemptRefused(
                     msg.attempt_id,
@@ -135,7 +138,6 @@
                 )
             )
             return
-        _check_response(resp)
         try:
             self._relay_answer(conn, resp, msg)
         except (*CALL_ERRORS, EndpointError) as exc:
@@ -187,7 +189,7 @@
             return
         # The system closes the connections of a process that ends, which looks like the
         # end of a stream without length.
-        born = read_born(msg.endpoint, msg.address)
+        born = read_born(self._notices, msg.endpoint, msg.address, msg.born)
         self._inbox.put(
             AttemptEnded(msg.attempt_id, is_delimited=False, born_after=born)
         )
@@ -217,13 +219,21 @@
     return headers
 
 
-def _check_request_id(resp: Any, msg: Dispatch) -> None:
+def _is_refusal(resp: Any) -> bool:
+    return resp.status == _MISDIRECTED or bool(resp.headers.get(NOT_RUN_HEADER))
+
+
+def _check_head(resp: Any, msg: Dispatch) -> None:
     request_id = resp.headers.get(REQUEST_ID_HEADER)
     if request_id is not None and request_id != msg.call.request_id:
         raise EndpointError("the response has the id of another request")
+    if not _is_refusal(resp):
+        _check_answer(resp)
+    elif request_id is None:
+        raise EndpointError("a refusal does not tell which request it is for")
 
 
-def _check_response(resp: Any) -> None:
+def _check_answer(resp: Any) -> None:
     if resp.headers.get("Content-Encoding"):
         raise EndpointError("the response has a Content-Encoding, expected none")
     lengths = set(resp.headers.getlist("Content-Length"))
--- a/hawthornyard/platform/standins/endpoint.py
+++ b/hawthornyard/platform/standins/endpoint.py
@@ -21,6 +21,7 @@
     COPY_SOURCE_HEADER,
     EXPECTED_ENDPOINT_HEADER,
     LAST_EVENT_ID_HEADER,
+    LEAVING_HEADER,
     NOT_RUN_HEADER,
     PROMPT_PREFIX_HEADER,
     REPORT_PATH,
@@ -145,6 +146,8 @@
 
     def __call__(self, environ: Environ, start: StartResponse) -> Iterable[bytes]:
         """Answer one HTTP request."""
+        if self.behaviour.leaves_ms is not None:
+            start = _announce_leaving(start)
         path: str = environ["PATH_INFO"]
         route = self._routes.get(path)
         if route is not None:
@@ -315,6 +318,12 @@
     return value
 
 
+def _announce_leaving(start: StartResponse) -> StartResponse:
+    return lambda status, headers, *args: start(
+        status, [*headers, (LEAVING_HEADER, "1")], *args
+    )
+
+
 def _shared_parts(environ: Environ) -> list[str]:
     parts = _header(environ, PROMPT_PREFIX_HEADER).split(",")
     return [part.partition(":")[0].strip() for part in parts[:-1]]
