--- a/hawthornyard/net/__init__.py
+++ b/hawthornyard/net/__init__.py
@@ -19,6 +19,7 @@
     new_pool,
     read_body,
 )
+from .retry_after import decode_retry_after
 from .status_line import StatusLine, parse_status_line, read_final_status
 from .turn_queue import Turn, TurnQueue, Workload
 from .turns import PROCESS_TURNS, Turns
@@ -42,6 +43,7 @@
     "Turns",
     "Workload",
     "connect",
+    "decode_retry_after",
     "get_connection",
     "limit_body",
     "max_held_bytes",
