Check in the soak that no request follows an announced leaving

Callers of the soak note when the head of an answer says that its endpoint leaves; the new check tells each request that the same gateway sent there later than the bound on leaving endpoints, whether in touch with the store or not, unless it was paused or restarted since.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -9,6 +9,7 @@
 import eventlet
 
 from hawthornyard.platform.names import (
+    LEAVING_HEADER,
     MODEL_HEADER,
     PROMPT_PREFIX_HEADER,
     REQUEST_ID_HEADER,
@@ -38,6 +39,7 @@
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 """Statuses that promise that the request was not run, so that it may be retried."""
 _EVENT = re.compile(rb"id: (\d+)\ndata: ([^\n]*)\n\n")
+_LEAVING = re.compile(rb"\n%s: 1(?:\r|$)" % LEAVING_HEADER.encode(), re.IGNORECASE)
 _SIGNATURE = re.compile(rb"%s: (\w+)" % SIGNATURE_HEADER.encode(), re.IGNORECASE)
 _LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
@@ -169,6 +171,8 @@
             attempt.outcome = "cut"
             return
         attempt.status = int(head.split(b" ", 2)[1])
+        if _LEAVING.search(head):
+            attempt.told_leaving_at = time.monotonic()
         if b"connection: close" in head.lower():
             self._gateway = None
         body = self._read_body(attempt, head, reader)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -61,6 +61,7 @@
         _check_configuration,
         _check_deadly_part,
         _check_draining_endpoints,
+        _check_announced_leavings,
         _check_domains_out,
         _check_cold_endpoints,
         _check_cancellation,
@@ -181,6 +182,30 @@
             )
 
 
+def _check_announced_leavings(
+    world: World, executions_by_id: ExecutionsById
+) -> Iterator[str]:
+    # Unlike the store's news, this binds a gateway out of touch as well.
+    told_at: dict[tuple[str, str], float] = {}
+    for attempt in sorted(world.attempts, key=lambda item: item.sent_at):
+        executions = executions_by_id.get(attempt.request_id)
+        if executions and attempt.told_leaving_at is not None:
+            pair = (attempt.gateway, executions[-1].endpoint)
+            told_at.setdefault(pair, attempt.told_leaving_at)
+    for attempt, execution in _attempts_with_executions(world, executions_by_id):
+        since = told_at.get((attempt.gateway, execution.endpoint))
+        if (
+            since is not None
+            and attempt.sent_at > since + DRAIN_LIMIT_S
+            and execution.endpoint in world.draining_since
+            and world.fault_spans.is_steady(attempt.gateway, since, attempt.sent_at)
+        ):
+            yield (
+                f"sent {attempt.sent_at - since:.2f} s after an answer said that the "
+                f"endpoint leaves: {attempt} {execution}"
+            )
+
+
 def _check_deadly_part(world: World, executions_by_id: ExecutionsById) -> Iterator[str]:
     if len(world.deadly_crashes) < MAX_DEADLY_CRASHES:
         return
--- a/soak/fault_spans.py
+++ b/soak/fault_spans.py
@@ -3,6 +3,8 @@
 from .record import Attempt
 
 STORE = "store"
+KILLED = "killed"
+PAUSED = "paused"
 PLANNED_STOP = "planned stop"
 
 
@@ -32,6 +34,16 @@
             for name, _, span_start, span_end in self._spans
         )
 
+    def is_steady(self, name: str, start: float, end: float) -> bool:
+        """Return whether a process was neither stopped nor paused in a time span."""
+        return not any(
+            span_name == name
+            and kind in (KILLED, PAUSED, PLANNED_STOP)
+            and span_start < end
+            and span_end > start
+            for span_name, kind, span_start, span_end in self._spans
+        )
+
     def is_planned_stop_only(
         self, attempt: Attempt, names: set[str], margin_s: float
     ) -> bool:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 import eventlet
 
 from .deployment import DOMAINS, KEYS, REVOKE_LIMIT_S, REVOKED_KEY, STOP_GRACE_S
-from .fault_spans import PLANNED_STOP, STORE
+from .fault_spans import KILLED, PAUSED, PLANNED_STOP, STORE
 from .gateway import Gateway
 from .relay import Relay
 from .world import World
@@ -45,7 +45,7 @@
         started_at = time.monotonic()
         gateway.process.kill()
         eventlet.sleep(RESTART_DELAY_S)
-        _restart(world, gateway, "killed", started_at)
+        _restart(world, gateway, KILLED, started_at)
 
 
 class StopGateway:
@@ -77,7 +77,7 @@
         gateway = rng.choice(world.gateways)
         gateway.process.signal(signal.SIGSTOP)
         pause_s = rng.choice([0.3, 1.0, 3.0, 6.0])
-        with _fault_span(world, gateway.name, "paused", pause_s):
+        with _fault_span(world, gateway.name, PAUSED, pause_s):
             gateway.process.signal(signal.SIGCONT)
 
 
@@ -183,7 +183,7 @@
         if endpoint is None:
             return
         endpoint.process.signal(signal.SIGSTOP)
-        with _fault_span(world, endpoint.name, "paused", rng.uniform(0.3, 3.0)):
+        with _fault_span(world, endpoint.name, PAUSED, rng.uniform(0.3, 3.0)):
             endpoint.process.signal(signal.SIGCONT)
 
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -23,6 +23,8 @@
         events: Numbers of the received events in order of arrival.
         prefix: Parts of its prompt, none if it has no prompt.
         problem: What is wrong with the answer, empty if nothing is.
+        told_leaving_at: Monotonic seconds at which the head of an answer arrived that
+            says that its endpoint leaves, None if none did.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "request_id",
         "sent_at",
         "status",
+        "told_leaving_at",
     )
 
     def __init__(
@@ -62,6 +65,7 @@
         self.outcome = ""
         self.events: list[int] = []
         self.problem = ""
+        self.told_leaving_at: float | None = None
 
     def __repr__(self) -> str:
         fields = (f"{name}={getattr(self, name)!r}" for name in self.__slots__)
