Hear the header Server-Leaving when it is repeated, and name things plainly

A repeated header is joined by commas, so that "1, 1" was logged as unreadable and the leaving not heard; any value 1 counts now.

--- a/features/announced_leaving.feature
+++ b/features/announced_leaving.feature
@@ -99,6 +99,7 @@
       | as another endpoint              | does not know  |
       | with the id of another request   | does not know  |
       | without a signature              | does not know  |
+      | with the header twice            | knows          |
       | that it does not leave           | does not know  |
       | with an unreadable value         | does not know  |
 
--- a/features/steps/announced_leaving.py
+++ b/features/steps/announced_leaving.py
@@ -42,6 +42,7 @@
         b"X-Hawthornyard-Request-Id: other\r\n" + LEAVING,
     ),
     "without a signature": (b"200", LEAVING),
+    "with the header twice": (b"200", SIGNATURE_HEADERS + 2 * LEAVING),
     "that it does not leave": (b"200", SIGNATURE_HEADERS + b"Server-Leaving: 0\r\n"),
     "with an unreadable value": (
         b"200",
--- a/hawthornyard/edge/endpoints.py
+++ b/hawthornyard/edge/endpoints.py
@@ -27,8 +27,8 @@
 MAX_ABSENT_BACKOFF_S = 8.0
 # Backoff after a broken stream, which is often the first sign of a lost endpoint.
 BROKEN_BACKOFF_S = 0.3
-# Announced leavings that are remembered; the oldest are forgotten first.
-MAX_ANNOUNCED_LEAVINGS = 4096
+# Incarnations remembered to be leaving; the oldest are forgotten first.
+MAX_LEAVING_INCARNATIONS = 4096
 
 
 class Endpoint:
@@ -222,7 +222,7 @@
     """
 
     __slots__ = (
-        "_announced_leavings",
+        "_leaving_incarnations",
         "_by_name",
         "_clock",
         "_peers",
@@ -234,8 +234,8 @@
         self._peers = peers
         self._clock = clock
         self._by_name: dict[str, Endpoint] = {}
-        # Names and incarnations, in order of their announcement.
-        self._announced_leavings: dict[tuple[str, int], None] = {}
+        # Names and start times of those that announced it, oldest first.
+        self._leaving_incarnations: dict[tuple[str, int], None] = {}
         self.is_loaded = False
         self.paced_services: set[str] = set()
 
@@ -292,13 +292,13 @@
         return endpoint if is_news else None
 
     def _remember_leaving(self, name: str, born: int) -> None:
-        self._announced_leavings[name, born] = None
-        if len(self._announced_leavings) > MAX_ANNOUNCED_LEAVINGS:
-            del self._announced_leavings[next(iter(self._announced_leavings))]
+        self._leaving_incarnations[name, born] = None
+        if len(self._leaving_incarnations) > MAX_LEAVING_INCARNATIONS:
+            del self._leaving_incarnations[next(iter(self._leaving_incarnations))]
 
     def _has_announced_leaving(self, entry: EndpointEntry) -> bool:
         # Entries without a start time do not tell one incarnation from the next.
-        is_known = (entry.name, entry.born) in self._announced_leavings
+        is_known = (entry.name, entry.born) in self._leaving_incarnations
         return bool(entry.born) and is_known
 
     def forget(self, name: str) -> None:
--- a/hawthornyard/edge/fleet/endpoints.py
+++ b/hawthornyard/edge/fleet/endpoints.py
@@ -105,7 +105,11 @@
                 cold_s=entry.cold_s,
             )
         if endpoint.leaving_since is not None and (is_new or not was_leaving):
-            reason = "draining" if entry.is_draining else "announced before"
+            reason = (
+                "draining"
+                if entry.is_draining
+                else "announced before its entry was read"
+            )
             yield from self._announce_leaving(endpoint, reason, Origin.STORE)
 
     def _may_be_copied(self, entry: EndpointEntry) -> bool:
@@ -137,7 +141,7 @@
             if endpoint is not None:
                 yield from self._announce_leaving(
                     endpoint,
-                    "said in an answer",
+                    "announced in an answer",
                     Origin.ENDPOINT,
                     call=msg.call,
                     age_s=self._clock.now() - msg.asked_at,
--- a/hawthornyard/front/head.py
+++ b/hawthornyard/front/head.py
@@ -31,7 +31,7 @@
 
 
 class HeadReader:
-    """File of a request's head, whose lines are judged and counted as they are read.
+    """File of a request's head, whose lines are validated and counted as they are read.
 
     Args:
         fp: File of the connection.
--- a/hawthornyard/front/server.py
+++ b/hawthornyard/front/server.py
@@ -178,7 +178,8 @@
             if not self._holding.is_evicted:
                 self.wfile.write(LARGE_HEAD_RESPONSE)
             is_valid = False
-        except RequestError:
+        except RequestError as exc:
+            self.log_message("%s", exc)
             self.wfile.write(BAD_HEAD_RESPONSE)
             is_valid = False
         finally:
--- a/hawthornyard/net/field_lines.py
+++ b/hawthornyard/net/field_lines.py
@@ -1,7 +1,7 @@
-"""Judge the field lines of HTTP heads and trailer sections as they are read.
+"""Validate the field lines of HTTP heads and trailer sections as they are read.
 
-The parser of the standard library is one for mail: it takes a line that is no field for
-the begin of the body, and drops the fields behind it.
+The standard library parses heads as it parses mail: at a line that is no field it stops
+and drops the fields that follow, with those that delimit the body.
 """
 
 import re
@@ -24,7 +24,7 @@
 
 
 def check_field_line(line: bytes) -> bytes:
-    """Return a field line without the blanks behind its value.
+    """Validate a field line and return it without whitespace after its value.
 
     The form is that of RFC 9112, section 5: a token, a colon that follows at once, and
     a value on one line without control bytes but tabs. The carriage return may be
@@ -46,7 +46,7 @@
 
 
 class FieldReader:
-    """File of the fields of a head, each judged as it is read.
+    """File of the fields of a head, each validated as it is read.
 
     Args:
         fp: File at the first field.
--- a/hawthornyard/platform/notices.py
+++ b/hawthornyard/platform/notices.py
@@ -96,10 +96,12 @@
 
 
 def _read_leaving(headers: Mapping[str, str], endpoint: str) -> bool:
-    text = headers.get(LEAVING_HEADER, "0").strip()
-    if text not in ("0", "1"):
+    text = headers.get(LEAVING_HEADER, "0")
+    # The values of a repeated header are joined by commas.
+    values = {value.strip() for value in text.split(",")}
+    if not values <= {"0", "1"}:
         _log_unreadable(endpoint, LEAVING_HEADER, text)
-    return text == "1"
+    return "1" in values
 
 
 def _read_pace(headers: Mapping[str, str], endpoint: str) -> float | None:
--- a/tools/error_table.py
+++ b/tools/error_table.py
@@ -26,7 +26,7 @@
 PAGE_FOOTER = """
 ## Malformed heads
 
-Heads are judged line by line as they arrive, before any field of them is used. A
+Heads are validated line by line as they arrive, before any field of them is used. A
 request with a malformed head gets 400 and reaches no endpoint. A response with one
 counts as broken off: `outcome_unknown` for what may not be repeated, another attempt
 for what may. The same holds for the fields behind a chunked body.
@@ -34,16 +34,16 @@
 | in a field line | RFC 9112, 9110 | here |
 | --- | --- | --- |
 | a name that is empty or no token, no colon | invalid | refused |
-| a blank before the colon | refuse in requests, remove in responses | refused |
-| a blank at the begin of the line (folding) | refuse or replace | refused |
+| whitespace before the colon | refuse in requests, remove in responses | refused |
+| whitespace at the start of the line (folding) | refuse or replace | refused |
 | a carriage return that ends no line | refuse or replace | refused |
 | a control byte other than a tab in the value | refuse, may keep some | refused |
 | a line end without a carriage return | may accept | accepted |
-| blanks around the value | not part of it | removed |
+| whitespace around the value | not part of it | removed |
 | tabs, bytes over 127, an empty value | valid | passed on |
 
-Blanks before the colon and folded lines are refused in responses as well: an endpoint
-that writes them has spoiled its head, and what it meant is not known.
+Whitespace before the colon and folded lines are refused in responses as well: an
+endpoint that writes them has spoiled its head, and what it meant is not known.
 """
 
 
