--- a/review/runner_3.py
+++ b/review/runner_3.py
@@ -161,7 +161,7 @@
         lines += [f"{name}: {value}" for name, value in headers.items()]
         lines += [
             f"X-Hawthornyard-Server-Load: {self._n_running},"
-            f"{self._n_held - self._n_running},{self._options.slots}",
+            f"{self._n_held - self._n_running},{self._options.slots}{self._pace()}",
             "Connection: close",
         ]
         conn.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
@@ -204,6 +204,9 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                 f"X-Hawthornyard-Request-Id: {request_id}\r\n"
                 f"X-Hawthornyard-Response-Seal: 3e1b.{request_id}\r\n"
+                f"X-Hawthornyard-Server-Load: {self._n_running},"
+                f"{self._n_held - self._n_running},{self._options.slots}"
+                f"{self._pace()}\r\n"
                 f"X-Hawthornyard-Weight-Versions: 1\r\n{framing}\r\n\r\n"
             ).encode()
         )
@@ -224,6 +227,9 @@
         finally:
             self._n_running -= 1
 
+    def _pace(self) -> str:
+        return ",100" if self._options.tells_pace else ""
+
     def _chunked_framing(self) -> str:
         return "Transfer-Encoding: chunked\r\nConnection: close"
 
@@ -251,6 +257,7 @@
     parser.add_argument("--start-s", type=float, default=0.0)
     parser.add_argument("--deadly", default="")
     parser.add_argument("--unframed", type=int, default=0)
+    parser.add_argument("--tells-pace", type=int, default=0)
     parser.add_argument("--pre-fork", type=int, default=0)
     options = parser.parse_args()
     host, _, port = options.listen.partition(":")
