--- a/review/runner_3.py
+++ b/review/runner_3.py
@@ -21,6 +21,8 @@
 TOKENS_PER_EVENT = 4
 PROMPT_TOKENS_PER_S = 14_000
 DEADLY_STATUS = 86
+PLAIN_PIECES = 40
+"""Pieces of 20 bytes each, 800 bytes together."""
 
 
 class Engine:
@@ -73,7 +75,7 @@
     def _write_entry(self) -> None:
         self._sequence += 1
         entry = {
-            "service": "scribe",
+            "service": self._options.service,
             "address": self._options.listen,
             "zone": self._options.zone,
             "version": "1",
@@ -181,10 +183,29 @@
         self._note("arrived", request_id)
         self._n_held += 1
         try:
-            self._write_stream(conn, headers, request_id, names[:-1])
+            if self._options.plain:
+                self._write_plain(conn, request_id)
+            else:
+                self._write_stream(conn, headers, request_id, names[:-1])
         finally:
             self._n_held -= 1
 
+    def _write_plain(self, conn: Any, request_id: str) -> None:
+        """Answer with a body without length, in pieces as they are made."""
+        self._note("runs", request_id)
+        conn.sendall(
+            (
+                "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"
+                f"X-Hawthornyard-Request-Id: {request_id}\r\n"
+                f"X-Hawthornyard-Response-Seal: 3e1b.{request_id}\r\n"
+                "Connection: close\r\n\r\n"
+            ).encode()
+        )
+        for number in range(PLAIN_PIECES):
+            eventlet.sleep(self._options.step_s)
+            conn.sendall(f"{request_id} {number:2d}\n".encode())
+        self._note("ends", request_id)
+
     def _write_stream(
         self, conn: Any, headers: dict[str, str], request_id: str, shared: list[str]
     ) -> None:
@@ -250,6 +271,8 @@
     parser.add_argument("--store", required=True)
     parser.add_argument("--journal", required=True)
     parser.add_argument("--zone", default="kgn-a")
+    parser.add_argument("--service", default="scribe")
+    parser.add_argument("--plain", type=int, default=0)
     parser.add_argument("--slots", type=int, default=24)
     parser.add_argument("--queue", type=int, default=72)
     parser.add_argument("--step-s", type=float, default=0.02)
