--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,7 +4,6 @@
 import random
 import signal
 import sys
-import tempfile
 from pathlib import Path
 from typing import Any
 
@@ -17,10 +16,10 @@
     Runner,
     Store,
     deployment,
-    end_all,
     new_ids,
     read_runs,
     request_bytes,
+    run_case,
     stream_route,
     wait_until,
 )
@@ -36,19 +35,6 @@
 SEND_UNTIL_S = 14.0
 
 
-def main() -> int:
-    """Play the case; return its exit status."""
-    folder = Path(__file__).resolve().parent
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
-    with tempfile.TemporaryDirectory() as name:
-        children: list[Any] = []
-        try:
-            return play(Path(name), record, children, has_trouble=has_trouble)
-        finally:
-            end_all(children)
-
-
 def play(
     folder: Path, record: Record, children: list[Any], *, has_trouble: bool
 ) -> int:
@@ -144,4 +130,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).resolve().parent, play))
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,10 +1,8 @@
 """A runner crashes while it writes plain answers that have no length."""
 
-import os
 import random
 import signal
 import sys
-import tempfile
 from pathlib import Path
 from typing import Any
 
@@ -18,10 +16,10 @@
     Runner,
     Store,
     deployment,
-    end_all,
     new_ids,
     read_runs,
     request_bytes,
+    run_case,
     wait_until,
 )
 
@@ -37,19 +35,6 @@
 SEND_UNTIL_S = 34.0
 
 
-def main() -> int:
-    """Play the case; return its exit status."""
-    folder = Path(__file__).resolve().parent
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
-    record = Record(folder)
-    with tempfile.TemporaryDirectory() as name:
-        children: list[Any] = []
-        try:
-            return play(Path(name), record, children, has_trouble=has_trouble)
-        finally:
-            end_all(children)
-
-
 def configuration() -> dict[str, Any]:
     """Return a configuration with the plain service `frontdesk`."""
     config = deployment([])
@@ -164,4 +149,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run_case(Path(__file__).resolve().parent, play))
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -12,7 +12,9 @@
 import signal
 import subprocess
 import sys
+import tempfile
 import time
+import traceback
 from collections.abc import Callable, Iterable
 from pathlib import Path
 from typing import Any
@@ -624,3 +626,27 @@
     """End all processes that the script started."""
     for child in children:
         child.end()
+
+
+def run_case(folder: Path, play: Callable[..., int]) -> int:
+    """Play a case and end its processes.
+
+    Args:
+        folder: Folder of the case.
+        play: Gets a temporary folder, the record, a list for the processes that it
+            starts, and whether there is trouble; returns the exit status.
+
+    Returns:
+        The exit status, 2 if the case could not run.
+    """
+    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(folder)
+    children: list[Child] = []
+    with tempfile.TemporaryDirectory() as name:
+        try:
+            return play(Path(name), record, children, has_trouble=has_trouble)
+        except Exception:
+            record.note(traceback.format_exc(), shown=True)
+            return 2
+        finally:
+            end_all(children)
