--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,5 @@
-"""A runner crashes in the middle of streams that have no length."""
+"""The gateways are restarted in turn while a part of prompts crashes runners."""
 
-import os
 import random
 import signal
 import sys
@@ -25,108 +24,190 @@
 )
 
 ZONES = ("kgn-a", "kgn-b", "kgn-c")
-REQUESTS_PER_S = 4.0
-N_EVENTS = 100
-"""Events of each stream, of 4 tokens each."""
+RUNNERS_PER_ZONE = 2
+REQUESTS_PER_S = 20.0
+DEADLY = "dead0001"
+DEADLY_SHARE = 0.05
+DEADLY_FROM_S = 8.0
+ROLL_AT_S = 16.0
+END_AT_S = 70.0
+CONTACT_S = 3.0
+GRACE_S = 8.0
+RESTART_S = 3.0
+"""Time until a runner that has crashed is back."""
 TIMEOUT_MS = 39_000
-START_S = 3.0
-"""Time that a worker needs to load its weights."""
-CRASH_AT_S = 8.0
-SEND_UNTIL_S = 14.0
+N_EVENTS = 30
+PROBES_UNTIL_OUT = 2
+
+
+class Sent:
+    """A request, and what became of it."""
+
+    def __init__(self, at: float, gateway: str, *, is_deadly: bool) -> None:
+        self.at = at
+        self.gateway = gateway
+        self.is_deadly = is_deadly
+        self.answer: Answer | None = None
+
+
+class Ingress:
+    """The platform's choice of a gateway for each new channel.
+
+    It asks each gateway once a second whether it is ready; after two misses the gateway
+    gets no new channels until it says so again.
+    """
+
+    def __init__(self, gateways: list[Gateway], source: random.Random) -> None:
+        self._source = source
+        self._in_rotation: dict[str, Gateway] = {}
+        for gateway in gateways:
+            eventlet.spawn_n(self._probe, gateway)
+
+    def _probe(self, gateway: Gateway) -> None:
+        eventlet.sleep(self._source.random())
+        n_misses = 0
+        while True:
+            n_misses = 0 if gateway.is_ready() else n_misses + 1
+            if not n_misses:
+                self._in_rotation[gateway.name] = gateway
+            elif n_misses >= PROBES_UNTIL_OUT:
+                self._in_rotation.pop(gateway.name, None)
+            eventlet.sleep(1)
+
+    def choose(self) -> Gateway | None:
+        """Return the gateway of a new channel, None if there is none."""
+        chosen = list(self._in_rotation.values())
+        return self._source.choice(chosen) if chosen else None
+
+
+def keep_running(runner: Runner, record: Record) -> None:
+    """Start a runner again some seconds after it has crashed."""
+    while True:
+        eventlet.sleep(0.1)
+        if not runner.is_alive():
+            record.note(f"{runner.name} has crashed", shown=True)
+            eventlet.sleep(RESTART_S)
+            runner.start()
+            record.note(f"{runner.name} is back")
+
+
+def restart_in_turn(gateways: list[Gateway], record: Record) -> None:
+    """Stop and start one gateway after the other, as the platform does."""
+    for gateway in gateways:
+        gateway.signal(signal.SIGTERM)
+        record.note(f"{gateway.name} gets SIGTERM", shown=True)
+        if not wait_until(lambda gateway=gateway: not gateway.is_alive(), GRACE_S):
+            gateway.signal(signal.SIGKILL)
+        eventlet.sleep(0.5)
+        gateway.start()
+        record.note(f"{gateway.name} is started")
+        wait_until(gateway.is_ready, 10)
+        eventlet.sleep(2)
 
 
 def play(
     folder: Path, record: Record, children: list[Any], *, has_trouble: bool
 ) -> int:
-    """Start the deployment, send the streams, crash a runner's worker, and judge."""
+    """Start the deployment, send the traffic, restart the gateways, and judge."""
     store = Store(record)
     route = stream_route(
         "visit-summary", "/sum/", timeout_ms=TIMEOUT_MS, target_ms=1800
     )
     store.put("op", "config", deployment([route]))
     runners = [
-        Runner(
-            folder,
-            f"i-{z[-1]}0",
-            store,
-            zone=z,
-            unframed=1,
-            pre_fork=1,
-            start_s=START_S,
-        )
+        Runner(folder, f"i-{z[-1]}{i}", store, zone=z, deadly=DEADLY)
         for z in ZONES
+        for i in range(RUNNERS_PER_ZONE)
     ]
-    gateways = [Gateway(folder, f"front-{z}-1", z, store) for z in ZONES[:2]]
+    gateways = [Gateway(folder, f"front-{z}-1", z, store) for z in ZONES]
     children += [*runners, *gateways]
     for child in children:
         child.start()
     if not wait_until(lambda: all(gateway.is_ready() for gateway in gateways), 15):
         record.note("the gateways did not become ready", shown=True)
         return 2
+    source = random.Random()
+    ingress = Ingress(gateways, source)
     eventlet.sleep(3)
-    source = random.Random(1)
+    for runner in runners:
+        eventlet.spawn_n(keep_running, runner, record)
     new_id = new_ids()
     began = record.now()
-    answers: dict[str, Answer] = {}
+    sent: dict[str, Sent] = {}
 
-    def send() -> None:
-        gateway = source.choice(gateways)
+    def send(*, is_deadly: bool) -> None:
+        gateway = ingress.choose()
+        if gateway is None:
+            return
         request_id = new_id()
+        document = DEADLY if is_deadly else f"{source.getrandbits(32):08x}"
         data = request_bytes(
             "/sum/1",
             request_id,
-            prefix="5c1e07a2:79,e4402b7d:921",
-            usage=f"1000,{4 * N_EVENTS}",
+            prefix=f"5c1e07a2:79,{document}:2000,91bd3f06:500,{request_id[:8]}:500",
+            usage=f"3079,{4 * N_EVENTS}",
             deadline_ms=TIMEOUT_MS,
         )
-        answer = Consumer(gateway.port).call(data, TIMEOUT_MS / 1000)
-        answers[request_id] = answer
+        item = sent[request_id] = Sent(
+            record.now() - began, gateway.name, is_deadly=is_deadly
+        )
+        item.answer = answer = Consumer(gateway.port).call(data, TIMEOUT_MS / 1000)
+        kind = "deadly" if is_deadly else "sound"
         record.note(
-            f"{request_id} by {gateway.name}: {answer.status}, "
-            f"{len(answer.events)} events, {answer.detail}"
+            f"{request_id} {kind} by {gateway.name}: {answer.status} {answer.detail} "
+            f"{answer.body[:90] if answer.status != 200 else ''!r}"
         )
 
-    crashed = False
-    while record.now() - began < SEND_UNTIL_S:
-        eventlet.spawn_n(send)
-        eventlet.sleep(1 / REQUESTS_PER_S)
-        if has_trouble and not crashed and record.now() - began > CRASH_AT_S:
-            crashed = True
-            starts = [
-                run
-                for run in read_runs(runners[0].journal)
-                if run["what"] == "starts" and run["runner"] == runners[0].name
-            ]
-            os.kill(starts[-1]["pid"], signal.SIGKILL)
-            record.note(f"the worker of {runners[0].name} crashes", shown=True)
-    eventlet.sleep(8)
-    return judge(record, read_runs(runners[0].journal), answers)
-
-
-def judge(
-    record: Record, runs: list[dict[str, Any]], answers: dict[str, Answer]
-) -> int:
-    """Return 1 if a stream ends as complete before its last piece, else 0."""
-    ended = {run["id"] for run in runs if run["what"] == "ends"}
-    n_cut = n_told = 0
-    for request_id, answer in answers.items():
-        wanted = list(range(1, N_EVENTS + 1))
-        if answer.status != 200 or answer.events == wanted:
-            continue
-        n_cut += 1
-        if answer.is_whole:
-            n_told += 1
-            record.note(
-                f"{request_id}: {len(answer.events)} of {N_EVENTS} events, then the "
-                f"last chunk; its run ended: {request_id in ended}",
-                shown=True,
-            )
+    is_rolled = not has_trouble
+    while (now := record.now() - began) < END_AT_S:
+        if not is_rolled and now >= ROLL_AT_S:
+            is_rolled = True
+            eventlet.spawn_n(restart_in_turn, gateways, record)
+        is_deadly = now > DEADLY_FROM_S and source.random() < DEADLY_SHARE
+        eventlet.spawn_n(send, is_deadly=is_deadly)
+        eventlet.sleep(source.expovariate(REQUESTS_PER_S))
+    eventlet.sleep(4)
+    for gateway in gateways:
+        for line in (folder / f"{gateway.name}.log").read_text().splitlines():
+            if '"part_' in line:
+                record.note(f"log of {gateway.name}: {line}")
+    return judge(record, read_runs(runners[0].journal), sent)
+
+
+def judge(record: Record, runs: list[dict[str, Any]], sent: dict[str, Sent]) -> int:
+    """Return 1 if sound requests begin less than half as often as before, else 0."""
+    has_begun = {run["id"] for run in runs if run["what"] == "runs"}
+    crashes = [run["id"] for run in runs if run["what"] == "crashes"]
+    if not crashes:
+        return 2
+    # After the last restart, gateways are in touch again; see claim.txt.
+    since = max(sent[crashes[min(4, len(crashes) - 1)]].at + 2 * CONTACT_S, 42.0)
+    record.note(f"{len(crashes)} crashes, judged from {since:.1f} s on", shown=True)
+
+    def share(names: set[str], begin: float, end: float) -> tuple[int, int]:
+        chosen = [
+            request_id
+            for request_id, item in sent.items()
+            if not item.is_deadly and item.gateway in names and begin <= item.at < end
+        ]
+        return sum(request_id in has_begun for request_id in chosen), len(chosen)
+
+    names = {item.gateway for item in sent.values()}
+    for name in sorted(names):
+        calm, later = share({name}, 0, DEADLY_FROM_S), share({name}, since, END_AT_S)
+        record.note(
+            f"{name}: {calm[0]} of {calm[1]} sound requests begin before, "
+            f"{later[0]} of {later[1]} later",
+            shown=True,
+        )
+    n_calm, of_calm = share(names, 0, DEADLY_FROM_S)
+    n_later, of_later = share(names, since, END_AT_S)
     record.note(
-        f"{len(answers)} streams, {n_cut} of them cut short, {n_told} of these with "
-        "the end of a complete answer",
-        shown=True,
+        f"all: {n_calm} of {of_calm} before, {n_later} of {of_later} later", shown=True
     )
-    return 1 if n_told else 0
+    if of_calm < 20 or of_later < 20:
+        return 2
+    return 1 if n_later / of_later < 0.5 * n_calm / of_calm else 0
 
 
 if __name__ == "__main__":
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,14 +1,13 @@
-"""A runner crashes while it writes plain answers that have no length."""
+"""A part of long prompts crashes runners."""
 
+import os
 import random
-import signal
 import sys
 from pathlib import Path
 from typing import Any
 
 import eventlet
 from harness_3 import (
-    HOST,
     Answer,
     Consumer,
     Gateway,
@@ -20,63 +19,90 @@
     read_runs,
     request_bytes,
     run_case,
+    stream_route,
     wait_until,
 )
 
 ZONES = ("kgn-a", "kgn-b", "kgn-c")
-REQUESTS_PER_S = 19.0
-BODY_BYTES = 800
-PIECE_S = 0.005
-TIMEOUT_MS = 1000
-CRASH_AT_S = 4.0
-CRASH_EVERY_S = 10.0
-N_CRASHES = 3
-BACK_AFTER_S = 4.5
-SEND_UNTIL_S = 34.0
-
-
-def configuration() -> dict[str, Any]:
-    """Return a configuration with the plain service `frontdesk`."""
-    config = deployment([])
-    config["services"] = [
-        {"name": "frontdesk", "max_connections": 96, "health_check_path": "/health"}
-    ]
-    config["routes"] = [
-        {
-            "name": "guest-lookup",
-            "host": HOST,
-            "prefix": "/look/",
-            "service": "frontdesk",
-            "kind": "idempotent",
-            "timeout_ms": TIMEOUT_MS,
-            "target_latency_ms": 200,
-            "priority": 2,
-            "max_attempts": 2,
-            "public": False,
-        }
-    ]
-    return config
+RUNNERS_PER_ZONE = 2
+REQUESTS_PER_S = 16.0
+DEADLY = "dead0001"
+DEADLY_SHARE = 0.05
+DEADLY_FROM_S = 8.0
+END_AT_S = 50.0
+CONTACT_S = 3.0
+RESTART_S = 3.0
+"""Time until a runner that has crashed is back."""
+TIMEOUT_MS = 39_000
+N_EVENTS = 30
+N_PARTS = int(os.environ.get("PARTS", "40"))
+PROBES_UNTIL_OUT = 2
+
+
+class Sent:
+    """A request, and what became of it."""
+
+    def __init__(self, at: float, gateway: str, *, is_deadly: bool) -> None:
+        self.at = at
+        self.gateway = gateway
+        self.is_deadly = is_deadly
+        self.answer: Answer | None = None
+
+
+class Ingress:
+    """The platform's choice of a gateway for each new channel.
+
+    It asks each gateway once a second whether it is ready; after two misses the gateway
+    gets no new channels until it says so again.
+    """
+
+    def __init__(self, gateways: list[Gateway], source: random.Random) -> None:
+        self._source = source
+        self._in_rotation: dict[str, Gateway] = {}
+        for gateway in gateways:
+            eventlet.spawn_n(self._probe, gateway)
+
+    def _probe(self, gateway: Gateway) -> None:
+        eventlet.sleep(self._source.random())
+        n_misses = 0
+        while True:
+            n_misses = 0 if gateway.is_ready() else n_misses + 1
+            if not n_misses:
+                self._in_rotation[gateway.name] = gateway
+            elif n_misses >= PROBES_UNTIL_OUT:
+                self._in_rotation.pop(gateway.name, None)
+            eventlet.sleep(1)
+
+    def choose(self) -> Gateway | None:
+        """Return the gateway of a new channel, None if there is none."""
+        chosen = list(self._in_rotation.values())
+        return self._source.choice(chosen) if chosen else None
+
+
+def keep_running(runner: Runner, record: Record) -> None:
+    """Start a runner again some seconds after it has crashed."""
+    while True:
+        eventlet.sleep(0.1)
+        if not runner.is_alive():
+            record.note(f"{runner.name} has crashed", shown=True)
+            eventlet.sleep(RESTART_S)
+            runner.start()
+            record.note(f"{runner.name} is back")
 
 
 def play(
     folder: Path, record: Record, children: list[Any], *, has_trouble: bool
 ) -> int:
-    """Start the deployment, send lookups, crash a runner three times, and judge."""
+    """Start the deployment, send the traffic, and judge."""
     store = Store(record)
-    store.put("op", "config", configuration())
+    route = stream_route(
+        "visit-summary", "/sum/", timeout_ms=TIMEOUT_MS, target_ms=1800
+    )
+    store.put("op", "config", deployment([route]))
     runners = [
-        Runner(
-            folder,
-            f"i-{zone[-1]}0",
-            store,
-            zone=zone,
-            service="frontdesk",
-            plain=1,
-            slots=6,
-            queue=24,
-            step_s=PIECE_S,
-        )
-        for zone in ZONES
+        Runner(folder, f"i-{z[-1]}{i}", store, zone=z, deadly=DEADLY)
+        for z in ZONES
+        for i in range(RUNNERS_PER_ZONE)
     ]
     gateways = [Gateway(folder, f"front-{z}-1", z, store) for z in ZONES]
     children += [*runners, *gateways]
@@ -85,67 +111,78 @@
     if not wait_until(lambda: all(gateway.is_ready() for gateway in gateways), 15):
         record.note("the gateways did not become ready", shown=True)
         return 2
-    eventlet.sleep(3)
     source = random.Random()
+    ingress = Ingress(gateways, source)
+    eventlet.sleep(3)
+    for runner in runners:
+        eventlet.spawn_n(keep_running, runner, record)
     new_id = new_ids()
     began = record.now()
-    answers: dict[str, Answer] = {}
+    sent: dict[str, Sent] = {}
 
-    def send() -> None:
-        gateway = source.choice(gateways)
+    def send(*, is_deadly: bool) -> None:
+        gateway = ingress.choose()
+        if gateway is None:
+            return
         request_id = new_id()
+        document = DEADLY if is_deadly else f"{source.getrandbits(32):08x}"
+        others = [f"{source.getrandbits(32):08x}:75" for _ in range(N_PARTS - 3)]
+        parts = ["5c1e07a2:79", f"{document}:75", *others, f"{request_id[:8]}:75"]
         data = request_bytes(
-            "/look/1", request_id, method="GET", deadline_ms=TIMEOUT_MS, body=b""
+            "/sum/1",
+            request_id,
+            prefix=",".join(parts),
+            usage=f"3079,{4 * N_EVENTS}",
+            deadline_ms=TIMEOUT_MS,
         )
-        answer = Consumer(gateway.port).call(data, TIMEOUT_MS / 1000 + 1)
-        answers[request_id] = answer
+        item = sent[request_id] = Sent(
+            record.now() - began, gateway.name, is_deadly=is_deadly
+        )
+        item.answer = answer = Consumer(gateway.port).call(data, TIMEOUT_MS / 1000)
+        kind = "deadly" if is_deadly else "sound"
         record.note(
-            f"{request_id} by {gateway.name}: {answer.status}, "
-            f"{len(answer.body)} bytes, {answer.detail}"
+            f"{request_id} {kind} by {gateway.name}: {answer.status} {answer.detail} "
+            f"{answer.body[:90] if answer.status != 200 else ''!r}"
         )
 
-    def crash() -> None:
-        eventlet.sleep(CRASH_AT_S)
-        for runner in runners[:N_CRASHES]:
-            runner.signal(signal.SIGKILL)
-            record.note(f"{runner.name} crashes", shown=True)
-            eventlet.sleep(BACK_AFTER_S)
-            runner.start()
-            eventlet.sleep(CRASH_EVERY_S - BACK_AFTER_S)
-
-    if has_trouble:
-        eventlet.spawn_n(crash)
-    while record.now() - began < SEND_UNTIL_S:
-        eventlet.spawn_n(send)
+    while (now := record.now() - began) < END_AT_S:
+        is_deadly = (
+            has_trouble and now > DEADLY_FROM_S and source.random() < DEADLY_SHARE
+        )
+        eventlet.spawn_n(send, is_deadly=is_deadly)
         eventlet.sleep(source.expovariate(REQUESTS_PER_S))
-    eventlet.sleep(2.5)
-    return judge(record, read_runs(runners[0].journal), answers)
+    eventlet.sleep(4)
+    for gateway in gateways:
+        for line in (folder / f"{gateway.name}.log").read_text().splitlines():
+            if '"part_' in line:
+                record.note(f"log of {gateway.name}: {line}")
+    return judge(record, read_runs(runners[0].journal), sent)
 
 
-def judge(
-    record: Record, runs: list[dict[str, Any]], answers: dict[str, Answer]
-) -> int:
-    """Return 1 if a success has a body that is not the runner's whole one, else 0."""
-    ended = {run["id"] for run in runs if run["what"] == "ends"}
-    n_short = 0
-    for request_id, answer in answers.items():
-        is_success = answer.is_whole and answer.status == 200
-        if is_success and len(answer.body) != BODY_BYTES:
-            n_short += 1
-            record.note(
-                f"{request_id}: status 200, seal "
-                f"{answer.headers.get('x-hawthornyard-response-seal')}, "
-                f"{len(answer.body)} of {BODY_BYTES} bytes with "
-                f"{answer.headers.get('content-length', 'no')} as their length; its "
-                f"run ended: {request_id in ended}",
-                shown=True,
-            )
-    n_whole = sum(len(answer.body) == BODY_BYTES for answer in answers.values())
+def judge(record: Record, runs: list[dict[str, Any]], sent: dict[str, Sent]) -> int:
+    """Return 1 if over three deadly requests come too late, else 0."""
+    deadly = {request_id for request_id, item in sent.items() if item.is_deadly}
+    crashes = [run["at"] for run in runs if run["what"] == "crashes"]
+    n_cut = sum(
+        bool(item.answer and item.answer.status == 200 and not item.answer.is_whole)
+        for item in sent.values()
+        if not item.is_deadly
+    )
+    late = []
+    if len(crashes) >= 5:
+        late = [
+            run["id"]
+            for run in runs
+            if run["what"] == "arrived"
+            and run["id"] in deadly
+            and run["at"] > crashes[4] + CONTACT_S
+        ]
     record.note(
-        f"{len(answers)} lookups, {n_whole} whole, {n_short} shortened successes",
+        f"{len(crashes)} crashes; {len(late)} requests with the deadly part reach "
+        f"runners later than {CONTACT_S} s after the fifth; {n_cut} sound streams cut",
         shown=True,
     )
-    return 1 if n_short else 0
+    return 1 if len(late) > 3 else 0
 
 
 if __name__ == "__main__":
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -644,7 +644,10 @@
     children: list[Child] = []
     with tempfile.TemporaryDirectory() as name:
         try:
-            return play(Path(name), record, children, has_trouble=has_trouble)
+            status = play(Path(name), record, children, has_trouble=has_trouble)
+            for run in read_runs(Path(name) / "runs.jsonl"):
+                record.note(f"run: {json.dumps(run)}")
+            return status
         except Exception:
             record.note(traceback.format_exc(), shown=True)
             return 2
