--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -642,6 +642,8 @@
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder)
     children: list[Child] = []
+    # Raised in the hub, which passes it on to this function.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as name:
         try:
             status = play(Path(name), record, children, has_trouble=has_trouble)
