--- a/review/12/case.py
+++ b/review/12/case.py
@@ -30,7 +30,9 @@
 DEADLY_SHARE = 0.05
 DEADLY_FROM_S = 8.0
 ROLL_AT_S = 16.0
-END_AT_S = 70.0
+END_AT_S = 60.0
+"""Ahead of the first trial of an accused part, 60 s after it was accused: a crash by
+the trial would begin a new time in which nothing is judged."""
 CONTACT_S = 3.0
 GRACE_S = 8.0
 RESTART_S = 3.0
